--- /dev/null
+++ b/dandelionwinch/adapters/endpointslices.py
@@ -0,0 +1,80 @@
+"""The platform's list of instances, by Kubernetes' EndpointSlices."""
+
+import attrs
+from urllib3 import exceptions
+
+from dandelionwinch.adapters import connections
+
+_PATH = '/apis/discovery.k8s.io/v1/namespaces/{}/endpointslices'
+_CLERK_PORT = 'clerk'
+_PEER_PORT = 'peer'
+_OPERATOR_PORT = 'operator'
+
+
+@attrs.frozen
+class ListedInstance:
+    """One line of the platform's list.
+
+    Attributes:
+        ready: Whether it may get new work.
+        leaving: Whether the platform is about to take it away.
+    """
+
+    name: str
+    place: str
+    clerk_address: str
+    peer_address: str
+    operator_address: str
+    ready: bool
+    leaving: bool
+
+
+class EndpointSliceList:
+    """Reads the list; an instance that is gone has no line."""
+
+    __slots__ = ('_cfg', '_conns', 'calls')
+
+    def __init__(self, cfg, idle_s):
+        self._cfg = cfg
+        self._conns = connections.Connections(idle_s)
+        self.calls = 0
+
+    def fetch(self):
+        """Reads the whole list.
+
+        Returns:
+            A tuple of ListedInstance, or None if it was not reached.
+        """
+        self.calls += 1
+        path = _PATH.format(self._cfg.namespace)
+        try:
+            reply = self._conns.to(self._cfg.address).request(
+                'GET', path, timeout=self._cfg.timeout_s
+            )
+            if reply.status != 200:
+                return None
+            slices = reply.json()['items']
+            return tuple(_read(part) for part in slices)
+        except (exceptions.HTTPError, ValueError, LookupError, TypeError):
+            self._conns.forget(self._cfg.address)
+            return None
+
+    def close(self):
+        """Closes all connections."""
+        self._conns.close()
+
+
+def _read(part):
+    endpoint = part['endpoints'][0]
+    host = endpoint['addresses'][0]
+    ports = {port['name']: port['port'] for port in part['ports']}
+    conditions = endpoint.get('conditions', {})
+    return ListedInstance(
+        name=part['metadata']['name'],
+        place=endpoint.get('zone', ''),
+        clerk_address=f'{host}:{ports[_CLERK_PORT]}',
+        peer_address=f'{host}:{ports[_PEER_PORT]}',
+        operator_address=f'{host}:{ports[_OPERATOR_PORT]}',
+        ready=bool(conditions.get('ready', True)),
+        leaving=bool(conditions.get('terminating', False)),
+    )
--- /dev/null
+++ b/dandelionwinch/adapters/etcd.py
@@ -0,0 +1,165 @@
+"""The platform's store, by etcd's published v3 JSON interface."""
+
+import base64
+import json
+
+from urllib3 import exceptions
+
+from dandelionwinch.adapters import connections
+from dandelionwinch import effects
+
+_NEVER_SENT = (
+    exceptions.NewConnectionError,
+    exceptions.ConnectTimeoutError,
+)
+
+
+def _encode(data):
+    return base64.b64encode(data).decode()
+
+
+def _decode(text):
+    return base64.b64decode(text)
+
+
+def prefix_end(prefix):
+    """Returns the first key after all keys with a prefix."""
+    raw = bytearray(prefix.encode())
+    raw[-1] += 1
+    return bytes(raw)
+
+
+class EtcdStore:
+    """Runs store requests; every failure is a reply, never raised.
+
+    The store counts each call; ``calls`` counts the same here. Watches
+    are not used, for a waiting watch counts as a call as well and
+    freshness has to be confirmed by reads in any case.
+    """
+
+    __slots__ = ('_cfg', '_conns', 'calls')
+
+    def __init__(self, cfg, idle_s):
+        self._cfg = cfg
+        self._conns = connections.Connections(idle_s)
+        self.calls = 0
+
+    def execute(self, request):
+        """Runs one request of the effects module.
+
+        Returns:
+            The reply. A write that was sent but not answered gives
+            Uncertain; anything that was surely not written gives
+            Unavailable.
+        """
+        match request:
+            case effects.Read():
+                return self._read(request)
+            case effects.Scan():
+                return self._scan(request)
+            case effects.Commit():
+                return self._commit(request)
+        raise TypeError(f'"{request!r}" is not a store request')
+
+    def _read(self, request):
+        body = {'key': self._key(request.key)}
+        reply = self._post('/v3/kv/range', body)
+        if reply is None:
+            return effects.Unavailable()
+        records = self._records(reply)
+        if records:
+            return effects.Found(records[0])
+        return effects.Found(effects.Record(request.key, None, 0))
+
+    def _scan(self, request):
+        full = self._cfg.prefix + request.prefix
+        body = {
+            'key': _encode(full.encode()),
+            'range_end': _encode(prefix_end(full)),
+        }
+        if request.after:
+            body['min_mod_revision'] = str(request.after + 1)
+        reply = self._post('/v3/kv/range', body)
+        if reply is None:
+            return effects.Unavailable()
+        revision = int(reply['header']['revision'])
+        return effects.Scanned(self._records(reply), revision)
+
+    def _commit(self, request):
+        body = {
+            'compare': [self._compare(guard) for guard in request.guards],
+            'success': [self._operation(put) for put in request.puts],
+        }
+        try:
+            reply = self._send('/v3/kv/txn', body)
+        except _NEVER_SENT:
+            return effects.Unavailable()
+        except (exceptions.HTTPError, ValueError):
+            return effects.Uncertain()
+        if not reply.get('succeeded'):
+            return effects.GuardFailed()
+        return effects.Committed(int(reply['header']['revision']))
+
+    def _compare(self, guard):
+        return {
+            'key': self._key(guard.key),
+            'target': 'MOD',
+            'result': 'EQUAL',
+            'mod_revision': str(guard.revision),
+        }
+
+    def _operation(self, put):
+        if put.value is None:
+            return {'requestDeleteRange': {'key': self._key(put.key)}}
+        value = _encode(put.value)
+        return {'requestPut': {'key': self._key(put.key), 'value': value}}
+
+    def _key(self, key):
+        return _encode((self._cfg.prefix + key).encode())
+
+    def _records(self, reply):
+        return tuple(self._record(kv) for kv in reply.get('kvs', ()))
+
+    def _record(self, kv):
+        key = _decode(kv['key']).decode().removeprefix(self._cfg.prefix)
+        value = _decode(kv.get('value', ''))
+        return effects.Record(key, value, int(kv['mod_revision']))
+
+    def _post(self, path, body):
+        try:
+            return self._send(path, body)
+        except (exceptions.HTTPError, ValueError):
+            return None
+
+    def _send(self, path, body):
+        last = None
+        for endpoint in self._cfg.endpoints:
+            self.calls += 1
+            try:
+                return self._send_to(endpoint, path, body)
+            except _NEVER_SENT as exc:
+                self._conns.forget(endpoint)
+                last = exc
+        raise last
+
+    def _send_to(self, endpoint, path, body):
+        try:
+            reply = self._conns.to(endpoint).request(
+                'POST',
+                path,
+                body=json.dumps(body),
+                headers={'Content-Type': 'application/json'},
+                timeout=self._cfg.timeout_s,
+            )
+        except exceptions.HTTPError:
+            self._conns.forget(endpoint)
+            raise
+        if reply.status != 200:
+            raise exceptions.HTTPError(
+                f'store "{endpoint}" answered {reply.status}'
+            )
+        return reply.json()
+
+    def close(self):
+        """Closes all connections."""
+        self._conns.close()
--- /dev/null
+++ b/dandelionwinch/calls.py
@@ -0,0 +1,336 @@
+"""Relays calls of plain services, each by its rule on repeating."""
+
+import concurrent.futures
+import re
+import time
+
+from dandelionwinch.adapters import service as service_adapter
+from dandelionwinch import claims
+from dandelionwinch.daemon import messages
+from dandelionwinch import errors
+from dandelionwinch import listeners
+from dandelionwinch import relay
+from dandelionwinch import settings
+from dandelionwinch import utils
+
+HEDGE_DELAY_S = 0.15
+HEDGE_THREADS = 32
+SERVER_ERROR = 500
+UNRESOLVED_RETRY_S = 2.0
+_KEY = re.compile(r'[A-Za-z0-9._:~-]{1,200}')
+_SAFE_METHODS = ('GET', 'HEAD')
+_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
+
+
+class Calls:
+    """Serves plain services in the calling worker thread."""
+
+    def __init__(self, core):
+        self._core = core
+        self._hedges = concurrent.futures.ThreadPoolExecutor(
+            HEDGE_THREADS, thread_name_prefix='hedge'
+        )
+
+    def close(self):
+        """Stops the threads for hedged calls."""
+        self._hedges.shutdown(wait=False, cancel_futures=True)
+
+    def serve(self, request, name, path, team):
+        """Serves one call.
+
+        Args:
+            request: The clerk's Request.
+            name: Name of the service.
+            path: Path at the service, with a slash before it.
+            team: Name of the clerk's team.
+
+        Returns:
+            A Response with the service's answer.
+        """
+        core = self._core
+        if request.method not in _METHODS:
+            raise errors.BadRequest(
+                f'method "{request.method}" is not supported'
+            )
+        core.ask(messages.Admit(request.id, team, name))
+
+        def finish(state, code, tokens):
+            core.ask(messages.Finish(request.id, state, code, tokens))
+
+        try:
+            answer, headers = self._call(request, name, path)
+        except errors.DandelionwinchError as exc:
+            finish(relay.state_of(exc), exc.code, 0)
+            raise
+        except BaseException:
+            finish('unknown', 'internal', 0)
+            raise
+        return _response(answer, headers, finish)
+
+    def _call(self, request, name, path):
+        places = self._core.ask(messages.PlaceService(request.id, name))
+        service = places.service
+        once = service.repeat is settings.Repeat.ONCE
+        key = request.header('idempotency-key')
+        if key and not _KEY.fullmatch(key):
+            raise errors.BadRequest(
+                'header "Idempotency-Key" is not 1 to 200 letters, digits '
+                'or ._:~-'
+            )
+        call = service_adapter.ServiceCall(
+            request.method,
+            path,
+            request.body,
+            request.header('content-type', 'application/json'),
+            key,
+            request.id,
+        )
+        if not once or request.method in _SAFE_METHODS:
+            return self._idempotent(call, places), {}
+        if not key:
+            raise errors.KeyMissing(
+                f'service "{name}" needs the header "Idempotency-Key"'
+            )
+        return _Once(self._core, call, places).run()
+
+    def _idempotent(self, call, places):
+        """Retries within the budget and never after the deadline."""
+        service = places.service
+        deadline = time.monotonic() + service.deadline_s
+        reason = 'no runner was tried'
+        for turn, runner in enumerate(places.runners * 2):
+            left_s = deadline - time.monotonic()
+            if left_s <= 0:
+                break
+            if turn and not self._core.ask(
+                messages.Retry(call.request_id, service.name)
+            ):
+                break
+            answer = self._try(call, places, turn, runner, left_s)
+            if _is_good(answer):
+                return answer
+            reason = _reason(answer)
+            self._core.ask(
+                messages.RunnerFailed(call.request_id, runner.name, reason)
+            )
+        exc = errors.UpstreamFailed(
+            f'service "{service.name}" gave no answer: {reason}',
+            retry_after_s=1.0,
+        )
+        exc.truth = errors.Truth.UNKNOWN
+        raise exc
+
+    def _try(self, call, places, turn, runner, left_s):
+        services = self._core.services
+        others = [r for r in places.runners if r is not runner]
+        if not places.service.hedge or turn or not others:
+            return services.call(runner.address, call, left_s)
+        return self._hedged(call, runner, others[0], left_s)
+
+    def _hedged(self, call, runner, other, left_s):
+        services = self._core.services
+        first = self._hedges.submit(
+            services.call, runner.address, call, left_s
+        )
+        done, _rest = concurrent.futures.wait([first], HEDGE_DELAY_S)
+        if done:
+            return first.result()
+        if not self._core.ask(
+            messages.Retry(call.request_id, self._target(call))
+        ):
+            return first.result()
+        second = self._hedges.submit(
+            services.call, other.address, call, left_s
+        )
+        pending = {first, second}
+        answer = None
+        while pending:
+            done, pending = concurrent.futures.wait(
+                pending,
+                left_s,
+                return_when=concurrent.futures.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            for fut in done:
+                answer = fut.result()
+                if _is_good(answer):
+                    return answer
+        return answer or service_adapter.NoAnswer()
+
+    @staticmethod
+    def _target(call):
+        return f'hedge {call.path}'
+
+
+class _Once:
+    """One call that may be executed at most once."""
+
+    def __init__(self, core, call, places):
+        self._core = core
+        self._call = call
+        self._places = places
+        self._service = places.service
+        self._key = f'{self._service.name}/{call.key}'
+        self._token = f'{core.name}#{core.incarnation}#{call.request_id}'
+        self._claimed = False
+
+    def run(self):
+        """Claims the key, sends the call and records the outcome.
+
+        Returns:
+            The answer and response headers.
+        """
+        call = self._call
+        parts = f'{call.method} {call.path}\n'.encode() + call.body
+        digest = utils.digest_of(parts)
+        opened_at = time.monotonic()
+        result = self._core.ask(
+            messages.OpenClaim(self._key, self._token, digest)
+        )
+        match result:
+            case claims.Granted():
+                self._claimed = True
+            case claims.Held(claim=claim):
+                return self._held(claim, digest)
+            case claims.Expired():
+                raise errors.KeyExpired(
+                    f'key "{call.key}" is older than the retention of keys'
+                )
+            case claims.Full():
+                raise errors.Overloaded(
+                    'the record of keys is full', retry_after_s=60.0
+                )
+            case _ if not self._service.dedupes_by_key:
+                raise errors.StoreDown(
+                    'the store was not reached, so the call was not sent',
+                    retry_after_s=2.0,
+                )
+        return self._send(opened_at), {}
+
+    def _held(self, claim, digest):
+        if claim.request != digest:
+            raise errors.KeyReused(
+                f'key "{self._call.key}" was used for another request'
+            )
+        if claim.state is not claims.State.DONE:
+            raise errors.KeyUnresolved(
+                f'an earlier call with key "{self._call.key}" has no known '
+                'outcome yet; it is being looked into',
+                retry_after_s=UNRESOLVED_RETRY_S,
+            )
+        headers = {'Idempotent-Replay': 'true'}
+        if claim.kept:
+            answer = service_adapter.Answered(
+                claim.status, claim.answer.encode(), claim.content_type
+            )
+            return answer, headers
+        headers['Answer-Digest'] = claim.digest
+        body = b'{"outcome": "done", "answer": "not kept"}'
+        answer = service_adapter.Answered(200, body, 'application/json')
+        return answer, headers
+
+    def _send(self, opened_at):
+        window_s = self._core.cfg.claims.send_window_s
+        for runner in self._places.runners:
+            # Checked last before each send: a claim is good for a
+            # limited time only.
+            if time.monotonic() - opened_at > window_s:
+                break
+            answer = self._core.services.call(
+                runner.address, self._call, self._service.deadline_s
+            )
+            if not isinstance(answer, service_adapter.NotSent):
+                return self._conclude(runner, answer)
+            self._core.ask(
+                messages.RunnerFailed(
+                    self._call.request_id, runner.name, 'not reached'
+                )
+            )
+        self._close(claims.State.NOT_RUN)
+        raise errors.NoRunner(
+            f'no runner of service "{self._service.name}" was reached',
+            retry_after_s=1.0,
+        )
+
+    def _conclude(self, runner, answer):
+        if _is_good(answer):
+            self._close(claims.State.DONE, answer)
+            return answer
+        self._core.ask(
+            messages.RunnerFailed(
+                self._call.request_id, runner.name, _reason(answer)
+            )
+        )
+        found = service_adapter.CannotSay()
+        if self._service.asks_by_key:
+            found = self._core.services.outcome(runner.address, self._call.key)
+        if isinstance(found, service_adapter.Ran):
+            answer = service_adapter.Answered(
+                200, found.body, 'application/json'
+            )
+            self._close(claims.State.DONE, answer)
+            return answer
+        self._close(claims.State.UNKNOWN)
+        raise errors.OutcomeUnknown(
+            'the call was sent and its outcome is not known; ask again '
+            'with the same key',
+            retry_after_s=UNRESOLVED_RETRY_S,
+        )
+
+    def _close(self, state, answer=None):
+        if not self._claimed:
+            return
+        close = claims.Close(self._key, self._token, state)
+        if answer is not None:
+            close = self._done(answer)
+        self._core.ask(messages.CloseClaim(close))
+
+    def _done(self, answer):
+        small = len(answer.body) <= (
+            self._core.cfg.claims.max_kept_answer_bytes
+        )
+        text = ''
+        if small:
+            try:
+                text = answer.body.decode('utf-8')
+            except UnicodeDecodeError:
+                small = False
+        return claims.Close(
+            self._key,
+            self._token,
+            claims.State.DONE,
+            answer=text,
+            digest=utils.digest_of(answer.body),
+            status=answer.status,
+            content_type=answer.content_type,
+            kept=small,
+        )
+
+
+def _is_good(answer):
+    return (
+        isinstance(answer, service_adapter.Answered)
+        and answer.status < SERVER_ERROR
+    )
+
+
+def _reason(answer):
+    if isinstance(answer, service_adapter.Answered):
+        return f'status {answer.status}'
+    return type(answer).__name__
+
+
+def _response(answer, headers, finish):
+    body = answer.body
+
+    def chunks():
+        if body:
+            yield body
+
+    return listeners.Response(
+        answer.status,
+        content_type=answer.content_type or 'application/octet-stream',
+        headers={**headers, 'Content-Length': str(len(body))},
+        chunks=relay.Delivery(chunks(), finish, lambda: 1),
+    )
--- /dev/null
+++ b/dandelionwinch/catalog.py
@@ -0,0 +1,185 @@
+"""The operators' catalog: typed documents with checked references."""
+
+import attrs
+
+from dandelionwinch import errors
+from dandelionwinch import settings
+
+KIND_OF_PLURAL = {
+    'places': 'place',
+    'links': 'link',
+    'models': 'model',
+    'services': 'service',
+    'pools': 'pool',
+    'fleets': 'fleet',
+    'runners': 'runner',
+    'policies': 'policy',
+    'teams': 'team',
+    'instances': 'instance',
+}
+PLURAL_OF_KIND = {kind: plural for plural, kind in KIND_OF_PLURAL.items()}
+
+DEFAULT_POLICY = settings.Policy(name='default')
+DEFAULT_LINK = settings.Link(name='default')
+
+
+def split_path(path):
+    """Splits ``runner/lm-1`` into its kind and name."""
+    kind, _, name = path.partition('/')
+    return kind, name
+
+
+class Catalog:
+    """All documents of one revision, indexed by kind and name.
+
+    Attributes:
+        docs: Bare documents by path, as they stand in the store.
+    """
+
+    __slots__ = ('_by_kind', '_runners_of_pool', 'docs')
+
+    def __init__(self, docs, by_kind):
+        self.docs = docs
+        self._by_kind = by_kind
+        self._runners_of_pool = {}
+        for runner in self.all('runner'):
+            members = self._runners_of_pool.setdefault(runner.pool, [])
+            members.append(runner)
+
+    def all(self, kind):
+        """Returns the documents of a kind in order of their names."""
+        return list(self._by_kind.get(kind, {}).values())
+
+    def get(self, kind, name):
+        """Returns a document, or None if it does not exist."""
+        return self._by_kind.get(kind, {}).get(name)
+
+    def runners_of(self, pool):
+        """Returns the runners of a pool."""
+        return self._runners_of_pool.get(pool, [])
+
+    def pools_of_model(self, model):
+        """Returns the pools that serve a model."""
+        return [pool for pool in self.all('pool') if pool.model == model]
+
+    def pools_of_service(self, service):
+        """Returns the pools that serve a plain service."""
+        return [p for p in self.all('pool') if service in p.services]
+
+    def place_of(self, runner):
+        """Returns the name of the place that a runner stands in."""
+        return self.get('pool', runner.pool).place
+
+    def region_of(self, place):
+        """Returns the name of the region of a place."""
+        found = self.get('place', place)
+        return found.region if found else ''
+
+    def policy_of(self, pool):
+        """Returns the policy of a pool."""
+        return self.get('policy', pool.policy) or DEFAULT_POLICY
+
+    def link(self):
+        """Returns the figures of the way between regions."""
+        return self.get('link', 'default') or DEFAULT_LINK
+
+
+EMPTY = Catalog({}, {})
+
+
+def build(docs, structure):
+    """Builds a catalog and checks it as a whole.
+
+    Args:
+        docs: Bare documents by path.
+        structure: Turns one bare document into a typed one.
+
+    Raises:
+        SettingsInvalid: With the findings of all documents.
+    """
+    findings = []
+    by_kind = {}
+    for path in sorted(docs):
+        kind, name = split_path(path)
+        cls = settings.KINDS.get(kind)
+        if cls is None:
+            findings.append(
+                errors.Finding(path, 0, '$', f'unknown kind "{kind}"')
+            )
+            continue
+        try:
+            document = structure(docs[path], cls, path)
+        except errors.SettingsInvalid as exc:
+            findings.extend(exc.findings)
+            continue
+        if document.name != name:
+            message = f'name "{document.name}" differs from path "{path}"'
+            findings.append(errors.Finding(path, 0, '$.name', message))
+        by_kind.setdefault(kind, {})[name] = document
+    built = Catalog(dict(docs), by_kind)
+    findings.extend(_dangling(built))
+    if findings:
+        raise errors.SettingsInvalid(findings)
+    return built
+
+
+def _dangling(built):
+    for reference in _references(built):
+        if built.get(reference.kind, reference.name) is None:
+            yield errors.Finding(
+                reference.source,
+                0,
+                f'$.{reference.field}',
+                f'{reference.kind} "{reference.name}" does not exist',
+            )
+    for pool in built.all('pool'):
+        if bool(pool.model) == bool(pool.services):
+            yield errors.Finding(
+                f'pool/{pool.name}',
+                0,
+                '$.model',
+                f'pool "{pool.name}" needs either a model or services',
+            )
+    yield from _wrong_roles(built)
+
+
+def _wrong_roles(built):
+    for runner in built.all('runner'):
+        pool = built.get('pool', runner.pool)
+        if pool is None:
+            continue
+        is_service = runner.role is settings.Role.SERVICE
+        if is_service != bool(pool.services):
+            yield errors.Finding(
+                f'runner/{runner.name}',
+                0,
+                '$.role',
+                f'role "{runner.role}" of runner "{runner.name}" does not '
+                f'fit pool "{pool.name}"',
+            )
+
+
+@attrs.frozen
+class _Reference:
+    source: str
+    field: str
+    kind: str
+    name: str
+
+
+def _references(built):
+    for pool in built.all('pool'):
+        source = f'pool/{pool.name}'
+        yield _Reference(source, 'place', 'place', pool.place)
+        if pool.model:
+            yield _Reference(source, 'model', 'model', pool.model)
+        for name in pool.services:
+            yield _Reference(source, 'services', 'service', name)
+        if pool.policy != 'default':
+            yield _Reference(source, 'policy', 'policy', pool.policy)
+    for fleet in built.all('fleet'):
+        for name in fleet.pools:
+            yield _Reference(f'fleet/{fleet.name}', 'pools', 'pool', name)
+    for runner in built.all('runner'):
+        source = f'runner/{runner.name}'
+        yield _Reference(source, 'pool', 'pool', runner.pool)
--- /dev/null
+++ b/dandelionwinch/claims/_resolve.py
@@ -0,0 +1,39 @@
+"""What may be concluded about a claim without a known outcome."""
+
+import enum
+
+from dandelionwinch.claims import _bucket
+
+
+class Proof(enum.StrEnum):
+    """What the back end says of a key."""
+
+    RAN = 'ran'
+    NEVER_SEEN = 'never seen'
+    CANNOT_SAY = 'cannot say'
+
+
+def resolution(claim, proof, holder_gone, quiet_s, settle_s):
+    """Decides what an unfinished claim becomes.
+
+    "Never seen" proves that a call did not run only if nobody can send
+    it any more and whatever was under way has arrived or was dropped.
+
+    Args:
+        claim: An open or unknown claim.
+        proof: What the back end said.
+        holder_gone: Whether the holder's process is certainly gone.
+        quiet_s: Seconds since the claim last changed.
+        settle_s: Longest time that a sent call may be under way.
+
+    Returns:
+        The new State, or None to leave the claim as it is.
+    """
+    if proof is Proof.RAN:
+        return _bucket.State.DONE
+    finished = claim.state is _bucket.State.UNKNOWN or holder_gone
+    if proof is Proof.NEVER_SEEN and finished and quiet_s > settle_s:
+        return _bucket.State.NOT_RUN
+    if claim.state is _bucket.State.OPEN and holder_gone:
+        return _bucket.State.UNKNOWN
+    return None
--- /dev/null
+++ b/dandelionwinch/daemon/_beats.py
@@ -0,0 +1,139 @@
+"""Heartbeats, gossip and what rides on them."""
+
+import asyncio
+
+from dandelionwinch.daemon import _periodic
+from dandelionwinch import timeline
+
+LOADS_ACROSS_PLACES = 64
+
+
+class Beats:
+    """Exchanges digests with peers and reads the platform's list."""
+
+    def __init__(self, core):
+        self._core = core
+        self._unknown = {}
+        self.demands = {}
+
+    def runs(self):
+        """Returns the coroutines of this task."""
+        timing = self._core.cfg.timing
+        rng = self._core.rng
+        yield _periodic.every(timing.beat_s, self._beat, rng)
+        period_s = self._core.cfg.live_list.poll_s
+        yield _periodic.every(period_s, self._read_list, rng)
+
+    async def _read_list(self):
+        core = self._core
+        listed = await core.call(core.live_list.fetch)
+        if listed is None:
+            core.departures.unread()
+            return
+        core.members.overlay(listed)
+        core.departures.listed(line.name for line in listed)
+
+    async def _beat(self):
+        core = self._core
+        now = core.now()
+        for known in core.members.everyone():
+            core.departures.restarted(known.name, known.member.incarnation)
+        addresses = core.members.tick(now)
+        core.members.me.jobs = core.work.jobs()
+        core.members.me.revision = core.documents.revision
+        core.metrics.members.set(len(core.members.live(now)))
+        core.metrics.ready.set(0 if core.unready_reason() else 1)
+        await asyncio.gather(*(self._exchange(a) for a in addresses))
+
+    async def announce(self):
+        """Tells every live peer of a change at once."""
+        core = self._core
+        core.members.tick(core.now())
+        core.members.me.revision = core.documents.revision
+        peers = [
+            known.member.peer_address
+            for known in core.members.live(core.now())
+            if known is not core.members.me
+        ]
+        await asyncio.gather(*(self._exchange(a) for a in peers))
+
+    async def _exchange(self, address):
+        core = self._core
+        asked_at = core.now()
+        place = core.members.place_at(address)
+        reply = await core.peers.beat(address, self.digest(address, place))
+        if reply is None:
+            return
+        await self.take(address, reply)
+        if reply.revision <= core.documents.revision:
+            core.freshness.heard(reply.sender.place, asked_at, reply)
+
+    def digest(self, peer, place):
+        """Makes the digest for a peer.
+
+        Args:
+            peer: Key under which identifiers that the peer should
+                introduce are remembered.
+            place: Place of the peer, or None if unknown.
+        """
+        core = self._core
+        now = core.now()
+        digest = core.members.digest(now, place)
+        digest.asked.extend(self._unknown.pop(peer, ()))
+        digest.revision = core.documents.revision
+        digest.store_age_s = min(1e9, core.freshness.store_age(now))
+        for name, age_s in core.freshness.place_ages(now).items():
+            digest.places.add(place=name, age_s=age_s)
+        near = place in (None, core.place)
+        digest.loads.extend(
+            core.loads.known(now, None if near else LOADS_ACROSS_PLACES)
+        )
+        for team, rate in core.work.admission.uses(now).items():
+            digest.uses.add(team=team, jobs_per_s=rate)
+        for pool, rates in core.work.demands(now).items():
+            digest.demands.add(
+                pool=pool,
+                short_prefill=rates[0][0],
+                short_decode=rates[0][1],
+                prefill=rates[1][0],
+                decode=rates[1][1],
+            )
+        stamp = core.hybrid.now()
+        digest.physical_us = stamp.physical_us
+        digest.logical = stamp.logical
+        return digest
+
+    async def take(self, peer, digest):
+        """Takes in a digest, fetching settings if it has newer ones."""
+        core = self._core
+        now = core.now()
+        stamp = timeline.Stamp(digest.physical_us, digest.logical)
+        core.hybrid.meet(stamp)
+        before = {k.name for k in core.members.live(now)}
+        unknown = core.members.merge(digest, now)
+        self._unknown[peer] = unknown
+        after = {k.name for k in core.members.live(now)}
+        for name in sorted(after - before):
+            core.event('instance.seen', name)
+        core.loads.merge(digest.loads, now)
+        uses = {item.team: item.jobs_per_s for item in digest.uses}
+        core.work.admission.peer_uses(digest.sender.name, uses, now)
+        self.demands[digest.sender.name] = (now, _rates_of(digest))
+        if digest.revision > core.documents.revision:
+            address = digest.sender.peer_address
+            await core.settings.fetch_from(address)
+
+    async def answer(self, digest):
+        """Answers a peer's digest with the own one."""
+        await self.take(digest.sender.peer_address, digest)
+        return self.digest(digest.sender.peer_address, digest.sender.place)
+
+
+def _rates_of(digest):
+    return {
+        item.pool: [
+            (item.short_prefill, item.short_decode),
+            (item.prefill, item.decode),
+        ]
+        for item in digest.demands
+    }
--- /dev/null
+++ b/dandelionwinch/daemon/_claims.py
@@ -0,0 +1,252 @@
+"""Claims of calls that may run only once: batching and resolving."""
+
+import asyncio
+
+import attrs
+
+from dandelionwinch.adapters import service as service_adapter
+from dandelionwinch import claims
+from dandelionwinch.daemon import _periodic
+from dandelionwinch.daemon import _wire
+from dandelionwinch import effects
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import utils
+
+FORWARD_TIMEOUT_S = 1.5
+FULL_SCAN_S = 30.0
+DISOWN_RETRY_S = 1.0
+MAX_PENDING = 4096
+
+
+@attrs.define
+class _Pending:
+    """Changes that wait for the next write of a bucket."""
+
+    items: list = attrs.field(factory=list)
+    task: object = None
+
+
+class Claims:
+    """Writes claims in batches and settles those without an outcome.
+
+    Each bucket has a usual owner, to whom others forward their changes
+    so that writes batch. This is for cost only: any instance may write
+    any bucket, and compare-and-swap keeps it safe.
+    """
+
+    def __init__(self, core):
+        self._core = core
+        self._pending = {}
+        self._backlog = []
+        self._unresolved = {}
+        self._scanned_at = {}
+
+    def runs(self):
+        """Returns the coroutines of this task."""
+        cfg = self._core.cfg.claims
+        rng = self._core.rng
+        yield _periodic.every(cfg.resolve_s, self._resolve_all, rng)
+        yield _periodic.every(DISOWN_RETRY_S, self._settle_backlog, rng)
+
+    async def open(self, message):
+        """Asks for the right to send a call once."""
+        mutation = claims.Open(message.key, message.token, message.request)
+        result = await self._route(mutation)
+        if isinstance(result, claims.Unsettled):
+            # The claim may stand although the call is refused: undo it.
+            self._backlog.append(
+                claims.Close(message.key, message.token, claims.State.NOT_RUN)
+            )
+        return result
+
+    async def close_claim(self, close):
+        """Records what became of a call; repeats until it is written."""
+        result = await self._route(close)
+        if not isinstance(result, claims.Recorded):
+            self._backlog.append(close)
+        self._core.event('claim.closed', close.key, str(close.state))
+        return result
+
+    async def _settle_backlog(self):
+        backlog, self._backlog = self._backlog, []
+        for close in backlog:
+            result = await self._route(close)
+            if not isinstance(result, claims.Recorded):
+                self._backlog.append(close)
+
+    async def flush(self):
+        """Tries once to write what is not written yet."""
+        await self._settle_backlog()
+
+    def _owner(self, bucket):
+        core = self._core
+        usable = core.members.usable(core.now())
+        if not usable:
+            return None
+        best = max(usable, key=lambda k: utils.stable_hash(bucket, k.name))
+        return None if best is core.members.me else best
+
+    async def _route(self, mutation):
+        number = claims.bucket_of(mutation.key, self._core.cfg.claims.buckets)
+        bucket = claims.bucket_key(number)
+        owner = self._owner(bucket)
+        if owner is not None:
+            request = peer_pb2.ClaimRequest(
+                bucket=bucket, mutation=_wire.dump_mutation(mutation)
+            )
+            reply = await self._core.peers.call(
+                owner.member.peer_address,
+                'Claim',
+                request,
+                FORWARD_TIMEOUT_S,
+            )
+            if reply is not None:
+                return _wire.load_result(reply.result)
+        result = await self.write(bucket, mutation)
+        if owner is not None and isinstance(result, claims.Unreached):
+            # The silent owner may still write it.
+            return claims.Unsettled()
+        return result
+
+    async def write(self, bucket, mutation):
+        """Adds a change to the next write of a bucket."""
+        pending = self._pending.setdefault(bucket, _Pending())
+        if len(pending.items) >= MAX_PENDING:
+            return claims.Unreached()
+        fut = asyncio.get_running_loop().create_future()
+        pending.items.append((mutation, fut))
+        if pending.task is None:
+            pending.task = asyncio.create_task(self._write_out(bucket))
+        return await fut
+
+    async def _write_out(self, bucket):
+        pending = self._pending[bucket]
+        try:
+            while pending.items:
+                await asyncio.sleep(self._core.cfg.claims.batch_wait_s)
+                batch, pending.items = pending.items, []
+                mutations = [mutation for mutation, _fut in batch]
+                results = await self._core.run(
+                    claims.commit_batch(
+                        bucket, mutations, self._core.cfg.claims
+                    )
+                )
+                for (_mutation, fut), result in zip(
+                    batch, results, strict=True
+                ):
+                    if not fut.done():
+                        fut.set_result(result)
+        finally:
+            pending.task = None
+
+    async def _resolve_all(self):
+        core = self._core
+        now = core.now()
+        for number in range(core.cfg.claims.buckets):
+            bucket = claims.bucket_key(number)
+            if self._owner(bucket) is not None:
+                self._unresolved.pop(bucket, None)
+                continue
+            scanned_at = self._scanned_at.get(bucket, float('-inf'))
+            due = now - scanned_at >= FULL_SCAN_S
+            if due or self._unresolved.get(bucket):
+                self._scanned_at[bucket] = now
+                await self._resolve(bucket)
+        unresolved = sum(self._unresolved.values())
+        core.metrics.claims_open.set(unresolved)
+
+    async def _resolve(self, bucket):
+        core = self._core
+        reply = await core.execute(effects.Read(bucket))
+        if not isinstance(reply, effects.Found):
+            return
+        held = claims.Bucket.load(core.cfg.claims, reply.record.value)
+        waiting = [
+            claim
+            for claim in held.claims()
+            if claim.state in (claims.State.OPEN, claims.State.UNKNOWN)
+        ]
+        self._unresolved[bucket] = len(waiting)
+        clock = await core.run(_read_clock())
+        for claim in waiting:
+            await self._resolve_claim(bucket, claim, clock)
+
+    async def _resolve_claim(self, bucket, claim, clock):
+        core = self._core
+        holder, incarnation, _request = claim.token.split('#')
+        gone = core.departures.is_gone(holder, int(incarnation), clock.now)
+        if claim.state is claims.State.OPEN and not gone:
+            return
+        answer = await self._ask_back_end(claim)
+        proof = claims.Proof.CANNOT_SAY
+        match answer:
+            case service_adapter.Ran():
+                proof = claims.Proof.RAN
+            case service_adapter.NeverSeen():
+                proof = claims.Proof.NEVER_SEEN
+        state = claims.resolution(
+            claim,
+            proof,
+            gone,
+            clock.wall - claim.changed,
+            core.cfg.timing.gone_margin_s,
+        )
+        if state is None or state is claim.state:
+            return
+        close = claims.Close(claim.key, claim.token, state)
+        if isinstance(answer, service_adapter.Ran):
+            close = kept_close(claim, answer, core.cfg.claims)
+        await self.write(bucket, close)
+        core.event('claim.resolved', claim.key, str(state))
+
+    async def _ask_back_end(self, claim):
+        core = self._core
+        name, _, key = claim.key.partition('/')
+        service = core.catalog.get('service', name)
+        if service is None or not service.asks_by_key:
+            return service_adapter.CannotSay()
+        runners = [
+            runner
+            for pool in core.catalog.pools_of_service(name)
+            for runner in core.catalog.runners_of(pool.name)
+        ]
+        answers = [
+            await core.call(core.services.outcome, runner.address, key)
+            for runner in runners
+        ]
+        for answer in answers:
+            if isinstance(answer, service_adapter.Ran):
+                return answer
+        if all(isinstance(a, service_adapter.NeverSeen) for a in answers):
+            return service_adapter.NeverSeen()
+        return service_adapter.CannotSay()
+
+    async def rows(self):
+        """Returns all claims, or None if the store was not reached."""
+        reply = await self._core.execute(effects.Scan('claims/'))
+        if not isinstance(reply, effects.Scanned):
+            return None
+        found = []
+        for record in reply.records:
+            held = claims.Bucket.load(self._core.cfg.claims, record.value)
+            found.extend(held.claims())
+        return found
+
+
+def _read_clock():
+    return (yield effects.Clock())
+
+
+def kept_close(claim, answer, cfg):
+    """Returns the change that records an answer found by key."""
+    small = len(answer.body) <= cfg.max_kept_answer_bytes
+    return claims.Close(
+        claim.key,
+        claim.token,
+        claims.State.DONE,
+        answer=answer.body.decode('utf-8', 'replace') if small else '',
+        digest=utils.digest_of(answer.body),
+        status=200,
+        content_type='application/json',
+        kept=small,
+    )
--- /dev/null
+++ b/dandelionwinch/daemon/_core.py
@@ -0,0 +1,306 @@
+"""The core of an instance: owns its state and answers messages."""
+
+import asyncio
+import concurrent.futures
+import random
+import threading
+import time
+
+import loguru
+
+from dandelionwinch import adapters
+from dandelionwinch.adapters import runner as runner_adapter
+from dandelionwinch.adapters import service as service_adapter
+from dandelionwinch import addresses
+from dandelionwinch import catalog
+from dandelionwinch.daemon import _beats
+from dandelionwinch.daemon import _claims
+from dandelionwinch.daemon import _earnings
+from dandelionwinch.daemon import _loads
+from dandelionwinch.daemon import _metrics
+from dandelionwinch.daemon import _operators
+from dandelionwinch.daemon import _peers
+from dandelionwinch.daemon import _settings
+from dandelionwinch.daemon import _shards
+from dandelionwinch.daemon import _work
+from dandelionwinch.daemon import messages
+from dandelionwinch import effects
+from dandelionwinch import errors
+from dandelionwinch import membership
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import revisions
+from dandelionwinch import timeline
+
+STORE_THREADS = 24
+ASK_TIMEOUT_S = 30.0
+STOP_STEP_S = 0.1
+MICROSECONDS = 1_000_000
+
+logger = loguru.logger
+
+
+class Core:
+    """Runs all tasks of an instance in one event loop.
+
+    The loop has a thread of its own. Other threads send a message with
+    ``ask`` and wait for its reply; they touch no state themselves.
+    """
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        self.incarnation = time.time_ns()
+        self.rng = random.Random(self.incarnation)  # noqa: S311
+        self.store = adapters.open_store(
+            cfg.store, cfg.relay.idle_connection_s
+        )
+        self.live_list = adapters.open_live_list(
+            cfg.live_list, cfg.relay.idle_connection_s
+        )
+        self.runners = runner_adapter.RunnerAdapter(
+            cfg.relay.connect_timeout_s, cfg.relay.idle_connection_s
+        )
+        self.services = service_adapter.ServiceAdapter(
+            cfg.relay.connect_timeout_s, cfg.relay.idle_connection_s
+        )
+        self.members = membership.Membership(
+            self._member(), cfg.timing, self.rng
+        )
+        self.departures = membership.Departures(cfg.timing.gone_margin_s)
+        self.freshness = membership.Freshness(
+            cfg.instance.place, cfg.timing.cut_off_s
+        )
+        self.documents = revisions.Documents()
+        self.catalog = catalog.EMPTY
+        self.hybrid = timeline.HybridClock(_wall_us)
+        self.ring = timeline.Ring(
+            cfg.instance.name, self.hybrid, cfg.events_kept
+        )
+        self.metrics = _metrics.Metrics()
+        self.work = _work.Work(self)
+        self.beats = _beats.Beats(self)
+        self.settings = _settings.SettingsTask(self)
+        self.loads = _loads.Loads(self)
+        self.shards = _shards.Shards(self)
+        self.claims = _claims.Claims(self)
+        self.earnings = _earnings.Earnings(self)
+        self.operators = _operators.Operators(self)
+        self.peers = _peers.Peers(self)
+        self.accepting = True
+        self.executor = concurrent.futures.ThreadPoolExecutor(
+            STORE_THREADS, thread_name_prefix='core-io'
+        )
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name='core', daemon=True
+        )
+        self._tasks = []
+
+    def _member(self):
+        me = self.cfg.instance
+        return peer_pb2.Member(
+            name=me.name,
+            place=me.place,
+            region=me.region,
+            incarnation=self.incarnation,
+            clerk_address=me.clerk_address,
+            peer_address=me.peer_address,
+            operator_address=me.operator_address,
+            weight=me.weight,
+        )
+
+    @property
+    def name(self):
+        """Name of this instance."""
+        return self.cfg.instance.name
+
+    @property
+    def place(self):
+        """Place of this instance."""
+        return self.cfg.instance.place
+
+    def start(self):
+        """Starts the loop, the peers' listener and all tasks."""
+        self._thread.start()
+        self._wait(self._start(), ASK_TIMEOUT_S)
+
+    async def _start(self):
+        await self.peers.start()
+        await self.settings.load_first()
+        for task in (
+            self.beats,
+            self.settings,
+            self.loads,
+            self.shards,
+            self.claims,
+            self.earnings,
+        ):
+            for run in task.runs():
+                self._tasks.append(asyncio.create_task(_guard(run)))
+        self.event('instance.started', self.name)
+
+    def _wait(self, coroutine, timeout_s):
+        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        try:
+            return future.result(timeout_s)
+        except concurrent.futures.TimeoutError:
+            future.cancel()
+            raise errors.DeadlinePassed(
+                f'instance "{self.name}" did not answer itself in '
+                f'{timeout_s:g} s'
+            ) from None
+
+    def ask(self, message, timeout_s=ASK_TIMEOUT_S):
+        """Sends a message from another thread and waits for the reply.
+
+        Raises:
+            DandelionwinchError: As the handling of the message decides.
+        """
+        return self._wait(self._handle(message), timeout_s)
+
+    async def _handle(self, message):
+        match message:
+            case messages.Admit():
+                return self.work.admit(message)
+            case messages.Place():
+                return self.work.place(message)
+            case messages.PlaceService():
+                return self.work.place_service(message)
+            case messages.RunnerFailed():
+                return self.work.runner_failed(message)
+            case messages.Retry():
+                return self.work.retry(message)
+            case messages.Finish():
+                return self.work.finish(message)
+            case messages.OpenClaim():
+                return await self.claims.open(message)
+            case messages.CloseClaim(close=close):
+                return await self.claims.close_claim(close)
+            case messages.FindAddress(place=place, team=team):
+                return self.find_address(place, team)
+            case messages.Ask(text=text):
+                return await self.operators.ask(text)
+            case messages.Health():
+                return self.unready_reason()
+        raise TypeError(f'"{message!r}" is not a message of the core')
+
+    def now(self):
+        """Returns monotonic seconds."""
+        return time.monotonic()
+
+    def event(self, kind, subject, detail=''):
+        """Records an event of the time line and logs it."""
+        self.ring.add(kind, subject, detail)
+        logger.bind(subject=subject).debug('{} {}', kind, detail)
+
+    async def execute(self, request):
+        """Runs a store request without blocking the loop."""
+        self.metrics.store_calls.labels(type(request).__name__).inc()
+        return await self._loop.run_in_executor(
+            self.executor, self.store.execute, request
+        )
+
+    async def run(self, program):
+        """Runs a decision program to its end."""
+        reply = None
+        while True:
+            try:
+                request = program.send(reply)
+            except StopIteration as stop:
+                return stop.value
+            if isinstance(request, effects.Clock):
+                reply = effects.Time(self.now(), time.time())
+            else:
+                reply = await self.execute(request)
+
+    async def call(self, function, *args):
+        """Runs a blocking function in a thread of the core's own."""
+        return await self._loop.run_in_executor(self.executor, function, *args)
+
+    def find_address(self, place, team):
+        """Answers which instance a clerk should use."""
+        now = self.now()
+        usable = self.members.usable(now)
+        found = addresses.answer(
+            usable, place, team, self.cfg.timing.answer_valid_s
+        )
+        if found is None:
+            raise errors.Unready('no instance takes new work')
+        return found
+
+    def unready_reason(self):
+        """Returns why no new work is taken, or an empty string."""
+        now = self.now()
+        if not self.accepting:
+            return 'this instance is stopping'
+        if self.documents.revision == 0:
+            return 'this instance has no configuration yet'
+        if self.members.is_suspect(now) and len(self.members.everyone()) > 1:
+            return 'this instance was paused and has met no peer since'
+        if self.is_cut_off():
+            return 'this instance is cut off and may hold old settings'
+        return ''
+
+    def is_cut_off(self):
+        """Tells whether new work is refused for lack of contact."""
+        if self.cfg.when_cut_off == 'serve':
+            return False
+        places = [place.name for place in self.catalog.all('place')]
+        return self.freshness.is_cut_off(places, self.now())
+
+    def leave(self):
+        """Announces that this instance is leaving; it still serves."""
+        self._wait(self._leave(), ASK_TIMEOUT_S)
+
+    async def _leave(self):
+        self.members.leave()
+        self.event('instance.leaving', self.name)
+        await self.beats.announce()
+
+    def drain(self):
+        """Serves on until no clerk is sent here and all jobs ended."""
+        timing = self.cfg.timing
+        grace_s = timing.answer_valid_s + 2 * timing.beat_s
+        time.sleep(grace_s)
+        limit = time.monotonic() + timing.drain_limit_s
+        while self.work.jobs() and time.monotonic() < limit:
+            time.sleep(STOP_STEP_S)
+        self.accepting = False
+        while self.work.jobs() and time.monotonic() < limit:
+            time.sleep(STOP_STEP_S)
+
+    def close(self):
+        """Releases what is held and stops all tasks."""
+        self._wait(self._close(), ASK_TIMEOUT_S)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(timeout=ASK_TIMEOUT_S)
+        self.executor.shutdown(wait=False, cancel_futures=True)
+        for adapter in (
+            self.store,
+            self.live_list,
+            self.runners,
+            self.services,
+        ):
+            adapter.close()
+
+    async def _close(self):
+        for task in self._tasks:
+            task.cancel()
+        await self.claims.flush()
+        await self.shards.release_all()
+        await self.earnings.write()
+        await self.peers.close()
+
+
+async def _guard(run):
+    """Restarts nothing: logs what ended a task and lets it end."""
+    try:
+        await run
+    except asyncio.CancelledError:
+        raise
+    except Exception:
+        logger.exception('a task of the core ended')
+        raise
+
+
+def _wall_us():
+    return int(time.time() * MICROSECONDS)
--- /dev/null
+++ b/dandelionwinch/daemon/_loads.py
@@ -0,0 +1,189 @@
+"""Load reports of runners, and holds on runners that are to change."""
+
+import asyncio
+
+import attrs
+
+from dandelionwinch.daemon import _periodic
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import placement
+from dandelionwinch import settings
+from dandelionwinch import utils
+
+REPORT_LIFE_S = 5.0
+FIRST_REST_S = 0.5
+LONGEST_REST_S = 15.0
+
+
+@attrs.define
+class _Seen:
+    """The newest report of a runner, as it came from whoever polled."""
+
+    made_at: float
+    message: peer_pb2.RunnerLoad
+
+
+@attrs.define
+class _Rest:
+    until: float = 0.0
+    failures: int = 0
+
+
+class Loads:
+    """Polls some runners and learns of the others from peers.
+
+    Each runner is polled by one instance of its place, chosen by
+    rendezvous hashing, so that polling grows with runners only.
+    """
+
+    def __init__(self, core):
+        self._core = core
+        self._seen = {}
+        self._holds = {}
+        self._rests = {}
+
+    def runs(self):
+        """Returns the coroutines of this task."""
+        period_s = self._core.cfg.timing.load_s
+        yield _periodic.every(period_s, self._poll_all, self._core.rng)
+
+    async def _poll_all(self):
+        core = self._core
+        now = core.now()
+        self._end_holds(now)
+        mine = [
+            runner
+            for runner in core.catalog.all('runner')
+            if runner.role is not settings.Role.SERVICE
+            and runner.state is not settings.RunnerState.RETIRED
+            and self._poller_of(runner, now) == core.name
+        ]
+        await asyncio.gather(*(self.poll(runner) for runner in mine))
+
+    def _poller_of(self, runner, now):
+        core = self._core
+        place = core.catalog.place_of(runner)
+        live = core.members.live(now)
+        near = [k for k in live if k.place == place] or live
+        if not near:
+            return core.name
+        best = max(near, key=lambda k: utils.stable_hash(runner.name, k.name))
+        return best.name
+
+    async def poll(self, runner):
+        """Asks a runner for its load and notes the report.
+
+        Returns:
+            The Load, or None if it did not answer.
+        """
+        core = self._core
+        asked_at = core.now()
+        load = await core.call(core.runners.load, runner.address)
+        message = peer_pb2.RunnerLoad(runner=runner.name)
+        if load is None:
+            message.failed = True
+        else:
+            message.running = load.running
+            message.waiting = load.waiting
+            message.waiting_tokens = load.waiting_tokens
+            message.kv_tokens = load.kv_tokens
+            message.role = load.role
+            message.away = load.away
+            message.order_id = load.order_id
+            message.epoch = load.epoch
+        self._take(message, asked_at)
+        return load
+
+    def merge(self, messages, now):
+        """Takes in reports that a peer passed on."""
+        for message in messages:
+            self._take(message, now - message.age_s)
+
+    def _take(self, message, made_at):
+        held = self._seen.get(message.runner)
+        if held is not None and made_at <= held.made_at + 0.001:
+            return
+        if self._core.catalog.get('runner', message.runner) is None:
+            return
+        self._seen[message.runner] = _Seen(made_at, message)
+        beliefs = self._core.work.beliefs
+        if message.failed:
+            beliefs.failed(message.runner, self._core.now())
+            return
+        if message.role not in set(settings.Role):
+            return
+        beliefs.report(
+            message.runner,
+            placement.Report(
+                made_at,
+                message.running,
+                message.waiting_tokens,
+                message.kv_tokens,
+                settings.Role(message.role),
+                message.away,
+            ),
+        )
+
+    def known(self, now, limit=None):
+        """Returns recent reports with their ages, for a digest."""
+        fresh = [
+            seen
+            for seen in self._seen.values()
+            if now - seen.made_at <= REPORT_LIFE_S
+        ]
+        if limit is not None and len(fresh) > limit:
+            fresh = self._core.rng.sample(fresh, limit)
+        for seen in fresh:
+            seen.message.age_s = now - seen.made_at
+            yield seen.message
+
+    def latest(self, runner):
+        """Returns the newest report of a runner and its time, or None."""
+        return self._seen.get(runner)
+
+    def hold(self, request):
+        """Places nothing new on a runner for a time, as a peer asks."""
+        core = self._core
+        key = (request.runner, request.order_id)
+        if request.release:
+            self._holds.pop(key, None)
+        else:
+            if key not in self._holds:
+                core.event('runner.held', request.runner, request.order_id)
+            self._holds[key] = core.now() + request.ttl_s
+        self._mark_held(request.runner)
+        jobs = core.work.book.on_runner(request.runner)
+        return peer_pb2.HoldReply(jobs=jobs, instance=core.name)
+
+    def is_held(self, runner):
+        """Tells whether a runner is held."""
+        return any(name == runner for name, _order in self._holds)
+
+    def _mark_held(self, runner):
+        belief = self._core.work.beliefs.get(runner)
+        if belief is not None:
+            belief.held = self.is_held(runner)
+
+    def _end_holds(self, now):
+        over = [key for key, until in self._holds.items() if until < now]
+        for key in over:
+            del self._holds[key]
+            self._mark_held(key[0])
+            self._core.event('runner.hold_ended', key[0], key[1])
+
+    def rest(self, runner, now):
+        """Leaves a service's runner alone for a while."""
+        rest = self._rests.setdefault(runner, _Rest())
+        wait_s = min(LONGEST_REST_S, FIRST_REST_S * 2**rest.failures)
+        rest.failures = min(rest.failures + 1, 10)
+        rest.until = now + wait_s
+
+    def rested(self, runner):
+        """Notes that a service's runner answered well."""
+        self._rests.pop(runner, None)
+
+    def is_resting(self, runner, now):
+        """Tells whether a runner takes no new work at present."""
+        rest = self._rests.get(runner)
+        resting = rest is not None and now < rest.until
+        return resting or self.is_held(runner)
--- /dev/null
+++ b/dandelionwinch/daemon/_operators.py
@@ -0,0 +1,295 @@
+"""Answers statements of the operators' language."""
+
+import asyncio
+
+from dandelionwinch.daemon import _tables
+from dandelionwinch.daemon import _wire
+from dandelionwinch import effects
+from dandelionwinch import errors
+from dandelionwinch import language
+from dandelionwinch import orders
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import revisions
+from dandelionwinch import timeline
+
+EVENTS_PER_INSTANCE = 4096
+ACCEPT_TIMEOUT_S = 6.0
+ACCEPT_STEP_S = 0.1
+
+
+class Operators:
+    """Runs queries and commands."""
+
+    def __init__(self, core):
+        self._core = core
+
+    async def ask(self, text):
+        """Runs one statement.
+
+        Returns:
+            A mapping for JSON: rows of a query or the result of a
+            command.
+        """
+        statement = language.parse(text)
+        match statement:
+            case language.Show():
+                return await self._show(statement)
+            case language.Explain(kind='job'):
+                return await self._explain_job(statement.name)
+            case language.Explain():
+                return self._explain_runner(statement.name)
+        return await self._command(statement)
+
+    async def _show(self, show):
+        columns = _tables.columns_of(show.table)
+        rows, silent = await self._rows(show.table)
+        answer = {
+            'columns': list(columns),
+            'rows': language.select(show, rows, columns),
+        }
+        if silent:
+            answer['silent_instances'] = silent
+        return answer
+
+    async def _rows(self, table):
+        core = self._core
+        match table:
+            case 'runners':
+                return _tables.runner_rows(core), []
+            case 'instances':
+                return _tables.instance_rows(core), []
+            case 'settings':
+                return _tables.setting_rows(core), []
+            case 'events':
+                lines, silent = await self.events()
+                return _tables.event_rows(lines), silent
+            case 'shards' | 'orders':
+                return await self._shard_rows(table), []
+            case 'claims':
+                return await self._claim_rows(), []
+            case 'jobs' | 'earnings':
+                return await self._gather(table, '')
+        return _tables.document_rows(core, table), []
+
+    def own_rows(self, table, row_id):
+        """Returns this instance's rows of a gathered table."""
+        match table:
+            case 'jobs':
+                return _tables.job_rows(self._core)
+            case 'earnings':
+                return _tables.earning_rows(self._core)
+            case 'job':
+                return self._own_job(row_id)
+        return []
+
+    async def _gather(self, table, row_id):
+        request = peer_pb2.RowsRequest(table=table, id=row_id)
+        replies = await self._core.peers.all('Rows', request)
+        rows = list(self.own_rows(table, row_id))
+        silent = []
+        for name, reply in replies.items():
+            if reply is None:
+                silent.append(name)
+            else:
+                rows.extend(_wire.load_rows(reply.rows))
+        return rows, silent
+
+    async def events(self):
+        """Gathers the time line over all live instances.
+
+        Returns:
+            Events and gaps in causal order, and the instances that
+            did not answer.
+        """
+        core = self._core
+        request = peer_pb2.EventsRequest(limit=EVENTS_PER_INSTANCE)
+        replies = await core.peers.all('Events', request)
+        rings = [core.ring.latest(EVENTS_PER_INSTANCE)]
+        silent = []
+        for name, reply in replies.items():
+            if reply is None:
+                silent.append(name)
+            else:
+                rings.append([_wire.load_event(e) for e in reply.events])
+        return timeline.merge(rings), silent
+
+    async def _shard_rows(self, table):
+        reply = await self._core.execute(effects.Scan('shards/'))
+        if not isinstance(reply, effects.Scanned):
+            raise errors.StoreDown(
+                f'table "{table}" is in the store, which was not reached'
+            )
+        rows = []
+        for record in reply.records:
+            name = record.key.removeprefix('shards/')
+            shard = orders.Shard.load(record.value)
+            if table == 'shards':
+                rows.append(_shard_row(name, shard))
+            else:
+                rows.extend(self._order_rows(name, shard))
+        return rows
+
+    def _order_rows(self, name, shard):
+        for order in shard.orders.values():
+            yield {
+                'id': order.id,
+                'runner': order.runner,
+                'role': order.role,
+                'state': str(order.state),
+                'epoch': order.epoch,
+                'shard': name,
+                'reason': self._core.shards.frozen_reason(order.runner),
+            }
+
+    async def _claim_rows(self):
+        held = await self._core.claims.rows()
+        if held is None:
+            raise errors.StoreDown(
+                'table "claims" is in the store, which was not reached'
+            )
+        return [
+            {
+                'key': claim.key,
+                'state': str(claim.state),
+                'holder': claim.token.partition('#')[0],
+                'opened': claim.opened,
+                'changed': claim.changed,
+                'status': claim.status,
+            }
+            for claim in held
+        ]
+
+    def _own_job(self, job_id):
+        record = self._core.work.book.get(job_id)
+        if record is None:
+            return []
+        return [
+            {
+                'id': record.id,
+                'instance': self._core.name,
+                'state': record.state,
+                'code': record.code,
+                'terms': list(record.terms),
+            }
+        ]
+
+    async def _explain_job(self, job_id):
+        rows, silent = await self._gather('job', job_id)
+        if not rows:
+            where = f' (silent: {", ".join(silent)})' if silent else ''
+            raise errors.NotFound(
+                f'job "{job_id}" is not known to any live instance{where}'
+            )
+        return {'columns': list(rows[0]), 'rows': rows}
+
+    def _explain_runner(self, name):
+        core = self._core
+        runner = core.catalog.get('runner', name)
+        if runner is None:
+            raise errors.NotFound(f'runner "{name}" does not exist')
+        row = next(r for r in _tables.runner_rows(core) if r['name'] == name)
+        belief = core.work.beliefs.get(name)
+        if belief is not None:
+            now = core.now()
+            model = core.catalog.get('pool', runner.pool).model
+            gap_s = core.catalog.get('model', model).token_gap_s
+            speed = belief.prefill_speed(gap_s)
+            row['believed_decoding'] = belief.decoding()
+            row['believed_slots'] = belief.slots(gap_s)
+            row['believed_prefill_tokens_per_s'] = round(speed)
+            row['believed_backlog_tokens'] = round(
+                belief.backlog(now, max(1.0, speed))
+            )
+            row['placed_since_report'] = len(belief.sent)
+        return {'columns': list(row), 'rows': [row]}
+
+    async def _command(self, statement):
+        core = self._core
+        if core.is_cut_off():
+            raise errors.Unready(
+                'this instance is cut off and takes no commands'
+            )
+        self._check_instance(statement)
+        unheld = await self._hold_first(statement)
+        asked_at = core.now()
+        try:
+            revision = await core.settings.change(
+                lambda documents: language.edits_of(statement, documents)
+            )
+        except errors.StoreDown as exc:
+            if unheld is None:
+                raise
+            return self._held_only(statement, unheld, exc)
+        core.event('command.committed', f'revision {revision}', str(statement))
+        if isinstance(statement, language.Undrain):
+            await core.shards.end_drain(statement.name)
+        return await self._await_acceptance(revision, asked_at)
+
+    def _check_instance(self, statement):
+        if getattr(statement, 'kind', '') != 'instance':
+            return
+        names = {known.name for known in self._core.members.everyone()}
+        if statement.name not in names:
+            raise errors.NotFound(
+                f'instance "{statement.name}" does not exist'
+            )
+
+    async def _hold_first(self, statement):
+        match statement:
+            case language.Drain(kind='runner') | language.Retire():
+                pass
+            case _:
+                return None
+        name = statement.name
+        if self._core.catalog.get('runner', name) is None:
+            raise errors.NotFound(f'runner "{name}" does not exist')
+        if statement.revision is not None:
+            return None
+        return await self._core.shards.hold_for_drain(name)
+
+    def _held_only(self, statement, unheld, exc):
+        text = (
+            f'runner "{statement.name}" gets no new work from the live '
+            'instances, but this is not stored: repeat the command when '
+            'the store is back'
+        )
+        return {
+            'accepted': False,
+            'revision': None,
+            'unconfirmed': unheld,
+            'message': f'{text} ({exc.message})',
+        }
+
+    async def _await_acceptance(self, revision, asked_at):
+        core = self._core
+        committed_at = core.now()
+        while True:
+            now = core.now()
+            core.members.me.revision = core.documents.revision
+            places = [place.name for place in core.catalog.all('place')]
+            verdict = revisions.judge(
+                revision,
+                core.members.may_live(now),
+                places,
+                now - committed_at,
+                core.cfg.timing.cut_off_s,
+            )
+            if verdict.accepted or now - asked_at > ACCEPT_TIMEOUT_S:
+                break
+            await asyncio.sleep(ACCEPT_STEP_S)
+        return {
+            'accepted': verdict.accepted,
+            'revision': revision,
+            'seconds': round(core.now() - asked_at, 3),
+            'unconfirmed': list(verdict.missing),
+            'message': verdict.reason,
+        }
+
+
+def _shard_row(name, shard):
+    return {
+        'name': name,
+        'holder': shard.holder,
+        'epoch': shard.epoch,
+        'released': shard.released,
+    }
--- /dev/null
+++ b/dandelionwinch/daemon/_settings.py
@@ -0,0 +1,188 @@
+"""Keeps the configuration in force: from the store and from peers."""
+
+import json
+import pathlib
+
+import loguru
+
+from dandelionwinch import catalog
+from dandelionwinch.daemon import _periodic
+from dandelionwinch import errors
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import readers
+from dandelionwinch import revisions
+from dandelionwinch import settings
+
+SPEAKER_POLL_S = 1.0
+
+logger = loguru.logger
+
+
+class SettingsTask:
+    """Adopts higher revisions only, wherever they come from.
+
+    The speakers of a place poll the store each second; the others get
+    revisions from their peers and poll slowly as a safety net.
+    """
+
+    def __init__(self, core):
+        self._core = core
+        self._store_revision = 0
+        self._polled_at = float('-inf')
+        self._changes = 0
+
+    def runs(self):
+        """Returns the coroutines of this task."""
+        yield _periodic.every(SPEAKER_POLL_S, self._poll, self._core.rng)
+
+    async def load_first(self):
+        """Takes what the store or a peer has, and seeds an empty store."""
+        fetched = await self._poll_store()
+        if isinstance(fetched, revisions.Unreached):
+            await self._ask_listed_peers()
+        elif fetched.revision == 0 and self._core.cfg.catalog_file:
+            await self._seed()
+
+    async def _ask_listed_peers(self):
+        core = self._core
+        listed = await core.call(core.live_list.fetch)
+        for line in listed or ():
+            if line.name != core.name:
+                await self.fetch_from(line.peer_address)
+
+    async def _seed(self):
+        path = pathlib.Path(self._core.cfg.catalog_file)
+        seed = readers.read_catalog(path)
+
+        def edit(documents):
+            if documents.revision:
+                return revisions.Rejected('head', documents.revision)
+            return seed.docs
+
+        await self._core.run(revisions.change(edit, self._token()))
+        await self._poll_store()
+
+    def _token(self):
+        self._changes += 1
+        core = self._core
+        return f'{core.name}#{core.incarnation}#{self._changes}'
+
+    async def _poll(self):
+        core = self._core
+        now = core.now()
+        speaks = core.members.me in core.members.speakers(core.place, now)
+        if speaks or now - self._polled_at >= core.cfg.store.poll_s:
+            await self._poll_store()
+
+    async def _poll_store(self):
+        core = self._core
+        asked_at = core.now()
+        self._polled_at = asked_at
+        fetched = await core.run(revisions.fetch(self._store_revision))
+        if isinstance(fetched, revisions.Fetched):
+            self._store_revision = fetched.store_revision
+            core.freshness.store_read(asked_at)
+            if self.adopt(fetched.revision, fetched.documents, 'store'):
+                await core.beats.announce()
+        return fetched
+
+    async def fetch_from(self, address):
+        """Fetches newer documents from a peer."""
+        core = self._core
+        request = peer_pb2.DocumentsRequest(after=core.documents.revision)
+        reply = await core.peers.call(address, 'Documents', request)
+        if reply is None:
+            return
+        documents = [
+            revisions.Document(
+                item.path,
+                item.revision,
+                None if item.removed else json.loads(item.value),
+            )
+            for item in reply.documents
+        ]
+        self.adopt(reply.revision, documents, address)
+
+    def reply(self, request):
+        """Answers a peer that asks for newer documents."""
+        held = self._core.documents
+        reply = peer_pb2.DocumentsReply(revision=held.revision)
+        for document in held.after(request.after):
+            reply.documents.add(
+                path=document.path,
+                revision=document.revision,
+                removed=document.value is None,
+                value=json.dumps(document.value).encode(),
+            )
+        return reply
+
+    def adopt(self, revision, documents, source):
+        """Puts a higher revision in force.
+
+        Returns:
+            Whether it was higher than the one held.
+        """
+        core = self._core
+        if not core.documents.adopt(revision, documents):
+            return False
+        try:
+            built = catalog.build(core.documents.values(), readers.structure)
+        except errors.SettingsInvalid as exc:
+            logger.error('revision {} is not valid: {}', revision, exc)
+            return True
+        core.catalog = built
+        core.work.adopt(built)
+        core.metrics.revision.set(revision)
+        self._follow_own_state()
+        core.event('settings.adopted', f'revision {revision}', source)
+        return True
+
+    def _follow_own_state(self):
+        core = self._core
+        wanted = core.catalog.get('instance', core.name)
+        if wanted is None:
+            return
+        if wanted.state is settings.RunnerState.ACTIVE:
+            core.members.stay()
+        else:
+            core.members.leave()
+
+    async def change(self, edit):
+        """Commits a change that was checked as a whole.
+
+        Args:
+            edit: Function from Documents to new bare documents.
+
+        Returns:
+            The new revision.
+
+        Raises:
+            StoreDown: If the store was not reached.
+            OutcomeUnknown: If it may or may not have been written.
+            SettingsInvalid: With all findings.
+        """
+
+        def checked(documents):
+            edits = edit(documents)
+            values = documents.values()
+            for path, bare in edits.items():
+                values.pop(path, None)
+                if bare is not None:
+                    values[path] = bare
+            catalog.build(values, readers.structure)
+            return edits
+
+        result = await self._core.run(revisions.change(checked, self._token()))
+        match result:
+            case revisions.Changed(revision=revision):
+                await self._poll_store()
+                return revision
+            case revisions.Unreached(uncertain=True):
+                raise errors.OutcomeUnknown(
+                    'the store did not answer; the change may be in force '
+                    'soon: ask "show settings" before trying again'
+                )
+        raise errors.StoreDown(
+            'the store was not reached; nothing was changed',
+            retry_after_s=5.0,
+        )
--- /dev/null
+++ b/dandelionwinch/daemon/_wire.py
@@ -0,0 +1,88 @@
+"""Typed messages inside calls between peers."""
+
+import json
+
+import cattrs
+
+from dandelionwinch import claims
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import timeline
+
+_MUTATIONS = {cls.__name__: cls for cls in (claims.Open, claims.Close)}
+_RESULTS = {
+    cls.__name__: cls
+    for cls in (
+        claims.Granted,
+        claims.Held,
+        claims.Recorded,
+        claims.Expired,
+        claims.Full,
+        claims.Unreached,
+        claims.Unsettled,
+    )
+}
+
+
+def _dump(value):
+    raw = {'type': type(value).__name__, 'value': cattrs.unstructure(value)}
+    return json.dumps(raw).encode()
+
+
+def _load(data, classes):
+    raw = json.loads(data)
+    return cattrs.structure(raw['value'], classes[raw['type']])
+
+
+def dump_mutation(mutation):
+    """Encodes a change of a claim."""
+    return _dump(mutation)
+
+
+def load_mutation(data):
+    """Decodes a change of a claim."""
+    return _load(data, _MUTATIONS)
+
+
+def dump_result(result):
+    """Encodes the result of a change."""
+    return _dump(result)
+
+
+def load_result(data):
+    """Decodes the result of a change."""
+    return _load(data, _RESULTS)
+
+
+def dump_event(event):
+    """Turns an event into its message."""
+    return peer_pb2.Event(
+        physical_us=event.stamp.physical_us,
+        logical=event.stamp.logical,
+        instance=event.instance,
+        sequence=event.sequence,
+        kind=event.kind,
+        subject=event.subject,
+        detail=event.detail,
+    )
+
+
+def load_event(message):
+    """Turns a message into its event."""
+    return timeline.Event(
+        timeline.Stamp(message.physical_us, message.logical),
+        message.instance,
+        message.sequence,
+        message.kind,
+        message.subject,
+        message.detail,
+    )
+
+
+def dump_rows(rows):
+    """Encodes rows of a table."""
+    return json.dumps(rows, default=str).encode()
+
+
+def load_rows(data):
+    """Decodes rows of a table."""
+    return json.loads(data)
--- /dev/null
+++ b/dandelionwinch/daemon/_work.py
@@ -0,0 +1,251 @@
+"""Jobs of this instance: admission, placement, retries, endings."""
+
+import zlib
+
+from dandelionwinch.daemon import messages
+from dandelionwinch import errors
+from dandelionwinch import jobs
+from dandelionwinch import limits
+from dandelionwinch import placement
+from dandelionwinch import settings
+
+DEFAULT_PATIENCE_S = 5.0
+
+
+class Work:
+    """Owns the running jobs, the limits and the placer."""
+
+    def __init__(self, core):
+        self._core = core
+        self.book = jobs.JobBook()
+        self.admission = limits.Admission(core.cfg.relay.max_jobs)
+        self.beliefs = placement.Beliefs()
+        self.placer = placement.Placer(self.beliefs, core.rng)
+        self._budgets = {}
+        self.trends = {}
+        self._demands = {}
+
+    def jobs(self):
+        """Returns the number of jobs being served."""
+        return self.admission.jobs
+
+    def adopt(self, catalog):
+        """Takes over the runners of a new configuration."""
+        self.beliefs.set_runners(
+            _belief(runner, catalog.place_of(runner))
+            for runner in catalog.all('runner')
+            if runner.role is not settings.Role.SERVICE
+        )
+
+    def admit(self, message):
+        """Takes a job or raises why it is not taken."""
+        core = self._core
+        reason = core.unready_reason()
+        if reason:
+            raise errors.Unready(reason, retry_after_s=1.0)
+        now = core.now()
+        team = self._team(message.team)
+        self.admission.admit(
+            team,
+            self._busy_weight(team),
+            len(core.members.usable(now)),
+            now,
+        )
+        record = jobs.JobRecord(
+            message.job_id, message.team, message.target, now
+        )
+        self.book.open(record)
+        core.metrics.running.set(self.admission.jobs)
+        core.event('job.admitted', message.job_id, message.target)
+
+    def _team(self, name):
+        return self._core.catalog.get('team', name) or settings.Team(
+            name='default'
+        )
+
+    def _busy_weight(self, team):
+        names = set(self.admission.busy_teams()) | {team.name}
+        return sum(self._team(name).weight for name in names)
+
+    def place(self, message):
+        """Chooses the runners of a completion."""
+        core = self._core
+        now = core.now()
+        job = message.job
+        model = core.catalog.get('model', job.model)
+        if model is None:
+            raise errors.NotFound(f'model "{job.model}" does not exist')
+        pools = core.catalog.pools_of_model(job.model)
+        demand = placement.Demand(
+            place=core.place,
+            prompt_tokens=job.prompt_tokens,
+            output_tokens=job.max_tokens,
+            prefix=job.prefix,
+            prefix_tokens=job.prompt_tokens,
+            patience_s=DEFAULT_PATIENCE_S,
+            gap_s=model.token_gap_s,
+            exclude=message.exclude,
+        )
+        self.placer.set_instances(len(core.members.usable(now)))
+        choice = self.placer.place(demand, self._sites(pools), now)
+        if isinstance(choice, placement.Refusal):
+            raise errors.NoRunner(
+                choice.reason, retry_after_s=choice.retry_after_s
+            )
+        self._note(message, choice, now)
+        return self._placed(choice, model)
+
+    def _sites(self, pools):
+        catalog = self._core.catalog
+        here = self._core.place
+        region = catalog.region_of(here)
+        link = catalog.link()
+        sites = []
+        for pool in pools:
+            extra_s = 0.0
+            if pool.place != here:
+                extra_s = link.latency_s
+            if catalog.region_of(pool.place) != region:
+                extra_s += 2 * link.latency_s
+            names = tuple(
+                runner.name
+                for runner in catalog.runners_of(pool.name)
+                if runner.state is settings.RunnerState.ACTIVE
+            )
+            sites.append(placement.Site(pool.name, names, extra_s))
+        sites.sort(key=lambda site: (site.extra_s, site.name))
+        return sites
+
+    def _note(self, message, choice, now):
+        record = self.book.get(message.job_id)
+        job = message.job
+        if record is not None:
+            record.runner = choice.decode or choice.prefill
+            record.prefill_runner = choice.prefill
+            record.attempts += 1
+            record.terms.append(
+                f'prefill on "{choice.prefill}", decode on '
+                f'"{choice.decode}": {choice.terms}'
+            )
+        runner = self._core.catalog.get('runner', choice.prefill)
+        trend = self.trends.setdefault(
+            runner.pool, placement.Trend(self._horizon(runner))
+        )
+        trend.add(job.prompt_tokens - choice.hit_tokens, job.max_tokens, now)
+        self._core.event('job.placed', message.job_id, choice.decode)
+
+    def _horizon(self, runner):
+        pool = self._core.catalog.get('pool', runner.pool)
+        return self._core.catalog.policy_of(pool).horizon_s / 2
+
+    def _placed(self, choice, model):
+        catalog = self._core.catalog
+        decode = catalog.get('runner', choice.decode or choice.prefill)
+        prefill = catalog.get('runner', choice.prefill)
+        apart = choice.prefill != decode.name
+        return messages.Placed(
+            runner=decode.name,
+            address=decode.address,
+            prefill_runner=prefill.name if apart else '',
+            prefill_address=prefill.address if apart else '',
+            token_gap_s=model.token_gap_s,
+            first_token_s=max(choice.first_token_s, model.first_token_s),
+        )
+
+    def place_service(self, message):
+        """Lists the runners of a plain service, best first."""
+        core = self._core
+        service = core.catalog.get('service', message.service)
+        if service is None:
+            raise errors.NotFound(
+                f'service "{message.service}" does not exist'
+            )
+        now = core.now()
+        found = []
+        for pool in core.catalog.pools_of_service(service.name):
+            for runner in core.catalog.runners_of(pool.name):
+                if runner.state is not settings.RunnerState.ACTIVE:
+                    continue
+                if core.loads.is_resting(runner.name, now):
+                    continue
+                spread = zlib.crc32(f'{message.job_id}{runner.name}'.encode())
+                found.append(((pool.place != core.place, spread), runner))
+        if not found:
+            raise errors.NoRunner(
+                f'no runner of service "{service.name}" takes work',
+                retry_after_s=1.0,
+            )
+        found.sort(key=lambda pair: pair[0])
+        runners = tuple(runner for _rank, runner in found)
+        record = self.book.get(message.job_id)
+        if record is not None:
+            record.runner = runners[0].name
+            record.attempts += 1
+        return messages.ServicePlaces(service, runners)
+
+    def runner_failed(self, message):
+        """Leaves a runner alone for a while after a failure."""
+        core = self._core
+        now = core.now()
+        self.beliefs.failed(message.runner, now)
+        core.loads.rest(message.runner, now)
+        record = self.book.get(message.job_id)
+        if record is not None:
+            record.terms.append(
+                f'runner "{message.runner}" failed: {message.reason}'
+            )
+        core.event('runner.failed', message.runner, message.reason)
+
+    def _budget(self, target):
+        budget = self._budgets.get(target)
+        if budget is None:
+            budget = limits.RetryBudget(self._core.cfg.relay.retry_share)
+            self._budgets[target] = budget
+        return budget
+
+    def retry(self, message):
+        """Tells whether a retry is within the budget of its target."""
+        allowed = self._budget(message.target).spend()
+        if allowed:
+            self._core.metrics.retries.inc()
+        self._core.event(
+            'job.retried' if allowed else 'job.retry_refused',
+            message.job_id,
+            message.target,
+        )
+        return allowed
+
+    def finish(self, message):
+        """Notes how a job ended and books what it earned."""
+        core = self._core
+        record = self.book.end(
+            message.job_id, message.state, message.code, core.now()
+        )
+        if record is None:
+            return
+        record.tokens = message.tokens
+        team = self._team(record.team)
+        self.admission.finish(team.name)
+        core.metrics.running.set(self.admission.jobs)
+        core.metrics.jobs.labels(message.state, message.code).inc()
+        if message.state == 'done':
+            self._budget(record.target).succeeded()
+            core.metrics.tokens.inc(message.tokens)
+            core.earnings.book(record, message.tokens)
+        core.event(f'job.{message.state}', record.id, message.code)
+
+    def demands(self, now):
+        """Returns the demand placed here by pool, for the peers."""
+        return {pool: trend.rates(now) for pool, trend in self.trends.items()}
+
+
+def _belief(runner, place):
+    return placement.Belief(
+        name=runner.name,
+        place=place,
+        role=runner.role,
+        prefill_rate=runner.prefill_tokens_per_s,
+        decode_rate=runner.decode_tokens_per_s,
+        kv_capacity=runner.kv_tokens,
+        max_batch=runner.max_batch,
+    )
--- /dev/null
+++ b/dandelionwinch/daemon/messages.py
@@ -0,0 +1,126 @@
+"""Messages from the listeners' threads to the core."""
+
+import attrs
+
+
+@attrs.frozen
+class Admit:
+    """Asks to take a job."""
+
+    job_id: str
+    team: str
+    target: str
+
+
+@attrs.frozen
+class Place:
+    """Asks where a completion runs.
+
+    Attributes:
+        exclude: Runners that failed this job before.
+    """
+
+    job_id: str
+    job: object
+    exclude: frozenset = frozenset()
+
+
+@attrs.frozen
+class Placed:
+    """Reply: where a completion runs.
+
+    Attributes:
+        prefill_address: Runner that prefills, or empty if the decoding
+            runner does so itself.
+    """
+
+    runner: str
+    address: str
+    prefill_runner: str
+    prefill_address: str
+    token_gap_s: float
+    first_token_s: float
+
+
+@attrs.frozen
+class PlaceService:
+    """Asks which runners can take a call of a plain service."""
+
+    job_id: str
+    service: str
+
+
+@attrs.frozen
+class ServicePlaces:
+    """Reply: the service's rules and its runners, best first."""
+
+    service: object
+    runners: tuple
+
+
+@attrs.frozen
+class RunnerFailed:
+    """Tells that a runner failed a job."""
+
+    job_id: str
+    runner: str
+    reason: str
+
+
+@attrs.frozen
+class Retry:
+    """Asks whether a retry is within the budget."""
+
+    job_id: str
+    target: str
+
+
+@attrs.frozen
+class Finish:
+    """Tells how a job ended.
+
+    Attributes:
+        state: ``done``, ``refused``, ``unknown`` or ``abandoned``.
+        tokens: Output of the job, if its whole answer was delivered.
+    """
+
+    job_id: str
+    state: str
+    code: str = ''
+    tokens: int = 0
+
+
+@attrs.frozen
+class OpenClaim:
+    """Asks for the right to send a call that may run only once."""
+
+    key: str
+    token: str
+    request: str
+
+
+@attrs.frozen
+class CloseClaim:
+    """Tells what became of a claimed call."""
+
+    close: object
+
+
+@attrs.frozen
+class FindAddress:
+    """Asks which instance a clerk should use."""
+
+    place: str
+    team: str
+
+
+@attrs.frozen
+class Ask:
+    """A statement of the operators' language."""
+
+    text: str
+
+
+@attrs.frozen
+class Health:
+    """Asks whether the instance takes new work."""
--- /dev/null
+++ b/dandelionwinch/earnings/__init__.py
@@ -0,0 +1,7 @@
+"""The cut of work that was finished and reached its caller."""
+
+from dandelionwinch.earnings._ledger import Ledger
+from dandelionwinch.earnings._ledger import ledger_key
+from dandelionwinch.earnings._ledger import Total
+
+__all__ = ['Ledger', 'Total', 'ledger_key']
--- /dev/null
+++ b/dandelionwinch/entry.py
@@ -0,0 +1,144 @@
+"""The entry daemon: wires its stages in order."""
+
+import threading
+
+import loguru
+
+from dandelionwinch import calls
+from dandelionwinch import daemon
+from dandelionwinch.daemon import messages
+from dandelionwinch import errors
+from dandelionwinch import listeners
+from dandelionwinch import relay
+
+OPERATOR_THREADS = 8
+DEFAULT_TEAM = 'default'
+_SERVICES = '/v1/services/'
+_COMPLETIONS = ('/v1/completions', '/v1/chat/completions')
+_HEALTH = ('/healthz', '/readyz', '/metrics')
+
+logger = loguru.logger
+
+
+class Entry:
+    """One entry instance: settings, core, relays and listeners.
+
+    Args:
+        cfg: EntrySettings.
+    """
+
+    def __init__(self, cfg):
+        self._cfg = cfg
+        self._core = daemon.Core(cfg)
+        self._relay = relay.Relay(self._core)
+        self._calls = calls.Calls(self._core)
+        self._clerks = listeners.Listener(
+            cfg.instance.clerk_address,
+            self._serve_clerk,
+            cfg.relay.threads,
+            cfg,
+        )
+        self._operators = listeners.Listener(
+            cfg.instance.operator_address,
+            self._serve_operator,
+            OPERATOR_THREADS,
+            cfg,
+        )
+        self._stopped = threading.Event()
+
+    @property
+    def core(self):
+        """The core, for embedding in other programs."""
+        return self._core
+
+    def start(self):
+        """Starts the core first and the clerks' listener last."""
+        self._core.start()
+        self._operators.start()
+        self._clerks.start()
+        logger.info('serving clerks on {}', self._cfg.instance.clerk_address)
+
+    def stop(self):
+        """Stops as planned: nothing in flight is cut."""
+        if self._stopped.is_set():
+            return
+        self._stopped.set()
+        self._core.leave()
+        self._core.drain()
+        self.close()
+
+    def close(self):
+        """Closes listeners and the core at once."""
+        self._clerks.close()
+        self._operators.close()
+        self._calls.close()
+        self._core.close()
+        logger.info('stopped')
+
+    def _serve_clerk(self, request):
+        if request.path in _HEALTH:
+            return self._health(request)
+        listeners.check_token(request, self._cfg.security.clerk_token)
+        team = request.header('x-team', DEFAULT_TEAM)
+        match (request.method, request.path):
+            case ('GET', '/v1/address'):
+                return self._address(request, team)
+            case ('GET', '/v1/models'):
+                return self._models()
+            case ('POST', path) if path in _COMPLETIONS:
+                return self._relay.serve(request, team)
+            case (_, path) if path.startswith(_SERVICES):
+                name, _, rest = path.removeprefix(_SERVICES).partition('/')
+                return self._calls.serve(request, name, f'/{rest}', team)
+        raise errors.NotFound(
+            f'path "{request.path}" does not exist for {request.method}'
+        )
+
+    def _health(self, request):
+        match request.path:
+            case '/metrics':
+                return listeners.Response(
+                    body=self._core.metrics.exposition(),
+                    content_type='text/plain; version=0.0.4',
+                )
+            case '/readyz':
+                reason = self._core.ask(messages.Health())
+                status = 503 if reason else 200
+                value = {'ready': not reason, 'reason': reason}
+                return listeners.json_response(value, status)
+        return listeners.json_response({'alive': True})
+
+    def _address(self, request, team):
+        place = request.query.get('place', self._core.place)
+        team = request.query.get('team', team)
+        found = self._core.ask(messages.FindAddress(place, team))
+        return listeners.json_response(
+            {
+                'address': found.address,
+                'instance': found.instance,
+                'fallback': found.fallback,
+                'valid_s': found.valid_s,
+            },
+            headers={'Cache-Control': f'max-age={int(found.valid_s)}'},
+        )
+
+    def _models(self):
+        models = [
+            {'id': model.name, 'object': 'model'}
+            for model in self._core.catalog.all('model')
+        ]
+        return listeners.json_response({'object': 'list', 'data': models})
+
+    def _serve_operator(self, request):
+        if request.path in _HEALTH:
+            return self._health(request)
+        listeners.check_token(request, self._cfg.security.operator_token)
+        if (request.method, request.path) != ('POST', '/v1/ask'):
+            raise errors.NotFound(
+                f'path "{request.path}" does not exist for {request.method}'
+            )
+        try:
+            text = request.body.decode('utf-8')
+        except UnicodeDecodeError as exc:
+            raise errors.BadRequest('statement is not UTF-8') from exc
+        return listeners.json_response(self._core.ask(messages.Ask(text)))
--- /dev/null
+++ b/dandelionwinch/errors.py
@@ -0,0 +1,182 @@
+"""Exceptions with codes, and findings that name their place."""
+
+import enum
+
+import attrs
+
+
+class Truth(enum.StrEnum):
+    """What is known about the execution of a refused request."""
+
+    DONE = 'done'
+    NOT_RUN = 'not run'
+    UNKNOWN = 'unknown'
+
+
+class DandelionwinchError(Exception):
+    """Base of all errors; carries a stable code for programs."""
+
+    code = 'internal'
+    status = 500
+    truth = Truth.NOT_RUN
+
+    def __init__(self, message, *, retry_after_s=None):
+        super().__init__(message)
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+
+class BadRequest(DandelionwinchError):
+    """The request cannot be understood."""
+
+    code = 'bad_request'
+    status = 400
+
+
+class TooLarge(BadRequest):
+    """The request body is larger than the configured limit."""
+
+    code = 'too_large'
+    status = 413
+
+
+class NotFound(DandelionwinchError):
+    """The named model, service or path does not exist."""
+
+    code = 'not_found'
+    status = 404
+
+
+class Unauthorized(DandelionwinchError):
+    """The bearer token is missing or wrong for this interface."""
+
+    code = 'unauthorized'
+    status = 401
+
+
+class Overloaded(DandelionwinchError):
+    """The request cannot be finished in time and is refused early."""
+
+    code = 'overloaded'
+    status = 429
+
+
+class Unready(DandelionwinchError):
+    """This instance takes no new work at present."""
+
+    code = 'unready'
+    status = 503
+
+
+class NoRunner(DandelionwinchError):
+    """No runner can take the job at present."""
+
+    code = 'no_runner'
+    status = 503
+
+
+class StoreDown(DandelionwinchError):
+    """The platform's store did not answer, so nothing was started."""
+
+    code = 'store_unavailable'
+    status = 503
+
+
+class KeyReused(DandelionwinchError):
+    """An idempotency key came again with a different request."""
+
+    code = 'key_reused'
+    status = 422
+
+
+class KeyMissing(BadRequest):
+    """A call that is not idempotent came without a key."""
+
+    code = 'key_missing'
+
+
+class KeyExpired(DandelionwinchError):
+    """An idempotency key is older than the retention of claims."""
+
+    code = 'key_expired'
+    status = 410
+
+
+class KeyUnresolved(DandelionwinchError):
+    """An earlier request with this key has no known outcome yet."""
+
+    code = 'key_unresolved'
+    status = 409
+    truth = Truth.UNKNOWN
+
+
+class UpstreamFailed(DandelionwinchError):
+    """The runner failed before an answer was complete."""
+
+    code = 'upstream_failed'
+    status = 502
+
+
+class OutcomeUnknown(DandelionwinchError):
+    """A call that is not idempotent was sent and got no answer."""
+
+    code = 'outcome_unknown'
+    status = 502
+    truth = Truth.UNKNOWN
+
+
+class DeadlinePassed(DandelionwinchError):
+    """The answer was not complete before the deadline."""
+
+    code = 'deadline_passed'
+    status = 504
+
+
+class Conflict(DandelionwinchError):
+    """A command named a revision that is no longer current."""
+
+    code = 'conflict'
+    status = 409
+
+
+class StatementInvalid(DandelionwinchError):
+    """A statement of the operators' language cannot be parsed."""
+
+    code = 'statement_invalid'
+    status = 400
+
+    def __init__(self, message, *, column=None, expected=()):
+        super().__init__(message)
+        self.column = column
+        self.expected = tuple(expected)
+
+
+@attrs.frozen
+class Finding:
+    """One fault of a settings file, with its place.
+
+    Attributes:
+        file: Name of the file, or of the document's source.
+        line: Line number from 1, or 0 if the place has no line.
+        path: Path of the value, such as ``runners[2].role``.
+        message: What is wrong, naming the value.
+    """
+
+    file: str
+    line: int
+    path: str
+    message: str
+
+    def __str__(self):
+        return f'{self.file}:{self.line}: {self.path}: {self.message}'
+
+
+class SettingsInvalid(DandelionwinchError):
+    """Settings hold one or more faults, all reported together."""
+
+    code = 'settings_invalid'
+    status = 400
+
+    def __init__(self, findings):
+        super().__init__('\n'.join(str(finding) for finding in findings))
+        self.findings = tuple(findings)
--- /dev/null
+++ b/dandelionwinch/jobs/__init__.py
@@ -0,0 +1,19 @@
+"""Jobs: requests of clerks, their attempts and whole answers."""
+
+from dandelionwinch.jobs._assembly import Assembly
+from dandelionwinch.jobs._assembly import StreamGap
+from dandelionwinch.jobs._book import JobBook
+from dandelionwinch.jobs._book import JobRecord
+from dandelionwinch.jobs._requests import Completion
+from dandelionwinch.jobs._requests import parse_completion
+from dandelionwinch.jobs._requests import with_partial
+
+__all__ = [
+    'Assembly',
+    'Completion',
+    'JobBook',
+    'JobRecord',
+    'StreamGap',
+    'parse_completion',
+    'with_partial',
+]
--- /dev/null
+++ b/dandelionwinch/language/_query.py
@@ -0,0 +1,94 @@
+"""Runs queries over rows."""
+
+import fnmatch
+
+from dandelionwinch import errors
+from dandelionwinch.language import _statements as st
+
+
+def select(show, rows, columns):
+    """Filters, orders and limits rows.
+
+    Args:
+        show: The query.
+        rows: List of mappings from column to value.
+        columns: Names of the table's columns.
+
+    Raises:
+        StatementInvalid: If a column does not exist.
+    """
+    for name in _fields_of(show.where):
+        _check(name, show.table, columns)
+    if show.order_by:
+        _check(show.order_by, show.table, columns)
+    kept = [row for row in rows if _holds(show.where, row)]
+    if show.order_by:
+        kept.sort(
+            key=lambda row: _sort_key(row.get(show.order_by)),
+            reverse=show.descending,
+        )
+    return kept if show.limit is None else kept[: show.limit]
+
+
+def _check(name, table, columns):
+    if name not in columns:
+        known = ', '.join(columns)
+        raise errors.StatementInvalid(
+            f'column "{name}" does not exist in table "{table}"; '
+            f'it has {known}',
+            expected=columns,
+        )
+
+
+def _fields_of(condition):
+    match condition:
+        case st.Compare(field=field):
+            yield field
+        case st.Not(term=term):
+            yield from _fields_of(term)
+        case st.All(terms=terms) | st.Any(terms=terms):
+            for term in terms:
+                yield from _fields_of(term)
+
+
+def _sort_key(value):
+    if isinstance(value, bool | int | float):
+        return (0, value, '')
+    return (1, 0, str(value))
+
+
+def _holds(condition, row):
+    match condition:
+        case None:
+            return True
+        case st.Not(term=term):
+            return not _holds(term, row)
+        case st.All(terms=terms):
+            return all(_holds(term, row) for term in terms)
+        case st.Any(terms=terms):
+            return any(_holds(term, row) for term in terms)
+        case st.Compare():
+            return _compare(condition, row.get(condition.field))
+    raise TypeError(f'"{condition!r}" is not a condition')
+
+
+def _compare(compare, value):
+    wanted = compare.value
+    if compare.operator == 'like':
+        return fnmatch.fnmatchcase(str(value), str(wanted))
+    if isinstance(value, bool) or isinstance(wanted, bool):
+        value, wanted = str(value).lower(), str(wanted).lower()
+    elif not isinstance(value, int | float) or isinstance(wanted, str):
+        value, wanted = str(value), str(wanted)
+    match compare.operator:
+        case '=':
+            return value == wanted
+        case '!=':
+            return value != wanted
+        case '<':
+            return value < wanted
+        case '<=':
+            return value <= wanted
+        case '>':
+            return value > wanted
+    return value >= wanted
--- /dev/null
+++ b/dandelionwinch/membership/_members.py
@@ -0,0 +1,316 @@
+"""Heartbeats that spread by gossip, and the view that follows."""
+
+import attrs
+
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import utils
+
+FANOUT = 3
+SPEAKERS_PER_PLACE = 2
+CROSS_EVERY_BEATS = 4
+
+
+def member_id(name):
+    """Returns the short identifier of an instance's name."""
+    return utils.stable_hash('member', name)
+
+
+@attrs.define
+class Known:
+    """What is known of one instance.
+
+    Attributes:
+        member: Name, place and addresses.
+        heard_at: Time at which its heartbeat last advanced.
+        leaves: Odd while it says that it is leaving; each change of
+            mind raises the number.
+        listed: Whether the platform's list has it; None before the
+            list was read.
+        listed_leaving: Whether the platform says that it is leaving.
+        jobs: Jobs that it serves.
+        revision: Configuration revision that it holds.
+    """
+
+    member: peer_pb2.Member
+    beat: int = 0
+    leaves: int = 0
+    heard_at: float = float('-inf')
+    listed: bool | None = None
+    listed_leaving: bool = False
+    jobs: int = 0
+    revision: int = 0
+
+    @property
+    def leaving(self):
+        """Whether it takes no new work for long."""
+        return self.leaves % 2 == 1 or self.listed_leaving
+
+    @property
+    def name(self):
+        """Name of the instance."""
+        return self.member.name
+
+    @property
+    def place(self):
+        """Name of its place."""
+        return self.member.place
+
+
+class Membership:
+    """The aggregate of all known instances, without clock or socket.
+
+    Each instance advances its own heartbeat and exchanges digests with
+    a few peers of its place; two speakers of a place also exchange
+    with other places. A higher incarnation replaces a lower one.
+    """
+
+    __slots__ = (
+        '_asked',
+        '_beats',
+        '_by_id',
+        '_forget_s',
+        '_last_tick',
+        '_paused_since',
+        '_rng',
+        '_seeds',
+        '_suspect_s',
+        'me',
+    )
+
+    def __init__(self, member, timing, rng, seeds=()):
+        self.me = Known(member)
+        self._by_id = {member_id(member.name): self.me}
+        self._rng = rng
+        self._seeds = list(seeds)
+        self._suspect_s = timing.suspect_s
+        self._forget_s = timing.forget_s
+        self._beats = 0
+        self._asked = set()
+        self._last_tick = None
+        self._paused_since = None
+
+    def tick(self, now):
+        """Advances the own heartbeat.
+
+        Returns:
+            Peer addresses to exchange digests with.
+        """
+        self._note_pause(now)
+        self._last_tick = now
+        self._beats += 1
+        self.me.beat += 1
+        self.me.heard_at = now
+        self._forget(now)
+        return self._targets(now)
+
+    def _note_pause(self, now):
+        if self._last_tick is None:
+            return
+        if now - self._last_tick > self._suspect_s:
+            self._paused_since = now
+
+    def is_suspect(self, now):
+        """Tells whether this instance was paused and met no peer since."""
+        late = (
+            self._last_tick is not None
+            and now - self._last_tick > self._suspect_s
+        )
+        return late or self._paused_since is not None
+
+    def _forget(self, now):
+        over = [
+            key
+            for key, known in self._by_id.items()
+            if known is not self.me
+            and now - known.heard_at > self._forget_s
+            and not known.listed
+        ]
+        for key in over:
+            del self._by_id[key]
+
+    def _targets(self, now):
+        others = [k for k in self._by_id.values() if k is not self.me]
+        near = [k for k in others if k.place == self.me.place]
+        chosen = self._sample(near, FANOUT)
+        if not near or self._speaks(now):
+            if self._beats % CROSS_EVERY_BEATS == 1 or not near:
+                chosen += self._one_of_each_place(others)
+        addresses = [known.member.peer_address for known in chosen]
+        if not addresses:
+            addresses = self._sample(self._seeds, FANOUT)
+        return addresses
+
+    def _sample(self, items, most):
+        return self._rng.sample(items, min(most, len(items)))
+
+    def _one_of_each_place(self, others):
+        by_place = {}
+        for known in others:
+            if known.place != self.me.place:
+                by_place.setdefault(known.place, []).append(known)
+        places = self._sample(sorted(by_place), FANOUT)
+        return [self._rng.choice(by_place[place]) for place in places]
+
+    def _speaks(self, now):
+        return self.me in self.speakers(self.me.place, now)
+
+    def speakers(self, place, now):
+        """Returns the instances that act for a place.
+
+        They watch the store's configuration and talk to other places.
+        """
+        ranked = sorted(
+            (k for k in self.live(now) if k.place == place),
+            key=lambda k: utils.stable_hash('speaker', k.name),
+        )
+        return ranked[:SPEAKERS_PER_PLACE]
+
+    def digest(self, now, to_place=None):
+        """Makes the part of a digest that this aggregate owns."""
+        digest = peer_pb2.Digest(sender=self.me.member)
+        for key, known in self._by_id.items():
+            if now - known.heard_at > self._forget_s:
+                continue
+            if to_place in (None, self.me.place) or known.place in (
+                self.me.place,
+                to_place,
+            ):
+                digest.pulses.append(_pulse(key, known))
+            if key in self._asked:
+                digest.introduced.append(known.member)
+        self._asked.clear()
+        return digest
+
+    def merge(self, digest, now):
+        """Takes in a digest of a peer.
+
+        Returns:
+            Identifiers of instances that are to be introduced.
+        """
+        self._paused_since = None
+        self._introduce(digest.sender)
+        for member in digest.introduced:
+            self._introduce(member)
+        self._asked.update(digest.asked)
+        unknown = []
+        for pulse in digest.pulses:
+            known = self._by_id.get(pulse.id)
+            if known is None:
+                unknown.append(pulse.id)
+            elif known is not self.me:
+                _advance(known, pulse, now)
+        return unknown
+
+    def _introduce(self, member):
+        key = member_id(member.name)
+        known = self._by_id.get(key)
+        if known is None:
+            self._by_id[key] = Known(member)
+        elif known is not self.me and (
+            member.incarnation > known.member.incarnation
+        ):
+            known.member = member
+            known.beat = 0
+            known.leaves = 0
+
+    def overlay(self, listed):
+        """Takes in the platform's list, which lags.
+
+        Args:
+            listed: Tuple of ListedInstance.
+        """
+        names = set()
+        for line in listed:
+            names.add(line.name)
+            key = member_id(line.name)
+            known = self._by_id.get(key)
+            if known is None:
+                known = Known(_member_of(line))
+                self._by_id[key] = known
+            known.listed = True
+            known.listed_leaving = line.leaving
+        for known in self._by_id.values():
+            if known.name not in names:
+                known.listed = False
+
+    def leave(self):
+        """Marks this instance as leaving."""
+        if self.me.leaves % 2 == 0:
+            self.me.leaves += 1
+
+    def stay(self):
+        """Takes the leaving mark back."""
+        if self.me.leaves % 2 == 1:
+            self.me.leaves += 1
+
+    def live(self, now):
+        """Returns the instances heard of recently, in order of name."""
+        return sorted(
+            (
+                known
+                for known in self._by_id.values()
+                if now - known.heard_at <= self._suspect_s
+            ),
+            key=lambda known: known.name,
+        )
+
+    def everyone(self):
+        """Returns all known instances in order of name."""
+        return sorted(self._by_id.values(), key=lambda known: known.name)
+
+    def may_live(self, now):
+        """Returns instances that may still run: live or listed."""
+        return [
+            known
+            for known in self.everyone()
+            if known.listed or now - known.heard_at <= self._suspect_s
+        ]
+
+    def place_at(self, peer_address):
+        """Returns the place of the instance at an address, or None."""
+        for known in self._by_id.values():
+            if known.member.peer_address == peer_address:
+                return known.place
+        return None
+
+    def usable(self, now):
+        """Returns the instances that new jobs may be sent to."""
+        return [known for known in self.live(now) if not known.leaving]
+
+
+def _pulse(key, known):
+    return peer_pb2.Pulse(
+        id=key,
+        incarnation=known.member.incarnation,
+        beat=known.beat,
+        leaves=known.leaves,
+        revision=known.revision,
+        jobs=known.jobs,
+    )
+
+
+def _advance(known, pulse, now):
+    if pulse.incarnation < known.member.incarnation:
+        return
+    if pulse.incarnation > known.member.incarnation:
+        known.member.incarnation = pulse.incarnation
+        known.beat = 0
+        known.leaves = 0
+        known.revision = 0
+    known.leaves = max(known.leaves, pulse.leaves)
+    known.revision = max(known.revision, pulse.revision)
+    if pulse.beat > known.beat:
+        known.beat = pulse.beat
+        known.heard_at = now
+        known.jobs = pulse.jobs
+
+
+def _member_of(line):
+    return peer_pb2.Member(
+        name=line.name,
+        place=line.place,
+        clerk_address=line.clerk_address,
+        peer_address=line.peer_address,
+        operator_address=line.operator_address,
+        weight=1.0,
+    )
--- /dev/null
+++ b/dandelionwinch/orders/__init__.py
@@ -0,0 +1,27 @@
+"""Authority over runners, and orders that outlive their sender."""
+
+from dandelionwinch.orders._authority import Authority
+from dandelionwinch.orders._authority import Lost
+from dandelionwinch.orders._authority import Owned
+from dandelionwinch.orders._authority import Waiting
+from dandelionwinch.orders._drain import DrainReport
+from dandelionwinch.orders._drain import may_send
+from dandelionwinch.orders._shard import Order
+from dandelionwinch.orders._shard import OrderState
+from dandelionwinch.orders._shard import Shard
+from dandelionwinch.orders._shard import shard_key
+from dandelionwinch.orders._shard import shard_of
+
+__all__ = [
+    'Authority',
+    'DrainReport',
+    'Lost',
+    'Order',
+    'OrderState',
+    'Owned',
+    'Shard',
+    'Waiting',
+    'may_send',
+    'shard_key',
+    'shard_of',
+]
--- /dev/null
+++ b/dandelionwinch/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Calls between the entry instances."""
--- /dev/null
+++ b/dandelionwinch/placement/__init__.py
@@ -0,0 +1,33 @@
+"""Where a job runs, and which roles the runners of a pool have."""
+
+from dandelionwinch.placement._beliefs import Belief
+from dandelionwinch.placement._beliefs import Beliefs
+from dandelionwinch.placement._beliefs import Report
+from dandelionwinch.placement._placer import Choice
+from dandelionwinch.placement._placer import Demand
+from dandelionwinch.placement._placer import Placer
+from dandelionwinch.placement._placer import Refusal
+from dandelionwinch.placement._placer import Site
+from dandelionwinch.placement._prefixes import Prefixes
+from dandelionwinch.placement._roles import Capacity
+from dandelionwinch.placement._roles import plan_roles
+from dandelionwinch.placement._roles import RoleChange
+from dandelionwinch.placement._roles import served_share
+from dandelionwinch.placement._trend import Trend
+
+__all__ = [
+    'Belief',
+    'Beliefs',
+    'Capacity',
+    'Choice',
+    'Demand',
+    'Placer',
+    'Prefixes',
+    'Refusal',
+    'Report',
+    'RoleChange',
+    'Site',
+    'Trend',
+    'plan_roles',
+    'served_share',
+]
--- /dev/null
+++ b/dandelionwinch/placement/_beliefs.py
@@ -0,0 +1,195 @@
+"""What an instance believes of each runner's load."""
+
+import collections
+
+import attrs
+
+from dandelionwinch import settings
+
+FIRST_QUARANTINE_S = 0.5
+LONGEST_QUARANTINE_S = 15.0
+CHUNK_EFFICIENCY = 0.8
+GAP_MARGIN = 0.95
+NONSENSE_FACTOR = 20
+SENT_KEPT = 512
+
+
+@attrs.frozen
+class Report:
+    """A runner's own report of its load.
+
+    Attributes:
+        made_at: Time at which the runner made it.
+        running: Jobs that decode.
+        waiting_tokens: Prompt tokens not prefilled yet.
+        kv_tokens: Tokens held in the KV cache.
+    """
+
+    made_at: float
+    running: int
+    waiting_tokens: float
+    kv_tokens: float
+    role: settings.Role
+    away: bool = False
+
+
+@attrs.frozen
+class _Sent:
+    at: float
+    prefill_tokens: float
+    kv_tokens: float
+    decodes: bool
+
+
+@attrs.define
+class Belief:
+    """One runner: its figures, its last report and what was sent since."""
+
+    name: str
+    place: str
+    role: settings.Role
+    prefill_rate: float
+    decode_rate: float
+    kv_capacity: int
+    max_batch: int
+    report: Report | None = None
+    sent: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=SENT_KEPT)
+    )
+    quarantined_until: float = float('-inf')
+    failures: int = 0
+    held: bool = False
+
+    def usable(self, now):
+        """Tells whether new work may be placed here."""
+        away = self.report is not None and self.report.away
+        return not (self.held or away or now < self.quarantined_until)
+
+    def backlog(self, now, rate):
+        """Returns prompt tokens that wait here, by a fluid model."""
+        tokens = 0.0
+        last = now
+        if self.report is not None:
+            tokens = self.report.waiting_tokens
+            last = self.report.made_at
+        elif self.sent:
+            last = self.sent[0].at
+        for item in self.sent:
+            tokens = max(0.0, tokens - rate * (item.at - last))
+            tokens += item.prefill_tokens
+            last = item.at
+        return max(0.0, tokens - rate * (now - last))
+
+    def decoding(self):
+        """Returns the number of jobs that decode here."""
+        known = self.report.running if self.report else 0
+        return known + sum(1 for item in self.sent if item.decodes)
+
+    def kv_used(self):
+        """Returns the tokens held in the KV cache."""
+        known = self.report.kv_tokens if self.report else 0.0
+        return known + sum(item.kv_tokens for item in self.sent)
+
+    def chunk_share(self, gap_s):
+        """Returns the share of time that decoding leaves to prefill.
+
+        Args:
+            gap_s: Longest allowed time between tokens.
+        """
+        needed = self.decoding() / (self.decode_rate * gap_s * GAP_MARGIN)
+        return min(1.0, max(0.0, 1.0 - needed))
+
+    def prefill_speed(self, gap_s):
+        """Returns the prompt tokens per second that it can prefill."""
+        if self.role is settings.Role.PREFILL:
+            return self.prefill_rate
+        share = self.chunk_share(gap_s)
+        return self.prefill_rate * CHUNK_EFFICIENCY * share
+
+    def slots(self, gap_s):
+        """Returns how many jobs can decode here within the gap."""
+        by_gap = int(self.decode_rate * gap_s * GAP_MARGIN)
+        return min(self.max_batch, by_gap)
+
+
+class Beliefs:
+    """The beliefs of one instance about all runners it may use."""
+
+    __slots__ = ('_by_name',)
+
+    def __init__(self):
+        self._by_name = {}
+
+    def set_runners(self, runners):
+        """Takes over the runners of a new configuration.
+
+        Args:
+            runners: Iterable of Belief with the configured figures;
+                what is already known of a runner is kept.
+        """
+        fresh = {}
+        for runner in runners:
+            held = self._by_name.get(runner.name)
+            if held is not None:
+                runner.report = held.report
+                runner.sent = held.sent
+                runner.quarantined_until = held.quarantined_until
+                runner.failures = held.failures
+                runner.held = held.held
+                if held.report is not None:
+                    runner.role = held.role
+            fresh[runner.name] = runner
+        self._by_name = fresh
+
+    def get(self, name):
+        """Returns a Belief, or None."""
+        return self._by_name.get(name)
+
+    def all(self):
+        """Returns all beliefs."""
+        return list(self._by_name.values())
+
+    def report(self, name, report):
+        """Takes in a runner's report.
+
+        A report that is older than the one held is dropped, as is one
+        that cannot be true.
+
+        Returns:
+            Whether the report was taken.
+        """
+        belief = self._by_name.get(name)
+        if belief is None or not _makes_sense(belief, report):
+            return False
+        if belief.report and report.made_at <= belief.report.made_at:
+            return False
+        belief.report = report
+        belief.role = report.role
+        belief.failures = 0
+        while belief.sent and belief.sent[0].at <= report.made_at:
+            belief.sent.popleft()
+        return True
+
+    def sent(self, name, now, prefill_tokens, kv_tokens, decodes):
+        """Notes work that was sent to a runner."""
+        belief = self._by_name.get(name)
+        if belief is not None:
+            belief.sent.append(_Sent(now, prefill_tokens, kv_tokens, decodes))
+
+    def failed(self, name, now):
+        """Notes a failure; the runner is left alone for a while."""
+        belief = self._by_name.get(name)
+        if belief is None:
+            return
+        wait_s = FIRST_QUARANTINE_S * 2**belief.failures
+        belief.failures = min(belief.failures + 1, 10)
+        wait_s = min(wait_s, LONGEST_QUARANTINE_S)
+        belief.quarantined_until = now + wait_s
+
+
+def _makes_sense(belief, report):
+    if report.running < 0 or report.waiting_tokens < 0:
+        return False
+    if report.kv_tokens < 0:
+        return False
+    return report.running <= NONSENSE_FACTOR * belief.max_batch
--- /dev/null
+++ b/dandelionwinch/placement/_trend.py
@@ -0,0 +1,58 @@
+"""Smoothed demand of a pool over a short and a long time."""
+
+import math
+
+import attrs
+
+SHORT_SPAN_S = 10.0
+
+
+@attrs.define
+class _Average:
+    span_s: float
+    value: float = 0.0
+    at: float | None = None
+
+    def add(self, amount, now):
+        """Adds an amount that arrived at a time."""
+        self.value = self.read(now) + amount / self.span_s
+        self.at = now
+
+    def read(self, now):
+        """Returns the smoothed amount per second."""
+        if self.at is None:
+            self.at = now
+            return 0.0
+        age_s = max(0.0, now - self.at)
+        return self.value * math.exp(-age_s / self.span_s)
+
+
+class Trend:
+    """Demand in prompt and output tokens per second.
+
+    The forecast takes the demand that both averages agree on, so that
+    a short swing alone never looks lasting.
+    """
+
+    __slots__ = ('_decode', '_prefill')
+
+    def __init__(self, long_span_s):
+        spans = (SHORT_SPAN_S, long_span_s)
+        self._prefill = [_Average(span) for span in spans]
+        self._decode = [_Average(span) for span in spans]
+
+    def add(self, prefill_tokens, decode_tokens, now):
+        """Notes a job's demand."""
+        for average in self._prefill:
+            average.add(prefill_tokens, now)
+        for average in self._decode:
+            average.add(decode_tokens, now)
+
+    def rates(self, now):
+        """Returns (prefill, decode) rates, short and long in turn."""
+        return [
+            (prefill.read(now), decode.read(now))
+            for prefill, decode in zip(
+                self._prefill, self._decode, strict=True
+            )
+        ]
--- /dev/null
+++ b/dandelionwinch/revisions/__init__.py
@@ -0,0 +1,25 @@
+"""The operators' configuration: revisions that never revert."""
+
+from dandelionwinch.revisions._acceptance import Acceptance
+from dandelionwinch.revisions._acceptance import judge
+from dandelionwinch.revisions._documents import Document
+from dandelionwinch.revisions._documents import Documents
+from dandelionwinch.revisions._programs import change
+from dandelionwinch.revisions._programs import Changed
+from dandelionwinch.revisions._programs import fetch
+from dandelionwinch.revisions._programs import Fetched
+from dandelionwinch.revisions._programs import Rejected
+from dandelionwinch.revisions._programs import Unreached
+
+__all__ = [
+    'Acceptance',
+    'Changed',
+    'Document',
+    'Documents',
+    'Fetched',
+    'Rejected',
+    'Unreached',
+    'change',
+    'fetch',
+    'judge',
+]
--- /dev/null
+++ b/dandelionwinch/standins/livelist.py
@@ -0,0 +1,68 @@
+"""A stand-in of the platform's list of instances."""
+
+import threading
+
+from dandelionwinch.standins import web
+
+
+class LiveListServer:
+    """Serves EndpointSlices that a test or demo fills in."""
+
+    __slots__ = ('_lines', '_lock', '_web')
+
+    def __init__(self, listen='127.0.0.1:0'):
+        self._lines = {}
+        self._lock = threading.Lock()
+        self._web = web.WebServer(self._handle, listen)
+
+    @property
+    def address(self):
+        """IP number and port."""
+        return self._web.address
+
+    def start(self):
+        """Starts to serve."""
+        self._web.start()
+
+    def close(self):
+        """Stops serving."""
+        self._web.close()
+
+    def add(self, cfg, leaving=False):
+        """Lists an instance by its settings."""
+        host, _, clerk_port = cfg.clerk_address.rpartition(':')
+        ports = {
+            'clerk': clerk_port,
+            'peer': cfg.peer_address.rpartition(':')[2],
+            'operator': cfg.operator_address.rpartition(':')[2],
+        }
+        line = {
+            'metadata': {'name': cfg.name},
+            'endpoints': [
+                {
+                    'addresses': [host],
+                    'zone': cfg.place,
+                    'conditions': {
+                        'ready': not leaving,
+                        'serving': True,
+                        'terminating': leaving,
+                    },
+                }
+            ],
+            'ports': [
+                {'name': name, 'port': int(port)}
+                for name, port in ports.items()
+            ],
+        }
+        with self._lock:
+            self._lines[cfg.name] = line
+
+    def remove(self, name):
+        """Takes an instance off the list."""
+        with self._lock:
+            self._lines.pop(name, None)
+
+    def _handle(self, _req):
+        with self._lock:
+            items = list(self._lines.values())
+        return web.Reply(body={'kind': 'EndpointSliceList', 'items': items})
--- /dev/null
+++ b/dandelionwinch/standins/service.py
@@ -0,0 +1,121 @@
+"""A stand-in of a plain service that records what it executed."""
+
+import collections
+import threading
+import time
+
+import attrs
+
+from dandelionwinch.standins import web
+
+_OUTCOMES = '/outcomes/'
+
+
+@attrs.frozen
+class Execution:
+    """One call that the service carried out."""
+
+    key: str
+    request_id: str
+    path: str
+
+
+class Journal:
+    """What all processes of a service carried out, as they saw it."""
+
+    __slots__ = ('_answers', '_lock', 'executions')
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._answers = {}
+        self.executions = []
+
+    def run(self, execution, answer):
+        """Records an execution and its answer."""
+        with self._lock:
+            self.executions.append(execution)
+            if execution.key:
+                self._answers[execution.key] = answer
+
+    def answer_of(self, key):
+        """Returns the answer recorded for a key, or None."""
+        with self._lock:
+            return self._answers.get(key)
+
+    def doubled(self):
+        """Returns the keys that were carried out more than once."""
+        with self._lock:
+            keys = [item.key for item in self.executions if item.key]
+        counts = collections.Counter(keys)
+        return sorted(key for key, count in counts.items() if count > 1)
+
+
+class ServiceServer:
+    """Serves calls; charges and holds stand in a shared journal.
+
+    Attributes:
+        lose_answers: Calls to carry out without an answer.
+        delay_s: Time that one call takes.
+    """
+
+    __slots__ = (
+        '_web',
+        'alive',
+        'asks_by_key',
+        'delay_s',
+        'journal',
+        'lose_answers',
+        'name',
+    )
+
+    def __init__(self, name, journal, listen='127.0.0.1:0', asks_by_key=True):
+        self.name = name
+        self.journal = journal
+        self.asks_by_key = asks_by_key
+        self.lose_answers = 0
+        self.delay_s = 0.002
+        self.alive = True
+        self._web = web.WebServer(self._handle, listen)
+
+    @property
+    def address(self):
+        """IP number and port."""
+        return self._web.address
+
+    def start(self):
+        """Starts to serve."""
+        self._web.start()
+
+    def close(self):
+        """Stops serving."""
+        self._web.close()
+
+    def _handle(self, req):
+        if not self.alive:
+            raise web.HungUp
+        if req.path == '/load':
+            return web.Reply(body={'running': 0, 'waiting': 0})
+        if req.path.startswith(_OUTCOMES):
+            return self._outcome(req.path.removeprefix(_OUTCOMES))
+        if req.path == '/error':
+            return web.Reply(500, {'error': 'failed'})
+        return self._run(req)
+
+    def _run(self, req):
+        time.sleep(self.delay_s)
+        key = req.header('Idempotency-Key')
+        answer = {'service': self.name, 'path': req.path, 'ok': True}
+        execution = Execution(key, req.header('X-Request-Id'), req.path)
+        self.journal.run(execution, answer)
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise web.HungUp
+        return web.Reply(body=answer)
+
+    def _outcome(self, key):
+        if not self.asks_by_key:
+            return web.Reply(404, {'error': 'not supported'})
+        answer = self.journal.answer_of(key)
+        if answer is None:
+            return web.Reply(body={'state': 'never seen'})
+        return web.Reply(body={'state': 'done', 'answer': answer})
--- /dev/null
+++ b/dandelionwinch/standins/store.py
@@ -0,0 +1,155 @@
+"""A stand-in of the platform's store, in memory and over HTTP."""
+
+import base64
+import threading
+
+from dandelionwinch import effects
+from dandelionwinch.standins import web
+
+
+class MemoryStore:
+    """Keeps records with revisions; runs requests one at a time.
+
+    Attributes:
+        calls: Requests since the start.
+        writes: Commits since the start.
+    """
+
+    __slots__ = ('_lock', '_records', 'calls', 'revision', 'writes')
+
+    def __init__(self):
+        self._records = {}
+        self._lock = threading.Lock()
+        self.revision = 1
+        self.calls = 0
+        self.writes = 0
+
+    def execute(self, request):
+        """Runs one request of the effects module."""
+        with self._lock:
+            self.calls += 1
+            match request:
+                case effects.Read(key):
+                    return effects.Found(self._get(key))
+                case effects.Scan(prefix, after):
+                    return self._scan(prefix, after)
+                case effects.Commit(guards, puts):
+                    return self._commit(guards, puts)
+        raise TypeError(f'"{request!r}" is not a store request')
+
+    def _get(self, key):
+        return self._records.get(key, effects.Record(key, None, 0))
+
+    def _scan(self, prefix, after):
+        records = tuple(
+            record
+            for key, record in sorted(self._records.items())
+            if key.startswith(prefix) and record.revision > after
+        )
+        return effects.Scanned(records, self.revision)
+
+    def _commit(self, guards, puts):
+        self.writes += 1
+        for guard in guards:
+            if self._get(guard.key).revision != guard.revision:
+                return effects.GuardFailed()
+        self.revision += 1
+        for put in puts:
+            if put.value is None:
+                self._records.pop(put.key, None)
+            else:
+                self._records[put.key] = effects.Record(
+                    put.key, put.value, self.revision
+                )
+        return effects.Committed(self.revision)
+
+
+class StoreServer:
+    """Serves a memory store by etcd's v3 JSON interface.
+
+    Attributes:
+        down: While set, each call is answered with status 503.
+        lose_answers: Number of commits to run without an answer.
+    """
+
+    __slots__ = ('_web', 'down', 'lose_answers', 'store')
+
+    def __init__(self, listen='127.0.0.1:0'):
+        self.store = MemoryStore()
+        self.down = False
+        self.lose_answers = 0
+        self._web = web.WebServer(self._handle, listen)
+
+    @property
+    def address(self):
+        """IP number and port."""
+        return self._web.address
+
+    def start(self):
+        """Starts to serve."""
+        self._web.start()
+
+    def close(self):
+        """Stops serving."""
+        self._web.close()
+
+    def _handle(self, req):
+        if self.down:
+            return web.Reply(503, {'error': 'no leader', 'code': 14})
+        body = req.json()
+        match req.path:
+            case '/v3/kv/range':
+                return web.Reply(body=self._range(body))
+            case '/v3/kv/txn':
+                return self._txn(body)
+        return web.Reply(404, {'error': f'no path "{req.path}"'})
+
+    def _range(self, body):
+        key = _text(body['key'])
+        if 'range_end' in body:
+            after = int(body.get('min_mod_revision', 1)) - 1
+            reply = self.store.execute(effects.Scan(key, after))
+            records = reply.records
+        else:
+            record = self.store.execute(effects.Read(key)).record
+            records = [record] if record.value is not None else []
+        kvs = [_kv(record) for record in records]
+        return {'header': self._header(), 'kvs': kvs, 'count': len(kvs)}
+
+    def _txn(self, body):
+        guards = tuple(
+            effects.Guard(_text(item['key']), int(item['mod_revision']))
+            for item in body.get('compare', ())
+        )
+        puts = tuple(_put(item) for item in body.get('success', ()))
+        reply = self.store.execute(effects.Commit(guards, puts))
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            raise web.HungUp
+        succeeded = isinstance(reply, effects.Committed)
+        return web.Reply(
+            body={'header': self._header(), 'succeeded': succeeded}
+        )
+
+    def _header(self):
+        return {'revision': str(self.store.revision)}
+
+
+def _text(encoded):
+    return base64.b64decode(encoded).decode()
+
+
+def _put(item):
+    if 'requestDeleteRange' in item:
+        key = _text(item['requestDeleteRange']['key'])
+        return effects.Put(key, None)
+    put = item['requestPut']
+    return effects.Put(_text(put['key']), base64.b64decode(put['value']))
+
+
+def _kv(record):
+    return {
+        'key': base64.b64encode(record.key.encode()).decode(),
+        'value': base64.b64encode(record.value).decode(),
+        'mod_revision': str(record.revision),
+    }
--- /dev/null
+++ b/dandelionwinch/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, beside the package."""
--- /dev/null
+++ b/dandelionwinch/tests/test_examples.py
@@ -0,0 +1,28 @@
+"""The shipped settings are whole."""
+
+import pathlib
+
+import pytest
+
+from dandelionwinch import readers
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+
+
+@pytest.mark.parametrize(
+    ('house', 'engines', 'services'),
+    [('hire-desk', 6, 3), ('nominations', 7, 3)],
+)
+def test_catalog_has_the_fleet_of_the_house(house, engines, services):
+    catalog = readers.read_catalog(EXAMPLES / house / 'catalog.yaml')
+    roles = [str(runner.role) for runner in catalog.all('runner')]
+    assert roles.count('service') == services
+    assert len(roles) - roles.count('service') == engines
+    assert len(catalog.all('place')) == 3
+
+
+@pytest.mark.parametrize('path', sorted(EXAMPLES.glob('*/entry-*.yaml')))
+def test_entry_settings_are_valid(path):
+    cfg = readers.read_entry(path)
+    catalog = readers.read_catalog(EXAMPLES.parent / cfg.catalog_file)
+    assert catalog.get('place', cfg.instance.place)
--- /dev/null
+++ b/dandelionwinch/timeline/_clock.py
@@ -0,0 +1,42 @@
+"""Hybrid logical clocks, after Kulkarni and others (2014)."""
+
+import attrs
+
+
+@attrs.frozen(order=True)
+class Stamp:
+    """A time that respects cause and effect between processes.
+
+    Attributes:
+        physical_us: Largest wall time seen, in microseconds.
+        logical: Counter among equal physical times.
+    """
+
+    physical_us: int
+    logical: int
+
+
+class HybridClock:
+    """Gives stamps that rise with each event and each message."""
+
+    __slots__ = ('_last', '_wall_us')
+
+    def __init__(self, wall_us):
+        self._wall_us = wall_us
+        self._last = Stamp(0, 0)
+
+    def now(self):
+        """Returns the stamp of a local event."""
+        return self._advance(self._last)
+
+    def meet(self, stamp):
+        """Takes in the stamp of a message."""
+        return self._advance(max(self._last, stamp))
+
+    def _advance(self, last):
+        wall = self._wall_us()
+        if wall > last.physical_us:
+            self._last = Stamp(wall, 0)
+        else:
+            self._last = Stamp(last.physical_us, last.logical + 1)
+        return self._last
--- /dev/null
+++ b/dandelionwinch/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line helpers."""
--- /dev/null
+++ b/dandelionwinch/tools/cli.py
@@ -0,0 +1,262 @@
+"""The command line."""
+
+import json
+import pathlib
+import signal
+import sys
+import threading
+
+import click
+
+import dandelionwinch
+from dandelionwinch import entry
+from dandelionwinch import errors
+from dandelionwinch import log
+from dandelionwinch import readers
+from dandelionwinch import settings
+from dandelionwinch.standins import livelist
+from dandelionwinch.standins import runner
+from dandelionwinch.standins import service
+from dandelionwinch.standins import store
+from dandelionwinch.tools import bench
+from dandelionwinch.tools import console
+from dandelionwinch.tools import demo
+
+FINDINGS_EXIT = 2
+DEFAULT_OPERATOR = '127.0.0.1:8082'
+
+
+@click.group()
+@click.version_option(dandelionwinch.__version__)
+def main():
+    """A serving system for a fixed fleet of model engines."""
+
+
+def _fail(exc):
+    click.echo(f'error: {exc.code}: {exc.message}', err=True)
+    sys.exit(FINDINGS_EXIT)
+
+
+def _wait_for_signal():
+    stopped = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_args: stopped.set())
+    stopped.wait()
+
+
+@main.command('entry')
+@click.option(
+    '--settings',
+    'path',
+    required=True,
+    type=click.Path(dir_okay=False),
+    help='YAML file with the settings of this instance.',
+)
+def run_entry(path):
+    """Run an entry instance until SIGINT or SIGTERM.
+
+    Both signals are a planned stop: nothing in flight is cut.
+    """
+    try:
+        cfg = readers.read_entry(path)
+    except errors.SettingsInvalid as exc:
+        _fail(exc)
+    log.init(cfg.instance.name, cfg.log.level, cfg.log.json)
+    daemon = entry.Entry(cfg)
+    try:
+        daemon.start()
+    except (errors.DandelionwinchError, OSError) as exc:
+        click.echo(f'error: cannot start: {exc}', err=True)
+        sys.exit(1)
+    _wait_for_signal()
+    daemon.stop()
+
+
+@main.command('check-settings')
+@click.argument('path', type=click.Path(dir_okay=False))
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+def check_settings(path, as_json):
+    """Check an instance's settings or a catalog and report all findings.
+
+    A file with the key "instance" is taken as an instance's settings,
+    any other file as a catalog. Exits with 2 if there are findings.
+    """
+    findings = _findings_of(path)
+    if as_json:
+        lines = [
+            {'file': f.file, 'line': f.line, 'path': f.path, 'text': f.message}
+            for f in findings
+        ]
+        click.echo(json.dumps({'findings': lines}))
+    else:
+        for finding in findings:
+            click.echo(str(finding))
+        if not findings:
+            click.echo(f'{path}: no findings')
+    sys.exit(FINDINGS_EXIT if findings else 0)
+
+
+def _findings_of(path):
+    try:
+        document = readers.read_document(path)
+        value = document.value
+        if not isinstance(value, dict) or 'instance' not in value:
+            readers.read_catalog(path)
+            return ()
+        cfg = readers.read_entry(path)
+        if cfg.catalog_file:
+            readers.read_catalog(cfg.catalog_file)
+    except errors.SettingsInvalid as exc:
+        return exc.findings
+    return ()
+
+
+@main.command()
+@click.argument('statement')
+@click.option(
+    '--operator',
+    default=DEFAULT_OPERATOR,
+    show_default=True,
+    help="Address of an instance's operator listener.",
+)
+@click.option(
+    '--token-file',
+    type=click.Path(exists=True, dir_okay=False),
+    help="File with the operators' bearer token.",
+)
+@click.option(
+    '--authority-file',
+    type=click.Path(exists=True, dir_okay=False),
+    help='Certificate authority; turns TLS on.',
+)
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+def ask(statement, operator, token_file, authority_file, as_json):
+    """Send one statement of the operators' language.
+
+    Examples: "show runners where place = 'Nanyuki'",
+    "drain runner lm-1 if revision 4", "explain job ID".
+    """
+    link = console.Link(operator, _token(token_file), authority_file)
+    try:
+        answer = link.ask(statement)
+    except errors.DandelionwinchError as exc:
+        if as_json:
+            click.echo(json.dumps({'error': exc.code, 'text': exc.message}))
+        _fail(exc)
+    console.show(answer, as_json)
+
+
+def _token(path):
+    return pathlib.Path(path).read_text().strip() if path else ''
+
+
+@main.command()
+@click.option('--operator', default=DEFAULT_OPERATOR, show_default=True)
+@click.option('--token-file', type=click.Path(exists=True, dir_okay=False))
+@click.option('--authority-file', type=click.Path(exists=True, dir_okay=False))
+@click.option('--subject', default='', help='Only this job, runner, order.')
+@click.option('--instance', default='', help='Only this instance.')
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+@click.option(
+    '--html', type=click.Path(dir_okay=False), help='Write an HTML page.'
+)
+def timeline(
+    operator, token_file, authority_file, subject, instance, as_json, html
+):
+    """Merge the events of all live instances in causal order."""
+    link = console.Link(operator, _token(token_file), authority_file)
+    try:
+        answer = link.ask('show events')
+    except errors.DandelionwinchError as exc:
+        _fail(exc)
+    rows = console.filter_events(answer['rows'], subject, instance)
+    answer['rows'] = rows
+    if html:
+        pathlib.Path(html).write_text(console.events_page(rows))
+        click.echo(f'wrote {len(rows)} events to {html}')
+        return
+    console.show(answer, as_json)
+
+
+@main.group('stand-in')
+def stand_in():
+    """Start a stand-in of an outside system, to try things by hand."""
+
+
+def _listen(function):
+    return click.option(
+        '--listen',
+        default='127.0.0.1:0',
+        show_default=True,
+        help='IP number and port; port 0 lets the system choose.',
+    )(function)
+
+
+def _serve(server, kind):
+    server.start()
+    click.echo(f'{kind} listens on {server.address}')
+    _wait_for_signal()
+    server.close()
+
+
+@stand_in.command('store')
+@_listen
+def stand_in_store(listen):
+    """Start a stand-in of the platform's key-value service."""
+    _serve(store.StoreServer(listen), 'store')
+
+
+@stand_in.command('live-list')
+@_listen
+@click.option(
+    '--entry',
+    'paths',
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False),
+    help='Settings of an instance to list; may be given again.',
+)
+def stand_in_live_list(listen, paths):
+    """Start a stand-in of the platform's list of instances."""
+    server = livelist.LiveListServer(listen)
+    try:
+        for path in paths:
+            server.add(readers.read_entry(path).instance)
+    except errors.SettingsInvalid as exc:
+        _fail(exc)
+    _serve(server, 'live list')
+
+
+@stand_in.command('runner')
+@_listen
+@click.option('--model', default='counter-lm', show_default=True)
+@click.option(
+    '--role',
+    default='mixed',
+    show_default=True,
+    type=click.Choice(['prefill', 'decode', 'mixed']),
+)
+@click.option('--ignores-fencing', is_flag=True)
+def stand_in_runner(listen, model, role, ignores_fencing):
+    """Start a stand-in of a model engine."""
+    cfg = settings.Runner(
+        name='stand-in',
+        pool='stand-in',
+        address='127.0.0.1:1',
+        role=settings.Role(role),
+        checks_fencing=not ignores_fencing,
+        decode_tokens_per_s=500.0,
+    )
+    _serve(runner.RunnerServer(cfg, model, listen), 'runner')
+
+
+@stand_in.command('service')
+@_listen
+@click.option('--name', default='deposits', show_default=True)
+def stand_in_service(listen, name):
+    """Start a stand-in of a plain service."""
+    server = service.ServiceServer(name, service.Journal(), listen)
+    _serve(server, 'service')
+
+
+main.add_command(demo.demo)
+main.add_command(bench.bench)
--- /dev/null
+++ b/dandelionwinch/tools/demo.py
@@ -0,0 +1,306 @@
+"""A run of a whole house under load, shifts and failures."""
+
+import json
+import pathlib
+import sys
+import time
+
+import attrs
+import click
+import rich.console
+import rich.progress
+import rich.table
+
+from dandelionwinch import errors
+from dandelionwinch.tools import console
+from dandelionwinch.tools import demo_clerks
+from dandelionwinch.tools import demo_fleet
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
+CLERKS = 18
+STORE_OUTAGE_S = 4.0
+CONFIGURATION_LIMIT_S = 6.0
+RUN_S = 34
+FIRST_MIX = demo_clerks.Mix(prompt_words=60, output_tokens=60)
+SECOND_MIX = demo_clerks.Mix(prompt_words=1200, output_tokens=12)
+
+HOUSES = {
+    'hire': demo_clerks.Names(
+        'counter-lm',
+        'lookups',
+        'deposits',
+        ('fitting', 'trails', 'payments'),
+    ),
+    'nominations': demo_clerks.Names(
+        'citation-lm',
+        'screening',
+        'lodging',
+        ('registrars', 'drafting', 'families'),
+    ),
+}
+FOLDERS = {'hire': 'hire-desk', 'nominations': 'nominations'}
+
+
+@attrs.frozen
+class Step:
+    """Something that happens at a second of the run."""
+
+    at_s: float
+    text: str
+    action: object
+
+
+class Script:
+    """The failures and changes of the run, and what came of them."""
+
+    def __init__(self, fleet, clerks, policy):
+        self._fleet = fleet
+        self._clerks = clerks
+        self._policy = policy
+        self.in_force_s = None
+        self.notes = []
+
+    def steps(self):
+        """Returns the steps in order."""
+        return [
+            Step(4, 'prompt-to-output mix shifts', self._shift),
+            Step(6, 'a configuration changes', self._configure),
+            Step(9, 'a runner changes its role', self._change_role),
+            Step(13, 'a runner crashes', self._crash),
+            Step(16, 'it comes back', self._restart),
+            Step(17, 'a service loses two answers', self._lose_answers),
+            Step(18, 'an instance is killed', self._kill),
+            Step(21, 'the store goes down', self._store_down),
+            Step(21 + STORE_OUTAGE_S, 'the store is back', self._store_up),
+            Step(27, 'an instance stops as planned', self._stop),
+            Step(29, 'the mix shifts back', self._shift_back),
+        ]
+
+    def _ask(self, statement):
+        live = next(i for i in self._fleet.instances if i.alive)
+        link = console.Link(live.cfg.operator_address)
+        try:
+            return link.ask(statement)
+        except errors.DandelionwinchError as exc:
+            self.notes.append(f'{statement}: {exc.code}: {exc.message}')
+            return {}
+
+    def _shift(self):
+        self._clerks.change_mix(SECOND_MIX)
+
+    def _shift_back(self):
+        self._clerks.change_mix(FIRST_MIX)
+
+    def _configure(self):
+        started = time.monotonic()
+        answer = self._ask(f'set policy {self._policy} horizon_s = 90')
+        revision = answer.get('revision')
+        while revision and self.in_force_s is None:
+            held = [
+                self._fleet.revision_of(instance)
+                for instance in self._fleet.instances
+                if instance.alive
+            ]
+            waited_s = time.monotonic() - started
+            if all(item is not None and item >= revision for item in held):
+                self.in_force_s = waited_s
+            elif waited_s > CONFIGURATION_LIMIT_S:
+                break
+
+    def _change_role(self):
+        name = next(iter(self._fleet.runners))
+        self._ask(f'change role of runner {name} to decode')
+
+    def _crash(self):
+        list(self._fleet.runners.values())[2].engine.crash()
+
+    def _restart(self):
+        list(self._fleet.runners.values())[2].engine.restart()
+
+    def _lose_answers(self):
+        for server in self._fleet.services.values():
+            server.lose_answers = 2
+
+    def _kill(self):
+        self._fleet.kill(self._fleet.instances[1])
+
+    def _store_down(self):
+        self._fleet.live_list.remove(self._fleet.instances[1].cfg.name)
+        self._fleet.store.down = True
+
+    def _store_up(self):
+        self._fleet.store.down = False
+
+    def _stop(self):
+        self._fleet.stop(self._fleet.instances[3])
+
+
+@attrs.define
+class Summary:
+    """What the stand-ins and the clerks recorded."""
+
+    house: str
+    jobs: int = 0
+    answered_whole: int = 0
+    refused_truthfully: int = 0
+    unknown: int = 0
+    doubled: int = 0
+    cut: int = 0
+    falsely_refused: int = 0
+    falsely_done: int = 0
+    overlapping_orders: int = 0
+    stale_orders: int = 0
+    lost_connections: int = 0
+    goodput_tokens_per_s: float = 0.0
+    role_changes: int = 0
+    configuration_in_force_s: float | None = None
+    seconds: float = 0.0
+    promises_held: bool = False
+    notes: list = attrs.field(factory=list)
+
+    def judge(self):
+        """Decides whether the promises held."""
+        broken = (
+            self.doubled
+            + self.cut
+            + self.falsely_refused
+            + self.falsely_done
+            + self.overlapping_orders
+            + self.stale_orders
+        )
+        in_force = (
+            self.configuration_in_force_s is not None
+            and self.configuration_in_force_s <= CONFIGURATION_LIMIT_S
+        )
+        self.promises_held = (
+            broken == 0
+            and in_force
+            and self.role_changes > 0
+            and self.answered_whole > 0
+        )
+
+
+def summarize(house, fleet, outcomes, script, seconds):
+    """Counts what happened, from the records of stand-ins and clerks."""
+    engines = [server.engine for server in fleet.runners.values()]
+    executions = fleet.journal.executions
+    run_keys = {item.key for item in executions if item.key}
+    run_requests = {item.request_id for item in executions}
+    begun = {job.rpartition('-')[0] for e in engines for job in e.started}
+    told_not_run = {i for o in outcomes for i in o.not_run}
+    summary = Summary(house, jobs=len(outcomes))
+    summary.answered_whole = _count(outcomes, 'whole')
+    summary.refused_truthfully = _count(outcomes, 'refused')
+    summary.unknown = _count(outcomes, 'unknown')
+    summary.cut = _count(outcomes, 'wrong') + sum(e.cut for e in engines)
+    summary.doubled = len(fleet.journal.doubled())
+    summary.falsely_refused = len(told_not_run & (run_requests | begun))
+    summary.refused_truthfully -= min(
+        summary.refused_truthfully, summary.falsely_refused
+    )
+    summary.falsely_done = sum(
+        1
+        for o in outcomes
+        if o.kind == 'charge' and o.state == 'whole' and o.key not in run_keys
+    )
+    summary.overlapping_orders = sum(e.overlaps for e in engines)
+    summary.stale_orders = sum(e.stale for e in engines)
+    summary.lost_connections = sum(o.lost for o in outcomes)
+    tokens = sum(o.tokens for o in outcomes if o.state == 'whole')
+    summary.goodput_tokens_per_s = round(tokens / seconds, 1)
+    summary.role_changes = sum(e.role_changes for e in engines)
+    if script.in_force_s is not None:
+        summary.configuration_in_force_s = round(script.in_force_s, 3)
+    summary.seconds = round(seconds, 1)
+    summary.notes = script.notes
+    summary.judge()
+    return summary
+
+
+def _count(outcomes, state):
+    return sum(1 for outcome in outcomes if outcome.state == state)
+
+
+def _play(fleet, clerks, script, quiet):
+    started = time.monotonic()
+    steps = script.steps()
+    with rich.progress.Progress(
+        rich.progress.TextColumn('{task.description:40}'),
+        rich.progress.BarColumn(),
+        rich.progress.TextColumn('{task.fields[jobs]} jobs'),
+        console=rich.console.Console(stderr=True),
+        disable=quiet,
+    ) as progress:
+        bar = progress.add_task('clerks at work', total=RUN_S, jobs=0)
+        while (elapsed_s := time.monotonic() - started) < RUN_S:
+            if steps and elapsed_s >= steps[0].at_s:
+                step = steps.pop(0)
+                progress.update(bar, description=step.text)
+                progress.console.print(f'{elapsed_s:5.1f} s  {step.text}')
+                step.action()
+            jobs = len(clerks.outcomes())
+            progress.update(bar, completed=elapsed_s, jobs=jobs)
+            time.sleep(0.1)
+    return started
+
+
+@click.command()
+@click.option(
+    '--house',
+    default='hire',
+    show_default=True,
+    type=click.Choice(sorted(HOUSES)),
+    help='Which deployment of examples/ to run.',
+)
+@click.option('--json', 'as_json', is_flag=True, help='Print one JSON line.')
+@click.option('--keep-logs', is_flag=True, help='Keep settings and logs.')
+@click.option(
+    '--timeline',
+    'timeline_file',
+    type=click.Path(dir_okay=False),
+    help='Write the time line of the run as an HTML page.',
+)
+def demo(house, as_json, keep_logs, timeline_file):
+    """Run a whole house under load, shifts and failures.
+
+    Exits with 0 only if every promise held, by the records of the
+    stand-ins and of the clerks.
+    """
+    fleet = demo_fleet.Fleet(EXAMPLES / FOLDERS[house] / 'catalog.yaml')
+    names = HOUSES[house]
+    places = [place.name for place in fleet.catalog.all('place')]
+    policy = fleet.catalog.all('policy')[0].name
+    clerks = demo_clerks.Clerks(CLERKS, fleet, names, places, FIRST_MIX)
+    script = Script(fleet, clerks, policy)
+    try:
+        fleet.start()
+        clerks.start()
+        try:
+            started = _play(fleet, clerks, script, as_json)
+        finally:
+            clerks.stop()
+        seconds = time.monotonic() - started
+        if timeline_file:
+            rows = script._ask('show events').get('rows', [])
+            page = console.events_page(rows)
+            pathlib.Path(timeline_file).write_text(page)
+    finally:
+        fleet.close()
+    summary = summarize(house, fleet, clerks.outcomes(), script, seconds)
+    _print(summary, as_json)
+    if keep_logs:
+        click.echo(f'settings and logs: {fleet.folder}', err=True)
+    else:
+        fleet.cleanup()
+    sys.exit(0 if summary.promises_held else 1)
+
+
+def _print(summary, as_json):
+    values = attrs.asdict(summary)
+    if as_json:
+        click.echo(json.dumps(values))
+        return
+    table = rich.table.Table('what', 'figure', title='What happened')
+    for name, value in values.items():
+        table.add_row(name.replace('_', ' '), str(value))
+    rich.console.Console().print(table)
