--- a/dandelionwinch/calls.py
+++ b/dandelionwinch/calls.py
@@ -7,6 +7,7 @@
 from dandelionwinch.adapters import service as service_adapter
 from dandelionwinch import claims
 from dandelionwinch.daemon import messages
+from dandelionwinch import effects
 from dandelionwinch import errors
 from dandelionwinch import listeners
 from dandelionwinch import relay
@@ -164,52 +165,110 @@
 
 
 class _Once:
-    """One call that may be executed at most once."""
+    """Runs the program of one call that may run at most once."""
 
     def __init__(self, core, call, places):
         self._core = core
         self._call = call
-        self._places = places
         self._service = places.service
-        self._key = f'{self._service.name}/{call.key}'
-        self._token = f'{core.name}#{core.incarnation}#{call.request_id}'
-        self._claimed = False
+        self._runners = list(places.runners)
+        self._runner = None
+        key = f'{places.service.name}/{call.key}'
+        token = f'{core.name}#{core.incarnation}#{call.request_id}'
+        parts = f'{call.method} {call.path}\n'.encode() + call.body
+        self._opening = claims.Open(key, token, utils.digest_of(parts))
 
     def run(self):
-        """Claims the key, sends the call and records the outcome.
+        """Runs the call.
 
         Returns:
             The answer and response headers.
+
+        Raises:
+            DandelionwinchError: With what is known of the call.
         """
-        call = self._call
-        parts = f'{call.method} {call.path}\n'.encode() + call.body
-        digest = utils.digest_of(parts)
-        opened_at = time.monotonic()
-        result = self._core.ask(
-            messages.OpenClaim(self._key, self._token, digest)
+        program = claims.run_once(
+            self._opening,
+            self._service.dedupes_by_key,
+            self._core.cfg.claims.send_window_s,
+            self._record,
+        )
+        result = effects.drive(program, self._execute, _clock)
+        match result:
+            case claims.Done(answer=answer):
+                return answer, {}
+            case claims.Known(result=held):
+                return self._known(held)
+            case claims.NotRun(reason=reason):
+                raise errors.NoRunner(
+                    f'service "{self._service.name}": {reason}',
+                    retry_after_s=1.0,
+                )
+        raise errors.OutcomeUnknown(
+            'the call was sent and its outcome is not known; ask again '
+            'with the same key',
+            retry_after_s=UNRESOLVED_RETRY_S,
+        )
+
+    def _execute(self, request):
+        match request:
+            case claims.OpenClaim(mutation=mutation):
+                return self._core.ask(messages.OpenClaim(mutation))
+            case claims.SendCall():
+                return self._send()
+            case claims.AskOutcome():
+                return self._ask_outcome()
+            case claims.CloseClaim(mutation=mutation):
+                return self._core.ask(messages.CloseClaim(mutation))
+        raise TypeError(f'"{request!r}" is not a request of a call')
+
+    def _send(self):
+        runner = self._runners.pop(0)
+        self._runner = runner
+        answer = self._core.services.call(
+            runner.address, self._call, self._service.deadline_s
         )
+        if _is_good(answer):
+            return claims.Sent(True, answer)
+        self._core.ask(
+            messages.RunnerFailed(
+                self._call.request_id, runner.name, _reason(answer)
+            )
+        )
+        reached = not isinstance(answer, service_adapter.NotSent)
+        return claims.Sent(reached, None, bool(self._runners))
+
+    def _ask_outcome(self):
+        if not self._service.asks_by_key:
+            return claims.Outcome(claims.Proof.CANNOT_SAY)
+        found = self._core.services.outcome(
+            self._runner.address, self._call.key
+        )
+        if not isinstance(found, service_adapter.Ran):
+            return claims.Outcome(claims.Proof.CANNOT_SAY)
+        answer = service_adapter.Answered(200, found.body, 'application/json')
+        return claims.Outcome(claims.Proof.RAN, answer)
+
+    def _known(self, result):
         match result:
-            case claims.Granted():
-                self._claimed = True
             case claims.Held(claim=claim):
-                return self._held(claim, digest)
+                return self._held(claim)
             case claims.Expired():
                 raise errors.KeyExpired(
-                    f'key "{call.key}" is older than the retention of keys'
+                    f'key "{self._call.key}" is older than the retention '
+                    'of keys'
                 )
             case claims.Full():
                 raise errors.Overloaded(
                     'the record of keys is full', retry_after_s=60.0
                 )
-            case _ if not self._service.dedupes_by_key:
-                raise errors.StoreDown(
-                    'the store was not reached, so the call was not sent',
-                    retry_after_s=2.0,
-                )
-        return self._send(opened_at), {}
+        raise errors.StoreDown(
+            'the store was not reached, so the call was not sent',
+            retry_after_s=2.0,
+        )
 
-    def _held(self, claim, digest):
-        if claim.request != digest:
+    def _held(self, claim):
+        if claim.request not in ('', self._opening.request):
             raise errors.KeyReused(
                 f'key "{self._call.key}" was used for another request'
             )
@@ -230,82 +289,17 @@
         answer = service_adapter.Answered(200, body, 'application/json')
         return answer, headers
 
-    def _send(self, opened_at):
-        window_s = self._core.cfg.claims.send_window_s
-        for runner in self._places.runners:
-            # Checked last before each send: a claim is good for a
-            # limited time only.
-            if time.monotonic() - opened_at > window_s:
-                break
-            answer = self._core.services.call(
-                runner.address, self._call, self._service.deadline_s
-            )
-            if not isinstance(answer, service_adapter.NotSent):
-                return self._conclude(runner, answer)
-            self._core.ask(
-                messages.RunnerFailed(
-                    self._call.request_id, runner.name, 'not reached'
-                )
-            )
-        self._close(claims.State.NOT_RUN)
-        raise errors.NoRunner(
-            f'no runner of service "{self._service.name}" was reached',
-            retry_after_s=1.0,
+    def _record(self, answer):
+        return claims.close_done(
+            self._opening.key,
+            self._opening.token,
+            claims.Kept(answer.status, answer.content_type, answer.body),
+            self._core.cfg.claims.max_kept_answer_bytes,
         )
 
-    def _conclude(self, runner, answer):
-        if _is_good(answer):
-            self._close(claims.State.DONE, answer)
-            return answer
-        self._core.ask(
-            messages.RunnerFailed(
-                self._call.request_id, runner.name, _reason(answer)
-            )
-        )
-        found = service_adapter.CannotSay()
-        if self._service.asks_by_key:
-            found = self._core.services.outcome(runner.address, self._call.key)
-        if isinstance(found, service_adapter.Ran):
-            answer = service_adapter.Answered(
-                200, found.body, 'application/json'
-            )
-            self._close(claims.State.DONE, answer)
-            return answer
-        self._close(claims.State.UNKNOWN)
-        raise errors.OutcomeUnknown(
-            'the call was sent and its outcome is not known; ask again '
-            'with the same key',
-            retry_after_s=UNRESOLVED_RETRY_S,
-        )
 
-    def _close(self, state, answer=None):
-        if not self._claimed:
-            return
-        close = claims.Close(self._key, self._token, state)
-        if answer is not None:
-            close = self._done(answer)
-        self._core.ask(messages.CloseClaim(close))
-
-    def _done(self, answer):
-        small = len(answer.body) <= (
-            self._core.cfg.claims.max_kept_answer_bytes
-        )
-        text = ''
-        if small:
-            try:
-                text = answer.body.decode('utf-8')
-            except UnicodeDecodeError:
-                small = False
-        return claims.Close(
-            self._key,
-            self._token,
-            claims.State.DONE,
-            answer=text,
-            digest=utils.digest_of(answer.body),
-            status=answer.status,
-            content_type=answer.content_type,
-            kept=small,
-        )
+def _clock():
+    return effects.Time(time.monotonic(), time.time())
 
 
 def _is_good(answer):
--- a/dandelionwinch/claims/__init__.py
+++ b/dandelionwinch/claims/__init__.py
@@ -3,10 +3,12 @@
 from dandelionwinch.claims._bucket import Bucket
 from dandelionwinch.claims._bucket import Claim
 from dandelionwinch.claims._bucket import Close
+from dandelionwinch.claims._bucket import close_done
 from dandelionwinch.claims._bucket import Expired
 from dandelionwinch.claims._bucket import Full
 from dandelionwinch.claims._bucket import Granted
 from dandelionwinch.claims._bucket import Held
+from dandelionwinch.claims._bucket import Kept
 from dandelionwinch.claims._bucket import Open
 from dandelionwinch.claims._bucket import Recorded
 from dandelionwinch.claims._bucket import State
@@ -16,26 +18,52 @@
 from dandelionwinch.claims._commit import Unreached
 from dandelionwinch.claims._commit import Unsettled
 from dandelionwinch.claims._keys import key_time
+from dandelionwinch.claims._once import AskOutcome
+from dandelionwinch.claims._once import CloseClaim
+from dandelionwinch.claims._once import Done
+from dandelionwinch.claims._once import Known
+from dandelionwinch.claims._once import NotRun
+from dandelionwinch.claims._once import OpenClaim
+from dandelionwinch.claims._once import Outcome
+from dandelionwinch.claims._once import run_once
+from dandelionwinch.claims._once import SendCall
+from dandelionwinch.claims._once import Sent
+from dandelionwinch.claims._once import Unknown
+from dandelionwinch.claims._resolve import is_unfinished
 from dandelionwinch.claims._resolve import Proof
 from dandelionwinch.claims._resolve import resolution
 
 __all__ = [
+    'AskOutcome',
     'Bucket',
     'Claim',
     'Close',
+    'CloseClaim',
+    'Done',
     'Expired',
     'Full',
     'Granted',
     'Held',
+    'Kept',
+    'Known',
+    'NotRun',
     'Open',
+    'OpenClaim',
+    'Outcome',
     'Proof',
     'Recorded',
+    'SendCall',
+    'Sent',
     'State',
+    'Unknown',
     'Unreached',
     'Unsettled',
     'bucket_key',
     'bucket_of',
+    'close_done',
     'commit_batch',
+    'is_unfinished',
     'key_time',
     'resolution',
+    'run_once',
 ]
--- a/dandelionwinch/claims/_bucket.py
+++ b/dandelionwinch/claims/_bucket.py
@@ -7,6 +7,7 @@
 import cattrs
 
 from dandelionwinch.claims import _keys
+from dandelionwinch import utils
 
 _CLAIM_OVERHEAD_BYTES = 256
 
@@ -101,6 +102,45 @@
     """Result: the bucket has no room for another claim."""
 
 
+@attrs.frozen
+class Kept:
+    """An answer that is to be recorded."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+def close_done(key, token, kept, limit):
+    """Returns the change that records an answer.
+
+    A body that is small and text is kept; of others the digest is.
+
+    Args:
+        key: Key of the claim.
+        token: Token of the claim.
+        kept: The answer.
+        limit: Largest body in bytes that is kept.
+    """
+    text = ''
+    small = len(kept.body) <= limit
+    if small:
+        try:
+            text = kept.body.decode('utf-8')
+        except UnicodeDecodeError:
+            small = False
+    return Close(
+        key,
+        token,
+        State.DONE,
+        answer=text,
+        digest=utils.digest_of(kept.body),
+        status=kept.status,
+        content_type=kept.content_type,
+        kept=small,
+    )
+
+
 class Bucket:
     """The aggregate of the claims that share one store value."""
 
--- a/dandelionwinch/claims/_resolve.py
+++ b/dandelionwinch/claims/_resolve.py
@@ -13,6 +13,16 @@
     CANNOT_SAY = 'cannot say'
 
 
+def is_unfinished(claim, holder_gone):
+    """Tells whether a claim's outcome has to be found by others.
+
+    An open claim belongs to its holder as long as that may live.
+    """
+    if claim.state is _bucket.State.OPEN:
+        return holder_gone
+    return claim.state is _bucket.State.UNKNOWN
+
+
 def resolution(claim, proof, holder_gone, quiet_s, settle_s):
     """Decides what an unfinished claim becomes.
 
@@ -27,13 +37,11 @@
         settle_s: Longest time that a sent call may be under way.
 
     Returns:
-        The new State, or None to leave the claim as it is.
+        The State that it should have, or None to leave it alone.
     """
     if proof is Proof.RAN:
         return _bucket.State.DONE
-    finished = claim.state is _bucket.State.UNKNOWN or holder_gone
+    finished = is_unfinished(claim, holder_gone)
     if proof is Proof.NEVER_SEEN and finished and quiet_s > settle_s:
         return _bucket.State.NOT_RUN
-    if claim.state is _bucket.State.OPEN and holder_gone:
-        return _bucket.State.UNKNOWN
-    return None
+    return _bucket.State.UNKNOWN if finished else None
--- a/dandelionwinch/daemon/_claims.py
+++ b/dandelionwinch/daemon/_claims.py
@@ -16,6 +16,7 @@
 FULL_SCAN_S = 30.0
 DISOWN_RETRY_S = 1.0
 MAX_PENDING = 4096
+CLOSE_WAIT_S = 0.3
 
 
 @attrs.define
@@ -48,24 +49,30 @@
         yield _periodic.every(cfg.resolve_s, self._resolve_all, rng)
         yield _periodic.every(DISOWN_RETRY_S, self._settle_backlog, rng)
 
-    async def open(self, message):
+    async def open(self, opening):
         """Asks for the right to send a call once."""
-        mutation = claims.Open(message.key, message.token, message.request)
-        result = await self._route(mutation)
+        result = await self._route(opening)
         if isinstance(result, claims.Unsettled):
             # The claim may stand although the call is refused: undo it.
             self._backlog.append(
-                claims.Close(message.key, message.token, claims.State.NOT_RUN)
+                claims.Close(opening.key, opening.token, claims.State.NOT_RUN)
             )
         return result
 
     async def close_claim(self, close):
-        """Records what became of a call; repeats until it is written."""
+        """Records what became of a call; repeats until it is written.
+
+        The caller waits only a moment: the outcome is certain, and a
+        claim that stays open for a while is merely looked into.
+        """
+        self._core.event('claim.closed', close.key, str(close.state))
+        task = asyncio.create_task(self._close_or_keep(close))
+        await asyncio.wait([task], timeout=CLOSE_WAIT_S)
+
+    async def _close_or_keep(self, close):
         result = await self._route(close)
         if not isinstance(result, claims.Recorded):
             self._backlog.append(close)
-        self._core.event('claim.closed', close.key, str(close.state))
-        return result
 
     async def _settle_backlog(self):
         backlog, self._backlog = self._backlog, []
@@ -175,7 +182,7 @@
         core = self._core
         holder, incarnation, _request = claim.token.split('#')
         gone = core.departures.is_gone(holder, int(incarnation), clock.now)
-        if claim.state is claims.State.OPEN and not gone:
+        if not claims.is_unfinished(claim, gone):
             return
         answer = await self._ask_back_end(claim)
         proof = claims.Proof.CANNOT_SAY
@@ -195,7 +202,12 @@
             return
         close = claims.Close(claim.key, claim.token, state)
         if isinstance(answer, service_adapter.Ran):
-            close = kept_close(claim, answer, core.cfg.claims)
+            close = claims.close_done(
+                claim.key,
+                claim.token,
+                claims.Kept(200, 'application/json', answer.body),
+                core.cfg.claims.max_kept_answer_bytes,
+            )
         await self.write(bucket, close)
         core.event('claim.resolved', claim.key, str(state))
 
@@ -235,18 +247,3 @@
 
 def _read_clock():
     return (yield effects.Clock())
-
-
-def kept_close(claim, answer, cfg):
-    """Returns the change that records an answer found by key."""
-    small = len(answer.body) <= cfg.max_kept_answer_bytes
-    return claims.Close(
-        claim.key,
-        claim.token,
-        claims.State.DONE,
-        answer=answer.body.decode('utf-8', 'replace') if small else '',
-        digest=utils.digest_of(answer.body),
-        status=200,
-        content_type='application/json',
-        kept=small,
-    )
--- a/dandelionwinch/daemon/_core.py
+++ b/dandelionwinch/daemon/_core.py
@@ -171,8 +171,8 @@
                 return self.work.retry(message)
             case messages.Finish():
                 return self.work.finish(message)
-            case messages.OpenClaim():
-                return await self.claims.open(message)
+            case messages.OpenClaim(opening=opening):
+                return await self.claims.open(opening)
             case messages.CloseClaim(close=close):
                 return await self.claims.close_claim(close)
             case messages.FindAddress(place=place, team=team):
@@ -207,10 +207,13 @@
                 request = program.send(reply)
             except StopIteration as stop:
                 return stop.value
-            if isinstance(request, effects.Clock):
-                reply = effects.Time(self.now(), time.time())
-            else:
-                reply = await self.execute(request)
+            reply = await self.run_request(request)
+
+    async def run_request(self, request):
+        """Runs one request of a decision program."""
+        if isinstance(request, effects.Clock):
+            return effects.Time(self.now(), time.time())
+        return await self.execute(request)
 
     async def call(self, function, *args):
         """Runs a blocking function in a thread of the core's own."""
@@ -227,6 +230,17 @@
             raise errors.Unready('no instance takes new work')
         return found
 
+    def not_gone(self):
+        """Returns known instances that are not certainly gone."""
+        now = self.now()
+        return [
+            known
+            for known in self.members.everyone()
+            if not self.departures.is_gone(
+                known.name, known.member.incarnation, now
+            )
+        ]
+
     def unready_reason(self):
         """Returns why no new work is taken, or an empty string."""
         now = self.now()
--- a/dandelionwinch/daemon/_operators.py
+++ b/dandelionwinch/daemon/_operators.py
@@ -262,18 +262,14 @@
 
     async def _await_acceptance(self, revision, asked_at):
         core = self._core
-        committed_at = core.now()
+        places = [place.name for place in core.catalog.all('place')]
+        watch = revisions.AcceptanceWatch(
+            revision, places, core.cfg.timing.cut_off_s
+        )
         while True:
             now = core.now()
             core.members.me.revision = core.documents.revision
-            places = [place.name for place in core.catalog.all('place')]
-            verdict = revisions.judge(
-                revision,
-                core.members.may_live(now),
-                places,
-                now - committed_at,
-                core.cfg.timing.cut_off_s,
-            )
+            verdict = watch.observe(core.not_gone(), now)
             if verdict.accepted or now - asked_at > ACCEPT_TIMEOUT_S:
                 break
             await asyncio.sleep(ACCEPT_STEP_S)
--- a/dandelionwinch/daemon/_settings.py
+++ b/dandelionwinch/daemon/_settings.py
@@ -36,12 +36,10 @@
         yield _periodic.every(SPEAKER_POLL_S, self._poll, self._core.rng)
 
     async def load_first(self):
-        """Takes what the store or a peer has, and seeds an empty store."""
+        """Takes what the store or, failing that, a listed peer has."""
         fetched = await self._poll_store()
         if isinstance(fetched, revisions.Unreached):
             await self._ask_listed_peers()
-        elif fetched.revision == 0 and self._core.cfg.catalog_file:
-            await self._seed()
 
     async def _ask_listed_peers(self):
         core = self._core
@@ -60,7 +58,6 @@
             return seed.docs
 
         await self._core.run(revisions.change(edit, self._token()))
-        await self._poll_store()
 
     def _token(self):
         self._changes += 1
@@ -84,6 +81,8 @@
             core.freshness.store_read(asked_at)
             if self.adopt(fetched.revision, fetched.documents, 'store'):
                 await core.beats.announce()
+            elif core.documents.revision == 0 and core.cfg.catalog_file:
+                await self._seed()
         return fetched
 
     async def fetch_from(self, address):
--- a/dandelionwinch/daemon/_shards.py
+++ b/dandelionwinch/daemon/_shards.py
@@ -3,8 +3,6 @@
 import asyncio
 import time
 
-import attrs
-
 from dandelionwinch.daemon import _periodic
 from dandelionwinch import orders
 from dandelionwinch.peers import peer_pb2
@@ -13,19 +11,10 @@
 from dandelionwinch import utils
 
 HOLD_TTL_S = 10.0
-SEND_MARGIN_S = 3.0
 STEPS_PER_LEASE = 4
 DEMAND_LIFE_S = 10.0
 
 
-@attrs.frozen
-class _Held:
-    """How a hold stands: who may live, and who confirmed it."""
-
-    may_live: list
-    reports: dict
-
-
 class Shards:
     """Owns the leases that this instance holds or would take."""
 
@@ -34,6 +23,7 @@
         self._authorities = {}
         self._reasons = {}
         self._drains = {}
+        self._conductors = {}
 
     def runs(self):
         """Returns the coroutines of this task."""
@@ -126,18 +116,51 @@
                 await self._plan(authority, pool, runners)
 
     async def _carry_out(self, authority, runner):
-        shard = authority.shard
-        if shard is None:
-            return
-        order = shard.open_order(runner.name)
-        if order is not None:
-            await self._finish(authority, runner, order)
+        if authority.shard is None:
             return
-        wanted = self._wanted_by_operators(shard, runner)
-        if wanted is not None:
-            await self._write(authority, wanted)
+        wish = self._wish_of_operators(authority.shard, runner)
+        await self._step(authority, runner, wish)
+
+    async def _step(self, authority, runner, wish):
+        progress = await self._run(
+            self._conductor(authority).step(runner, wish), authority, runner
+        )
+        closed = progress.event == 'order.closed'
+        self._reasons[runner.name] = '' if closed else progress.reason
+        if progress.event:
+            self._core.event(
+                progress.event, progress.order_id, progress.reason
+            )
 
-    def _wanted_by_operators(self, shard, runner):
+    def _conductor(self, authority):
+        conductor = self._conductors.get(authority)
+        if conductor is None:
+            settle_s = self._core.cfg.timing.gone_margin_s
+            conductor = orders.Conductor(authority, settle_s)
+            self._conductors[authority] = conductor
+        return conductor
+
+    async def _run(self, program, authority, runner):
+        core = self._core
+        reply = None
+        while True:
+            try:
+                request = program.send(reply)
+            except StopIteration as stop:
+                return stop.value
+            match request:
+                case orders.PollRunner():
+                    reply = _status_of(await core.loads.poll(runner))
+                case orders.HoldRunner(order_id=order_id):
+                    reply = await self._hold(runner.name, order_id)
+                case orders.ReleaseHold(order_id=order_id):
+                    reply = await self._release_hold(runner.name, order_id)
+                case orders.SendOrder(order=order):
+                    reply = await self._send(authority, runner, order)
+                case _:
+                    reply = await core.run_request(request)
+
+    def _wish_of_operators(self, shard, runner):
         core = self._core
         last = shard.orders.get(runner.name)
         source = core.documents.revision_of(f'runner/{runner.name}')
@@ -148,51 +171,14 @@
         seen = core.loads.latest(runner.name)
         if seen is None or seen.message.failed or not seen.message.role:
             return None
-        if seen.message.role == runner.role and last is None:
-            return None
         if seen.message.role == runner.role:
             return None
-        return self._order(shard, runner, runner.role, source)
-
-    def _order(self, shard, runner, role, source):
-        suffix = utils.stable_hash(runner.name, shard.renewals, shard.epoch)
-        return orders.Order(
-            id=f'{runner.name}-{shard.epoch}-{suffix:016x}',
-            epoch=shard.epoch,
-            runner=runner.name,
-            role=str(role),
-            source=source,
-        )
+        return self._wish(shard, runner, runner.role)
 
-    async def _write(self, authority, order):
-        def add(shard):
-            if shard.open_order(order.runner) is not None:
-                return None
-            return shard.with_order(order)
-
-        written = await self._core.run(authority.update(add))
-        if written is not None:
-            self._core.event(
-                'order.written', order.id, f'{order.runner} to {order.role}'
-            )
-
-    async def _finish(self, authority, runner, order):
-        core = self._core
-        load = await core.loads.poll(runner)
-        if load is not None and load.order_id == order.id:
-            if not load.away:
-                await self._close(authority, order, orders.OrderState.DONE)
-            return
-        held = await self._hold(runner.name, order.id)
-        running = None if load is None else load.running + load.waiting
-        reason = orders.may_send(
-            held.may_live, held.reports, running, core.now(), SEND_MARGIN_S
-        )
-        self._reasons[runner.name] = reason
-        if reason:
-            core.event('order.waits', order.id, reason)
-            return
-        await self._send(authority, runner, order)
+    def _wish(self, shard, runner, role):
+        source = self._core.documents.revision_of(f'runner/{runner.name}')
+        order_id = f'{runner.name}-{shard.epoch + 1}'
+        return orders.Wish(str(role), source, order_id)
 
     async def _hold(self, runner_name, order_id):
         core = self._core
@@ -209,41 +195,24 @@
             if reply is not None
         }
         names = [k.name for k in core.members.may_live(core.now())]
-        return _Held(names, reports)
+        return orders.Hold(tuple(names), reports)
 
     async def _send(self, authority, runner, order):
         core = self._core
-        sent = attrs.evolve(order, epoch=authority.shard.epoch)
 
         def send():
             # The lease is checked last, right before the send.
             if time.monotonic() >= authority.until:
                 return None
-            return core.runners.order(runner.address, sent)
-
-        answer = await core.call(send)
-        if answer is None:
-            core.event('order.unanswered', order.id, runner.name)
-        elif answer.fenced:
-            core.event('order.fenced', order.id, runner.name)
-        else:
-            core.event('order.sent', order.id, runner.name)
-
-    async def _close(self, authority, order, state):
-        core = self._core
-
-        def close(shard):
-            held = shard.orders.get(order.runner)
-            if held is None or held.id != order.id:
-                return None
-            return shard.with_order(attrs.evolve(held, state=state))
+            return core.runners.order(runner.address, order)
 
-        written = await core.run(authority.update(close))
-        if written is None:
-            return
-        self._reasons[order.runner] = ''
-        core.event('order.closed', order.id, str(state))
-        await self._release_hold(order.runner, order.id)
+        if not authority.begin_send():
+            return None
+        try:
+            answer = await core.call(send)
+        finally:
+            authority.end_send()
+        return None if answer is None else answer.taken
 
     async def _release_hold(self, runner_name, order_id):
         request = peer_pb2.HoldRequest(
@@ -269,10 +238,9 @@
         if change is None:
             return
         runner = core.catalog.get('runner', change.runner)
-        source = core.documents.revision_of(f'runner/{runner.name}')
-        order = self._order(authority.shard, runner, change.role, source)
         core.event('role.planned', runner.name, change.terms)
-        await self._write(authority, order)
+        wish = self._wish(authority.shard, runner, change.role)
+        await self._step(authority, runner, wish)
 
     def _rates(self, pool, now):
         own = self._core.work.demands(now).get(pool.name)
@@ -320,3 +288,10 @@
             if authority.shard is not None:
                 await self._core.run(authority.release())
                 self._core.event('shard.released', name)
+
+
+def _status_of(load):
+    if load is None:
+        return None
+    jobs = load.running + load.waiting
+    return orders.Status(load.order_id, load.away, jobs, load.epoch)
--- a/dandelionwinch/daemon/messages.py
+++ b/dandelionwinch/daemon/messages.py
@@ -94,9 +94,7 @@
 class OpenClaim:
     """Asks for the right to send a call that may run only once."""
 
-    key: str
-    token: str
-    request: str
+    opening: object
 
 
 @attrs.frozen
--- a/dandelionwinch/orders/__init__.py
+++ b/dandelionwinch/orders/__init__.py
@@ -4,6 +4,15 @@
 from dandelionwinch.orders._authority import Lost
 from dandelionwinch.orders._authority import Owned
 from dandelionwinch.orders._authority import Waiting
+from dandelionwinch.orders._conduct import Conductor
+from dandelionwinch.orders._conduct import Hold
+from dandelionwinch.orders._conduct import HoldRunner
+from dandelionwinch.orders._conduct import PollRunner
+from dandelionwinch.orders._conduct import Progress
+from dandelionwinch.orders._conduct import ReleaseHold
+from dandelionwinch.orders._conduct import SendOrder
+from dandelionwinch.orders._conduct import Status
+from dandelionwinch.orders._conduct import Wish
 from dandelionwinch.orders._drain import DrainReport
 from dandelionwinch.orders._drain import may_send
 from dandelionwinch.orders._shard import Order
@@ -14,13 +23,22 @@
 
 __all__ = [
     'Authority',
+    'Conductor',
     'DrainReport',
+    'Hold',
+    'HoldRunner',
     'Lost',
     'Order',
     'OrderState',
     'Owned',
+    'PollRunner',
+    'Progress',
+    'ReleaseHold',
+    'SendOrder',
     'Shard',
+    'Status',
     'Waiting',
+    'Wish',
     'may_send',
     'shard_key',
     'shard_of',
--- a/dandelionwinch/orders/_authority.py
+++ b/dandelionwinch/orders/_authority.py
@@ -46,8 +46,10 @@
         '_deadline',
         '_incarnation',
         '_name',
+        '_releasing',
         '_seen_at',
         '_seen_revision',
+        '_sends',
         '_store_key',
         'revision',
         'shard',
@@ -65,6 +67,8 @@
         self.shard = None
         self.revision = 0
         self.wait_reason = ''
+        self._sends = 0
+        self._releasing = False
 
     def holds(self, now):
         """Tells whether an order may be sent at this moment."""
@@ -75,6 +79,21 @@
         """Time at which the lease ends for this instance."""
         return self._deadline
 
+    def begin_send(self):
+        """Notes that an order is about to be sent.
+
+        Returns:
+            False if the lease is being released.
+        """
+        if self._releasing:
+            return False
+        self._sends += 1
+        return True
+
+    def end_send(self):
+        """Notes that a send has ended, with or without an answer."""
+        self._sends -= 1
+
     def acquire(self, all_check_fencing, is_gone):
         """Tries to take the shard, or renews it if it is held.
 
@@ -123,6 +142,7 @@
                 )
             if isinstance(result, effects.Committed):
                 self.wait_reason = ''
+                self._releasing = False
                 return Owned(self.shard, self._deadline)
             if isinstance(result, effects.Unavailable):
                 break
@@ -216,8 +236,15 @@
         return None
 
     def release(self):
-        """Gives the shard up, so that another may take it at once."""
+        """Gives the shard up, so that another may take it at once.
+
+        Returns:
+            Whether it is released; False while a send is under way.
+        """
+        self._releasing = True
         self._deadline = float('-inf')
+        if self._sends:
+            return False
         for _attempt in range(MAX_ATTEMPTS):
             reply = yield effects.Read(self._store_key)
             if not isinstance(reply, effects.Found):
--- a/dandelionwinch/orders/_shard.py
+++ b/dandelionwinch/orders/_shard.py
@@ -21,7 +21,7 @@
 
     Attributes:
         id: Identifier that the runner reports back.
-        epoch: Fencing number of the holder that sends it.
+        epoch: Fencing number of this order alone.
         role: Role that the runner shall take.
         source: Catalog revision that asked for it, or 0 for a policy.
     """
@@ -39,7 +39,7 @@
     """One record: lease and orders change together or not at all.
 
     Attributes:
-        epoch: Fencing number; rises with each new holder.
+        epoch: Fencing number; rises with each holder and order.
         holder: Name of the holding instance, or empty.
         incarnation: Which process of that name.
         renewals: Changes with each renewal, so that watchers see life.
--- a/dandelionwinch/revisions/__init__.py
+++ b/dandelionwinch/revisions/__init__.py
@@ -1,7 +1,7 @@
 """The operators' configuration: revisions that never revert."""
 
 from dandelionwinch.revisions._acceptance import Acceptance
-from dandelionwinch.revisions._acceptance import judge
+from dandelionwinch.revisions._acceptance import AcceptanceWatch
 from dandelionwinch.revisions._documents import Document
 from dandelionwinch.revisions._documents import Documents
 from dandelionwinch.revisions._programs import change
@@ -13,6 +13,7 @@
 
 __all__ = [
     'Acceptance',
+    'AcceptanceWatch',
     'Changed',
     'Document',
     'Documents',
@@ -21,5 +22,4 @@
     'Unreached',
     'change',
     'fetch',
-    'judge',
 ]
--- a/dandelionwinch/revisions/_acceptance.py
+++ b/dandelionwinch/revisions/_acceptance.py
@@ -2,13 +2,15 @@
 
 import attrs
 
+DRIFT_FACTOR = 1.1
+
 
 @attrs.frozen
 class Acceptance:
     """How far a committed revision has come.
 
     Attributes:
-        accepted: Whether no instance serves under an older revision.
+        accepted: Whether no instance takes work under an older one.
         missing: Instances that have not confirmed it.
         reason: Why it is not accepted yet, or empty.
     """
@@ -18,32 +20,53 @@
     reason: str
 
 
-def judge(revision, members, places, waited_s, cut_off_s):
-    """Judges a committed revision.
+class AcceptanceWatch:
+    """Watches one committed revision until it is accepted.
 
-    It is accepted when every instance that may live holds it. Where
-    some cannot be reached, it is accepted once a majority of places
-    hold it as a whole and the others had the time to notice that they
-    are cut off, upon which they refuse new work by themselves.
+    It is accepted once a majority of places hold it as a whole for
+    longer than an instance may go without contact. From then on an
+    instance with an older revision has either met one of them, and so
+    fetched the revision, or refuses new work by itself. This covers
+    instances that are cut off and such as nobody here knows yet.
 
     Args:
         revision: The committed revision.
-        members: Known instances that may live.
         places: Names of all places.
-        waited_s: Seconds since the commit.
         cut_off_s: Seconds after which an instance without contact
             refuses new work.
     """
-    missing = [k for k in members if k.revision < revision]
-    names = tuple(known.name for known in missing)
-    if not missing:
-        return Acceptance(True, (), '')
-    lacking = {known.place for known in missing}
-    whole = [place for place in places if place not in lacking]
-    if 2 * len(whole) <= len(places):
-        return Acceptance(False, names, 'no majority of places holds it')
-    if waited_s <= 2 * cut_off_s:
-        return Acceptance(
-            False, names, 'waiting for unreached instances to stop'
-        )
-    return Acceptance(True, names, '')
+
+    __slots__ = ('_cut_off_s', '_places', '_revision', '_whole_since')
+
+    def __init__(self, revision, places, cut_off_s):
+        self._revision = revision
+        self._places = tuple(places)
+        self._cut_off_s = cut_off_s
+        self._whole_since = None
+
+    def observe(self, members, now):
+        """Judges the present state.
+
+        Args:
+            members: Known instances that are not certainly gone.
+            now: Time in seconds.
+
+        Returns:
+            An Acceptance.
+        """
+        missing = [k for k in members if k.revision < self._revision]
+        names = tuple(known.name for known in missing)
+        lacking = {known.place for known in missing}
+        met = {known.place for known in members} - lacking
+        whole = [place for place in self._places if place in met]
+        if 2 * len(whole) <= len(self._places):
+            self._whole_since = None
+            return Acceptance(False, names, 'no majority of places holds it')
+        if self._whole_since is None:
+            self._whole_since = now
+        waited_s = now - self._whole_since
+        if waited_s <= self._cut_off_s * DRIFT_FACTOR:
+            return Acceptance(
+                False, names, 'unreached instances may still take work'
+            )
+        return Acceptance(True, names, '')
--- /dev/null
+++ b/dandelionwinch/search/_settings.py
@@ -0,0 +1,435 @@
+"""Searches for instances that serve under an old configuration."""
+
+import attrs
+
+from dandelionwinch.adapters import endpointslices
+from dandelionwinch import effects
+from dandelionwinch import membership
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import revisions
+from dandelionwinch.search import _world
+from dandelionwinch import settings
+
+PLACES = ('Ndaragwa', 'Nanyuki', 'Naromoru')
+INSTANCES_PER_PLACE = 2
+RUN_S = 300.0
+FAULTS_UNTIL_S = 200.0
+POLL_S = 1.0
+CHECK_S = 0.25
+COMMAND_TIMEOUT_S = 20.0
+RPC_TIMEOUT_S = 1.0
+LIST_LAG_S = 5.0
+
+
+@attrs.define
+class _Peer:
+    """One instance's part in keeping the configuration."""
+
+    search: object
+    process: _world.Process
+    place: str
+    members: membership.Membership
+    freshness: membership.Freshness
+    departures: membership.Departures
+    timing: settings.TimingSettings
+    documents: revisions.Documents = attrs.field(factory=revisions.Documents)
+    store_revision: int = 0
+    polled_at: float = float('-inf')
+    asked: dict = attrs.field(factory=dict)
+
+    def start(self):
+        """Starts the periodic steps."""
+        self.process.soon(0, self._beat)
+        self.process.soon(0.1, self._poll)
+
+    def now(self):
+        """Returns the process's monotonic clock."""
+        return self.process.now()
+
+    def admits(self):
+        """Tells whether the instance takes new work at this moment."""
+        now = self.now()
+        return (
+            self.documents.revision > 0
+            and not self.members.is_suspect(now)
+            and not self.freshness.is_cut_off(PLACES, now)
+        )
+
+    def _beat(self):
+        self.process.soon(self.timing.beat_s, self._beat)
+        now = self.now()
+        lines = self.search.listed()
+        self.members.overlay(lines)
+        self.departures.listed(line.name for line in lines)
+        self.members.me.revision = self.documents.revision
+        for address in self.members.tick(now):
+            self.exchange(address)
+
+    def exchange(self, address):
+        """Exchanges digests with a peer."""
+        asked_at = self.now()
+        place = self.members.place_at(address)
+        digest = self._digest(address, place)
+
+        def replied(reply):
+            if reply is not None:
+                self._take(address, reply)
+                self._note(asked_at, address, reply)
+
+        self.search.call(self, address, digest, replied)
+
+    def _note(self, asked_at, address, reply):
+        if reply.revision <= self.documents.revision:
+            self.freshness.heard(reply.sender.place, asked_at, reply)
+        else:
+            self.search.pull(self, address)
+
+    def _digest(self, key, place):
+        now = self.now()
+        digest = self.members.digest(now, place)
+        digest.asked.extend(self.asked.pop(key, ()))
+        digest.revision = self.documents.revision
+        digest.store_age_s = min(1e9, self.freshness.store_age(now))
+        for name, age_s in self.freshness.place_ages(now).items():
+            digest.places.add(place=name, age_s=age_s)
+        return digest
+
+    def _take(self, key, digest):
+        self.asked[key] = self.members.merge(digest, self.now())
+
+    def answer(self, digest):
+        """Answers a peer's digest."""
+        key = digest.sender.peer_address
+        self._take(key, digest)
+        if digest.revision > self.documents.revision:
+            self.search.pull(self, key)
+        return self._digest(key, digest.sender.place)
+
+    def _poll(self):
+        self.process.soon(POLL_S, self._poll)
+        now = self.now()
+        speaks = self.members.me in self.members.speakers(self.place, now)
+        if speaks or now - self.polled_at > 30.0:
+            self.fetch()
+
+    def fetch(self):
+        """Reads the newest configuration from the store."""
+        asked_at = self.now()
+        self.polled_at = asked_at
+        program = revisions.fetch(self.store_revision)
+
+        def fetched(result):
+            if isinstance(result, revisions.Fetched):
+                self.store_revision = result.store_revision
+                self.freshness.store_read(asked_at)
+                self.adopt(result.revision, result.documents)
+
+        self.process.run(program, fetched)
+
+    def adopt(self, revision, documents):
+        """Takes over a higher revision and tells all peers."""
+        if not self.documents.adopt(revision, documents):
+            return
+        self.members.me.revision = self.documents.revision
+        self.members.tick(self.now())
+        for known in self.members.live(self.now()):
+            if known is not self.members.me:
+                self.exchange(known.member.peer_address)
+
+    def handle(self, _process, request, _reply):
+        """No other requests are made here."""
+        raise TypeError(f'"{request!r}" is not a store request')
+
+
+class _GatedStore(_world.FaultyStore):
+    """The store as one process reaches it."""
+
+    def __init__(self, world, shared, search, name):
+        super().__init__(world)
+        self._memory = shared._memory
+        self._shared = shared
+        self._search = search
+        self._name = name
+
+    def submit(self, request, reply):
+        """Runs a request if store and network let it through."""
+        self.down_until = self._shared.down_until
+        if self._name in self._search.storeless:
+            self.down_until = self._world.now + 1
+        super().submit(request, reply)
+
+
+class _Search:
+    """One seeded run of changes under partitions and outages."""
+
+    def __init__(self, seed):
+        self.world = _world.World(seed, FAULTS_UNTIL_S)
+        self.store = _world.FaultyStore(self.world)
+        self.platform = _world.PlatformList(self.world, LIST_LAG_S)
+        self.timing = settings.TimingSettings()
+        self.peers = {}
+        self.storeless = set()
+        self.groups = {}
+        self.accepted = 0
+        self.in_force = []
+        self._sequence = 0
+        self._commits = {}
+        self._lines = {}
+
+    def run(self):
+        """Runs to the end and returns the faults."""
+        for place in PLACES:
+            for _number in range(INSTANCES_PER_PLACE):
+                self._start(place)
+        self.world.after(0.5, self._seed)
+        self.world.after(5, self._command)
+        self.world.after(5, self._disturb)
+        self.world.after(1, self._check)
+        self.world.run(RUN_S)
+        self._check_end()
+        return self.world.faults
+
+    def _start(self, place):
+        self._sequence += 1
+        name = f'{place.lower()}-{self._sequence}'
+        gate = _GatedStore(self.world, self.store, self, name)
+        holder = []
+        process = _world.Process(
+            self.world, name, gate, lambda *args: holder[0].handle(*args)
+        )
+        member = peer_pb2.Member(
+            name=name,
+            place=place,
+            peer_address=name,
+            incarnation=self._sequence,
+            weight=1.0,
+        )
+        seeds = list(self.peers)
+        members = membership.Membership(
+            member, self.timing, self.world.rng, seeds
+        )
+        freshness = membership.Freshness(place, self.timing.cut_off_s)
+        departures = membership.Departures(self.timing.gone_margin_s)
+        peer = _Peer(
+            self,
+            process,
+            place,
+            members,
+            freshness,
+            departures,
+            self.timing,
+        )
+        self.platform.add(name)
+        self._lines[name] = endpointslices.ListedInstance(
+            name, place, name, name, name, True, False
+        )
+        holder.append(peer)
+        self.peers[name] = peer
+        peer.start()
+
+    def _seed(self):
+        effects.drive(
+            revisions.change(lambda _held: {'place/x': {'n': 0}}, 'seed'),
+            self.store.execute,
+            None,
+        )
+
+    def listed(self):
+        """Returns the platform's list."""
+        return [self._lines[name] for name in sorted(self.platform.read())]
+
+    def reaches(self, first, second):
+        """Tells whether the network lets two instances talk."""
+        groups = self.groups
+        return groups.get(first, 0) == groups.get(second, 0)
+
+    def call(self, caller, address, digest, replied):
+        """Carries a digest to a peer and its answer back."""
+        world = self.world
+        peer = self.peers.get(address)
+        lost = world.chance(0.05)
+        if peer is None or lost or not self._open(caller, peer):
+            world.after(RPC_TIMEOUT_S, replied, None)
+            return
+        waiting = [True]
+
+        def back(reply):
+            if waiting.pop() if waiting else False:
+                replied(reply)
+
+        def arrive():
+            reply = peer.answer(digest)
+            if self._open(caller, peer):
+                caller.process.soon(_world.LATENCY_S, back, reply)
+
+        caller.process.soon(RPC_TIMEOUT_S, back, None)
+        peer.process.soon(_world.LATENCY_S, arrive)
+
+    def _open(self, caller, peer):
+        return peer.process.alive and self.reaches(
+            caller.process.name, peer.process.name
+        )
+
+    def pull(self, caller, address):
+        """Fetches newer documents from a peer."""
+        peer = self.peers.get(address)
+        if peer is None or not self._open(caller, peer):
+            return
+
+        def arrive():
+            held = peer.documents
+            documents = held.after(caller.documents.revision)
+            caller.process.soon(
+                _world.LATENCY_S, caller.adopt, held.revision, documents
+            )
+
+        peer.process.soon(_world.LATENCY_S, arrive)
+
+    def _command(self):
+        world = self.world
+        if world.now > RUN_S - 60:
+            return
+        world.after(2 + 10 * world.rng.random(), self._command)
+        peer = world.rng.choice(list(self.peers.values()))
+        if not peer.admits():
+            return
+        self._sequence += 1
+        number = self._sequence
+        program = revisions.change(
+            lambda _documents: {'policy/p': {'n': number}}, str(number)
+        )
+        peer.process.run(program, lambda result: self._told(peer, result))
+
+    def _told(self, peer, result):
+        if isinstance(result, revisions.Changed):
+            self._commits[result.revision] = self.world.now
+            peer.fetch()
+            watch = revisions.AcceptanceWatch(
+                result.revision, PLACES, self.timing.cut_off_s
+            )
+            self._await(peer, watch, result.revision, peer.now())
+
+    def _await(self, peer, watch, revision, committed_at):
+        now = peer.now()
+        peer.members.me.revision = peer.documents.revision
+        members = [
+            known
+            for known in peer.members.everyone()
+            if not peer.departures.is_gone(
+                known.name, known.member.incarnation, now
+            )
+        ]
+        if watch.observe(members, now).accepted:
+            self.accepted = max(self.accepted, revision)
+        elif now - committed_at < COMMAND_TIMEOUT_S:
+            peer.process.soon(
+                0.1, self._await, peer, watch, revision, committed_at
+            )
+
+    def _disturb(self):
+        world = self.world
+        if world.now > FAULTS_UNTIL_S:
+            self._heal()
+            self.store.down_until = 0.0
+            return
+        world.after(10 * world.rng.random(), self._disturb)
+        peer = world.rng.choice(list(self.peers.values()))
+        match world.rng.randrange(6):
+            case 0:
+                peer.process.pause(20 * world.rng.random())
+            case 1 if world.chance(0.4):
+                self._replace(peer)
+            case 2:
+                self.store.outage(20 * world.rng.random())
+            case 3:
+                self._cut_place()
+            case 4:
+                self._cut_some()
+            case 5:
+                self._heal()
+
+    def _replace(self, peer):
+        peer.process.kill()
+        self.platform.ended(peer.process.name)
+        del self.peers[peer.process.name]
+        self._start(peer.place)
+
+    def _cut_place(self):
+        self.world.faults.partitions += 1
+        place = self.world.rng.choice(PLACES)
+        storeless = self.world.chance(0.7)
+        for name, peer in self.peers.items():
+            if peer.place == place:
+                self.groups[name] = 1
+                if storeless:
+                    self.storeless.add(name)
+
+    def _cut_some(self):
+        self.world.faults.partitions += 1
+        for name in self.peers:
+            if self.world.chance(0.3):
+                self.groups[name] = self.world.rng.randrange(3)
+            if self.world.chance(0.3):
+                self.storeless.add(name)
+
+    def _heal(self):
+        self.groups.clear()
+        self.storeless.clear()
+
+    def _check(self):
+        world = self.world
+        world.after(CHECK_S, self._check)
+        for name, peer in self.peers.items():
+            if peer.process.paused() or not peer.admits():
+                continue
+            if peer.documents.revision < self.accepted:
+                raise _world.Broken(
+                    f'{world.now:.2f} s: instance "{name}" takes work under '
+                    f'revision {peer.documents.revision}, but '
+                    f'{self.accepted} was accepted'
+                )
+        self._note_in_force()
+
+    def _note_in_force(self):
+        held = [
+            peer.documents.revision
+            for peer in self.peers.values()
+            if peer.admits() and not peer.process.paused()
+        ]
+        if not held:
+            return
+        lowest = min(held)
+        for revision in [r for r in self._commits if r <= lowest]:
+            committed_at = self._commits.pop(revision)
+            self.in_force.append(self.world.now - committed_at)
+
+    def _check_end(self):
+        behind = [
+            name
+            for name, peer in self.peers.items()
+            if peer.documents.revision < self.accepted or not peer.admits()
+        ]
+        if behind:
+            raise _world.Broken(
+                f'{self.world.now:.2f} s: instances {behind} are still '
+                'behind or refuse work although all faults ended'
+            )
+
+
+def search_settings(seed):
+    """Runs one seed.
+
+    Returns:
+        The Faults that were injected.
+
+    Raises:
+        Broken: If a promise was broken.
+    """
+    return _Search(seed).run()
+
+
+def in_force_times(seed):
+    """Returns seconds from commit to in force, for one seed."""
+    search = _Search(seed)
+    search.run()
+    return search.in_force
--- a/dandelionwinch/tools/demo.py
+++ b/dandelionwinch/tools/demo.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import sys
+import threading
 import time
 
 import attrs
@@ -92,20 +93,26 @@
         self._clerks.change_mix(FIRST_MIX)
 
     def _configure(self):
+        statement = f'set policy {self._policy} horizon_s = 90'
+        before = max(self._revisions())
         started = time.monotonic()
-        answer = self._ask(f'set policy {self._policy} horizon_s = 90')
-        revision = answer.get('revision')
-        while revision and self.in_force_s is None:
-            held = [
-                self._fleet.revision_of(instance)
-                for instance in self._fleet.instances
-                if instance.alive
-            ]
+        asking = threading.Thread(target=self._ask, args=(statement,))
+        asking.start()
+        while self.in_force_s is None:
             waited_s = time.monotonic() - started
-            if all(item is not None and item >= revision for item in held):
+            if min(self._revisions()) > before:
                 self.in_force_s = waited_s
             elif waited_s > CONFIGURATION_LIMIT_S:
                 break
+        asking.join()
+
+    def _revisions(self):
+        found = [
+            self._fleet.revision_of(instance)
+            for instance in self._fleet.instances
+            if instance.alive
+        ]
+        return [revision or 0 for revision in found]
 
     def _change_role(self):
         name = next(iter(self._fleet.runners))
