--- /dev/null
+++ b/dandelionwinch/bench/_control.py
@@ -0,0 +1,278 @@
+"""The cost of control: gossip in virtual time, and store calls."""
+
+import random
+import time
+
+from dandelionwinch.adapters import endpointslices
+from dandelionwinch import claims
+from dandelionwinch import earnings
+from dandelionwinch import effects
+from dandelionwinch import membership
+from dandelionwinch import orders
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import revisions
+from dandelionwinch import settings
+from dandelionwinch.standins import store
+
+INSTANCES = (6, 9, 30, 60, 390)
+GOSSIP_S = 12.0
+WARM_UP_S = 6.0
+STORE_S = 60.0
+FRAME_BYTES = 120
+ONCE_CALLS_PER_INSTANCE_S = 0.4
+MODELS = 3
+_TIMING = settings.TimingSettings()
+
+
+def places_of(instances):
+    """Returns the number of places for a number of instances."""
+    return 11 if instances > 60 else 3
+
+
+def measure(seed):
+    """Returns a row for each number of instances."""
+    rows = []
+    for count in INSTANCES:
+        row = gossip(count, 0, seed)
+        row.update(store_calls(count, MODELS, seed))
+        rows.append(row)
+    return rows
+
+
+class _Node:
+    """One instance's part in the gossip."""
+
+    def __init__(self, number, places, loads, rng):
+        self.name = f'entry-{number}'
+        place = f'place-{number % places}'
+        member = peer_pb2.Member(
+            name=self.name,
+            place=place,
+            region=place,
+            incarnation=1,
+            clerk_address=f'10.0.{number % 250}.1:8080',
+            peer_address=self.name,
+            operator_address=f'10.0.{number % 250}.1:8082',
+            weight=1.0,
+        )
+        self.members = membership.Membership(member, _TIMING, rng)
+        self._loads = loads
+        self._asked = {}
+        self.bytes = 0
+        self.messages = 0
+
+    def digest(self, key, place, now):
+        """Makes a digest for a peer."""
+        digest = self.members.digest(now, place)
+        digest.asked.extend(self._asked.pop(key, ()))
+        if place in (None, self.members.me.place):
+            digest.loads.extend(self._loads)
+        self.bytes += digest.ByteSize() + FRAME_BYTES
+        self.messages += 1
+        return digest
+
+    def take(self, key, digest, now):
+        """Takes in a digest."""
+        self._asked[key] = self.members.merge(digest, now)
+
+
+def gossip(instances, runners, seed):
+    """Runs heartbeats in virtual time.
+
+    Args:
+        instances: Number of instances.
+        runners: Number of runners whose loads ride along.
+        seed: Seed of the choice of peers.
+
+    Returns:
+        Messages, bytes sent and processor time of one instance.
+    """
+    rng = random.Random(seed)
+    places = places_of(instances)
+    loads = [_load(number) for number in range(runners // places)]
+    nodes = [_Node(n, places, loads, rng) for n in range(instances)]
+    by_address = {node.name: node for node in nodes}
+    listed = [_listed(node.members.me.member) for node in nodes]
+    for node in nodes:
+        node.members.overlay(listed)
+    steps = int((WARM_UP_S + GOSSIP_S) / _TIMING.beat_s)
+    warm = int(WARM_UP_S / _TIMING.beat_s)
+    started = time.process_time()
+    for step in range(steps):
+        if step == warm:
+            started = time.process_time()
+            for node in nodes:
+                node.bytes = node.messages = 0
+        _round(nodes, by_address, step * _TIMING.beat_s)
+    seconds = time.process_time() - started
+    live = min(len(node.members.live(steps * 0.5)) for node in nodes)
+    return {
+        'instances': instances,
+        'places': places,
+        'live_seen_by_worst': live,
+        'messages_per_s': round(
+            sum(n.messages for n in nodes) / instances / GOSSIP_S, 2
+        ),
+        'bytes_sent_per_s': round(
+            sum(n.bytes for n in nodes) / instances / GOSSIP_S
+        ),
+        'core_share_percent': round(100 * seconds / instances / GOSSIP_S, 3),
+        'seed': seed,
+    }
+
+
+def _round(nodes, by_address, now):
+    for node in nodes:
+        for address in node.members.tick(now):
+            peer = by_address[address]
+            there = peer.members.me.place
+            here = node.members.me.place
+            request = node.digest(address, there, now)
+            peer.take(node.name, request, now)
+            reply = peer.digest(node.name, here, now)
+            node.take(address, reply, now)
+
+
+def _listed(member):
+    return endpointslices.ListedInstance(
+        member.name,
+        member.place,
+        member.clerk_address,
+        member.peer_address,
+        member.operator_address,
+        True,
+        False,
+    )
+
+
+def _load(number):
+    return peer_pb2.RunnerLoad(
+        runner=f'lm-{number}',
+        running=40,
+        waiting=2,
+        waiting_tokens=3000,
+        kv_tokens=90000,
+        role='decode',
+        age_s=0.4,
+        epoch=12,
+    )
+
+
+class _Clocked:
+    """A store with counted calls and a clock in virtual time."""
+
+    def __init__(self):
+        self.memory = store.MemoryStore()
+        self.now = 0.0
+
+    def run(self, program):
+        """Runs a program at the present virtual time."""
+        return effects.drive(program, self.memory.execute, self._clock)
+
+    def _clock(self):
+        return effects.Time(self.now, 1e9 + self.now)
+
+    def take(self):
+        """Returns calls and writes since the last time."""
+        memory = self.memory
+        counts = (memory.calls, memory.writes)
+        memory.calls = memory.writes = 0
+        return counts
+
+
+def store_calls(instances, models, seed):
+    """Counts store calls by role, with the daemons' own programs.
+
+    Args:
+        instances: Number of instances.
+        models: Number of models, each a shard in each place.
+        seed: Seed of the arrivals of calls that run once.
+
+    Returns:
+        Calls per second of all instances together, by role.
+    """
+    places = places_of(instances)
+    clocked = _Clocked()
+    clocked.run(revisions.change(lambda _held: {'model/m': {}}, 'seed'))
+    clocked.take()
+    settings_calls = _settings_calls(clocked, instances, places)
+    shard_calls = _shard_calls(clocked, places * models)
+    claim_calls = _claim_calls(clocked, instances, seed)
+    earning_calls = _earning_calls(clocked, instances)
+    return {
+        'settings_calls_per_s': settings_calls[0],
+        'shard_calls_per_s': shard_calls[0],
+        'shard_writes_per_s': shard_calls[1],
+        'claim_calls_busy_per_s': claim_calls[0],
+        'claim_writes_busy_per_s': claim_calls[1],
+        'earning_calls_busy_per_s': earning_calls[0],
+        'earning_writes_busy_per_s': earning_calls[1],
+    }
+
+
+def _per_s(clocked):
+    calls, writes = clocked.take()
+    return round(calls / STORE_S, 2), round(writes / STORE_S, 2)
+
+
+def _settings_calls(clocked, instances, places):
+    speakers = min(instances, 2 * places)
+    others = instances - speakers
+    for _second in range(int(STORE_S)):
+        for _speaker in range(speakers):
+            clocked.run(revisions.fetch(0))
+    cfg = settings.StoreSettings(endpoints=['127.0.0.1:1'])
+    polls = int(STORE_S / cfg.poll_s)
+    for _poll in range(polls):
+        for _other in range(others):
+            clocked.run(revisions.fetch(0))
+    return _per_s(clocked)
+
+
+def _shard_calls(clocked, shards):
+    leases = [
+        orders.Authority(f'shard-{number}', 'entry-1', 1, _TIMING)
+        for number in range(shards)
+    ]
+    period_s = _TIMING.lease_s / orders.STEPS_PER_LEASE
+    start = clocked.now
+    while clocked.now < start + STORE_S:
+        for lease in leases:
+            clocked.run(lease.acquire(True, lambda *_args: False))
+        clocked.now += period_s
+    return _per_s(clocked)
+
+
+def _claim_calls(clocked, instances, seed):
+    rng = random.Random(seed)
+    cfg = settings.ClaimSettings()
+    rate = instances * ONCE_CALLS_PER_INSTANCE_S
+    batches = {}
+    moment, number = 0.0, 0
+    while (moment := moment + rng.expovariate(rate)) < STORE_S:
+        number += 1
+        key = f'deposits/{number}'
+        bucket = claims.bucket_of(key, cfg.buckets)
+        window = int(moment / cfg.batch_wait_s)
+        batch = batches.setdefault((window, bucket), [])
+        token = f'entry#1#{number}'
+        batch.append(claims.Open(key, token, 'request'))
+        later = batches.setdefault((window + 5, bucket), [])
+        later.append(claims.Close(key, token, claims.State.DONE))
+    for (_window, bucket), mutations in sorted(batches.items()):
+        name = claims.bucket_key(bucket)
+        clocked.run(claims.commit_batch(name, mutations, cfg))
+    return _per_s(clocked)
+
+
+def _earning_calls(clocked, instances):
+    ledgers = [earnings.Ledger(f'entry-{n}', 1) for n in range(instances)]
+    period_s = earnings.write_period(_TIMING.earnings_s, instances)
+    moment, number = 0.0, 0
+    while moment < STORE_S:
+        for ledger in ledgers:
+            number += 1
+            ledger.book(f'job-{number}', 'team', 10)
+            clocked.run(ledger.write())
+        moment += period_s
+    return _per_s(clocked)
--- /dev/null
+++ b/dandelionwinch/bench/_herding.py
@@ -0,0 +1,50 @@
+"""Whether many deciding instances meet on one runner."""
+
+import attrs
+
+from dandelionwinch.bench import _simulation
+from dandelionwinch.bench import _trace
+
+INSTANCES = (1, 9, 60)
+_PHASE = _trace.Phase(
+    start_s=0,
+    requests_per_s=40,
+    prompt_tokens=2500,
+    output_tokens=120,
+    shared_prefix=0.3,
+)
+_TRACE = _trace.Trace(
+    duration_s=120.0,
+    pools=[
+        _trace.PoolSize(place='Nanyuki', prefill=3, decode=3),
+        _trace.PoolSize(place='Naromoru', prefill=3, decode=3),
+    ],
+    phases=[_PHASE],
+)
+
+
+def measure(seed):
+    """Returns a row for each number of instances.
+
+    The ratio compares the busiest runner's longest queue with the one
+    that a single instance, which knows all that was sent, lets grow.
+    """
+    rows = []
+    for count in INSTANCES:
+        trace = attrs.evolve(_TRACE, instances=count)
+        for policy in ('hire', 'least_reported'):
+            result = _simulation.simulate(trace, 'herding', policy, seed)
+            rows.append(
+                {
+                    'instances': count,
+                    'policy': policy,
+                    'busiest_queue': result.busiest_queue,
+                    'first_token_p95_s': result.first_token_p95_s,
+                    'seed': seed,
+                }
+            )
+    for row in rows:
+        alone = next(r for r in rows if r['policy'] == row['policy'])
+        ratio = row['busiest_queue'] / alone['busiest_queue']
+        row['ratio_to_one'] = round(ratio, 2)
+    return rows
--- /dev/null
+++ b/dandelionwinch/bench/_placement.py
@@ -0,0 +1,95 @@
+"""The cost of a placement by size of the fleet."""
+
+import random
+import time
+
+from dandelionwinch import placement
+from dandelionwinch import settings
+
+RUNNERS = (13, 130, 1600)
+TEAMS = 970
+DECISIONS = 2000
+MODELS = 11
+PLACES = 11
+REQUESTS_PER_NODE_S = 7.5
+
+
+def measure(seed):
+    """Returns microseconds a decision for each number of runners.
+
+    Runners are spread over 11 places and a job is placed among those
+    of its model, near ones first, as the daemons do.
+    """
+    return [_measure(count, seed) for count in RUNNERS]
+
+
+def _measure(count, seed):
+    rng = random.Random(seed)
+    beliefs = placement.Beliefs()
+    names = [f'lm-{number}' for number in range(count)]
+    beliefs.set_runners(_belief(name, i) for i, name in enumerate(names))
+    for name in names:
+        report = placement.Report(
+            0.0, rng.randrange(30), 0.0, 1000.0, settings.Role.MIXED
+        )
+        beliefs.report(name, report)
+    placer = placement.Placer(beliefs, rng)
+    sites = _sites(names)
+    started = time.process_time()
+    for number in range(DECISIONS):
+        demand = placement.Demand(
+            place='place-0',
+            prompt_tokens=1500,
+            output_tokens=20,
+            prefix=rng.randrange(TEAMS),
+            prefix_tokens=700,
+            patience_s=5.0,
+            gap_s=0.041,
+        )
+        now = number * 0.05
+        placer.place(demand, sites, now)
+        if number % 20 == 0:
+            _report_all(beliefs, names, now)
+    seconds = time.process_time() - started
+    return {
+        'runners': count,
+        'candidate_sites': len(sites),
+        'us_per_decision': round(1e6 * seconds / DECISIONS, 1),
+        'decisions_per_s': round(DECISIONS / seconds),
+        'core_share_at_7.5_per_s': round(
+            REQUESTS_PER_NODE_S * seconds / DECISIONS, 6
+        ),
+        'seed': seed,
+    }
+
+
+def _belief(name, number):
+    return placement.Belief(
+        name=name,
+        place=f'place-{number % PLACES}',
+        role=settings.Role.MIXED,
+        prefill_rate=20000.0,
+        decode_rate=2500.0,
+        kv_capacity=400_000,
+        max_batch=64,
+    )
+
+
+def _sites(names):
+    """Sites of one model: its share of the runners of each place."""
+    models = MODELS if len(names) > 2 * MODELS * PLACES else 1
+    sites = []
+    for place in range(PLACES):
+        members = names[place::PLACES]
+        mine = tuple(members[:: max(1, models)])
+        if mine:
+            sites.append(
+                placement.Site(f'place-{place}', mine, 0.02 * bool(place))
+            )
+    return sites
+
+
+def _report_all(beliefs, names, now):
+    for name in names[:50]:
+        report = placement.Report(now, 10, 0.0, 1000.0, settings.Role.MIXED)
+        beliefs.report(name, report)
--- /dev/null
+++ b/dandelionwinch/bench/_policies.py
@@ -0,0 +1,383 @@
+"""The policy of the daemons, and baselines to hold it against."""
+
+import random
+
+import attrs
+
+from dandelionwinch import placement
+from dandelionwinch import settings
+
+GREEDY_WAIT_S = 0.3
+GREEDY_IDLE_SHARE = 0.5
+HIRE_KNOB = 0.1
+NOMINATIONS_KNOB = 0.8
+PATIENCE_SHARE = 0.9
+
+
+@attrs.frozen
+class Placed:
+    """Where a job runs.
+
+    Attributes:
+        decode: The decoding runner, or -1 to choose it later.
+    """
+
+    prefill: int
+    decode: int
+    extra_s: float = 0.0
+
+
+class Policy:
+    """What a policy may do; this one does nothing."""
+
+    def __init__(self, trace, engines, seed):
+        self.trace = trace
+        self.engines = engines
+        self.rng = random.Random(seed)
+
+    def place(self, work, now):
+        """Returns Placed, or None to refuse the job."""
+        raise TypeError('a policy places jobs')
+
+    def choose_decode(self, work, now):
+        """Returns the engine that decodes a prefilled job."""
+        raise TypeError('a policy chooses a decoding runner')
+
+    def report(self, instance, number, report):
+        """Takes in a runner's report at one instance."""
+
+    def cached(self, instance, number, prefix, tokens):
+        """Takes in a cache event at one instance."""
+
+    def dropped(self, instance, number, prefix):
+        """Takes in an eviction event at one instance."""
+
+    def failed(self, number, now):
+        """Notes that a runner failed a job."""
+
+    def hold(self, number, held):
+        """Notes that a runner gets no new work for a while."""
+
+    def plan(self, now):
+        """Returns (engine number, role) pairs to change."""
+        return ()
+
+    def _near(self, place, role):
+        wanted = [e for e in self.engines if e.place == place]
+        found = [e for e in wanted if _can(e, role)]
+        return found or [e for e in self.engines if _can(e, role)]
+
+    def _extra(self, work, engine):
+        far = engine.place != work.job.place
+        return 2 * self.trace.link.latency_s if far else 0.0
+
+    def _placed(self, work, engine):
+        stays = engine.role is settings.Role.MIXED
+        decode = engine.number if stays else -1
+        return Placed(engine.number, decode, self._extra(work, engine))
+
+
+def _can(engine, role):
+    if not engine.alive or engine.away or engine.draining_to is not None:
+        return False
+    return engine.role in (role, settings.Role.MIXED)
+
+
+class StaticSplit(Policy):
+    """Takes the runners of a role in turn, roles never change."""
+
+    def __init__(self, trace, engines, seed):
+        super().__init__(trace, engines, seed)
+        self._turn = 0
+
+    def _next(self, candidates):
+        self._turn += 1
+        return candidates[self._turn % len(candidates)]
+
+    def place(self, work, now):
+        found = self._near(work.job.place, settings.Role.PREFILL)
+        return self._placed(work, self._next(found)) if found else None
+
+    def choose_decode(self, work, now):
+        place = self.engines[work.prefill_runner].place
+        found = self._near(place, settings.Role.DECODE)
+        return self._next(found) if found else None
+
+
+class RandomChoice(StaticSplit):
+    """Draws a runner of the role."""
+
+    def _next(self, candidates):
+        return self.rng.choice(candidates)
+
+
+class LeastReported(StaticSplit):
+    """Takes the least load by the last report, which is old."""
+
+    def __init__(self, trace, engines, seed):
+        super().__init__(trace, engines, seed)
+        self._reports = [{} for _ in range(trace.instances)]
+
+    def report(self, instance, number, report):
+        self._reports[instance][number] = report
+
+    def _load(self, work, engine):
+        report = self._reports[work.job.instance].get(engine.number)
+        if report is None:
+            return (0.0, 0)
+        return (report.waiting_tokens, report.running)
+
+    def _least(self, work, found):
+        if not found:
+            return None
+        return min(found, key=lambda engine: self._load(work, engine))
+
+    def place(self, work, now):
+        found = self._near(work.job.place, settings.Role.PREFILL)
+        engine = self._least(work, found)
+        return self._placed(work, engine) if engine else None
+
+    def choose_decode(self, work, now):
+        place = self.engines[work.prefill_runner].place
+        found = self._near(place, settings.Role.DECODE)
+        if not found:
+            return None
+        return min(found, key=lambda e: self._load(work, e)[::-1])
+
+
+class IdealShortest(StaticSplit):
+    """Joins the shortest queue of all places, seen without any lag."""
+
+    def place(self, work, now):
+        found = [e for e in self.engines if _can(e, settings.Role.PREFILL)]
+        if not found:
+            return None
+        engine = min(found, key=lambda e: (e.backlog(), self._extra(work, e)))
+        return self._placed(work, engine)
+
+    def choose_decode(self, work, now):
+        place = self.engines[work.prefill_runner].place
+        found = self._near(place, settings.Role.DECODE)
+        if not found:
+            return None
+        return min(found, key=lambda e: e.decoding() + len(e.waiting))
+
+
+class GreedyRoles(LeastReported):
+    """Least load, and a role change whenever one side waits."""
+
+    def plan(self, now):
+        for place in {engine.place: None for engine in self.engines}:
+            change = self._plan_place(place)
+            if change is not None:
+                yield change
+
+    def _plan_place(self, place):
+        members = [e for e in self.engines if e.place == place]
+        if any(e.away or e.draining_to is not None for e in members):
+            return None
+        prefill = [e for e in members if _can(e, settings.Role.PREFILL)]
+        decode = [e for e in members if _can(e, settings.Role.DECODE)]
+        if not prefill or not decode:
+            return None
+        rate = self.trace.runner.prefill_tokens_per_s
+        wait_s = sum(e.backlog() for e in prefill) / len(prefill) / rate
+        batch = self.trace.runner.max_batch
+        busy = sum(e.decoding() for e in decode) / len(decode) / batch
+        if wait_s > GREEDY_WAIT_S and len(decode) > 1:
+            engine = min(decode, key=lambda e: e.decoding())
+            return engine.number, settings.Role.PREFILL
+        if busy > GREEDY_IDLE_SHARE and len(prefill) > 1:
+            engine = min(prefill, key=lambda e: e.backlog())
+            return engine.number, settings.Role.DECODE
+        return None
+
+
+class Winch(Policy):
+    """The placement and role code of the daemons."""
+
+    knob = HIRE_KNOB
+
+    def __init__(self, trace, engines, seed):
+        super().__init__(trace, engines, seed)
+        self._policy = settings.Policy(
+            name='bench',
+            change_weight=self.knob,
+            role_change_s=trace.role_change_s,
+        )
+        self._beliefs = []
+        self._placers = []
+        for number in range(trace.instances):
+            beliefs = placement.Beliefs()
+            beliefs.set_runners(self._belief(e) for e in engines)
+            rng = random.Random(seed * 1000 + number)
+            placer = placement.Placer(beliefs, rng)
+            self._beliefs.append(beliefs)
+            self._placers.append(placer)
+        self._names = {str(e.number): e for e in engines}
+        self._sites = self._sites_by_place()
+        self._trends = {
+            pool.place: placement.Trend(self._policy.horizon_s / 2)
+            for pool in trace.pools
+        }
+        self._late = []
+        self._told_rates = [{} for _ in range(trace.instances)]
+        self._now = 0.0
+
+    @staticmethod
+    def _belief(engine):
+        figures = engine.figures
+        return placement.Belief(
+            name=str(engine.number),
+            place=engine.place,
+            role=engine.role,
+            prefill_rate=figures.prefill_tokens_per_s,
+            decode_rate=figures.decode_tokens_per_s,
+            kv_capacity=figures.kv_tokens,
+            max_batch=figures.max_batch,
+        )
+
+    def _sites_by_place(self):
+        places = [pool.place for pool in self.trace.pools]
+        by_place = {}
+        for here in places:
+            sites = []
+            for place in sorted(places, key=lambda name: name != here):
+                names = tuple(
+                    str(e.number) for e in self.engines if e.place == place
+                )
+                extra_s = 2 * self.trace.link.latency_s
+                extra_s = extra_s if place != here else 0.0
+                sites.append(placement.Site(place, names, extra_s))
+            by_place[here] = sites
+        return by_place
+
+    def _demand(self, work):
+        job = work.job
+        limits = self.trace.slo
+        return placement.Demand(
+            place=job.place,
+            prompt_tokens=job.prompt_tokens,
+            output_tokens=job.output_tokens,
+            prefix=job.prefix,
+            prefix_tokens=job.prefix_tokens,
+            patience_s=limits.first_token_s * PATIENCE_SHARE,
+            gap_s=limits.token_gap_s,
+        )
+
+    def place(self, work, now):
+        placer = self._placers[work.job.instance]
+        sites = self._sites[work.job.place]
+        choice = placer.place(self._demand(work), sites, now)
+        refused = isinstance(choice, placement.Refusal)
+        place = work.job.place
+        tokens = work.job.prompt_tokens
+        if not refused:
+            engine = self._names[choice.prefill]
+            place = engine.place
+            tokens -= choice.hit_tokens
+        # The planner hears of the demand as late as of the loads.
+        self._late.append(
+            (
+                now + self.trace.report_lag_s,
+                place,
+                tokens,
+                work.job.output_tokens,
+            )
+        )
+        if refused:
+            return None
+        decode = int(choice.decode) if choice.decode else -1
+        return Placed(engine.number, decode, self._extra(work, engine))
+
+    def choose_decode(self, work, now):
+        placer = self._placers[work.job.instance]
+        engine = self.engines[work.prefill_runner]
+        site = self._sites[engine.place][0]
+        name = placer.choose_decode(self._demand(work), site, now)
+        if name is not None:
+            return self._names[name]
+        found = self._near(engine.place, settings.Role.DECODE)
+        if not found:
+            return None
+        return min(found, key=lambda e: len(e.waiting) + e.decoding())
+
+    def report(self, instance, number, report):
+        self._beliefs[instance].report(str(number), report)
+
+    def cached(self, instance, number, prefix, tokens):
+        now = self._now
+        prefixes = self._placers[instance].prefixes
+        prefixes.learn(prefix, str(number), tokens, now)
+
+    def dropped(self, instance, number, prefix):
+        self._placers[instance].prefixes.forget(prefix, str(number))
+
+    def failed(self, number, now):
+        for beliefs in self._beliefs:
+            beliefs.failed(str(number), now)
+
+    def hold(self, number, held):
+        for beliefs in self._beliefs:
+            beliefs.get(str(number)).held = held
+
+    def plan(self, now):
+        self._now = now
+        self._hear(now)
+        self._share_rates(now)
+        for pool in self.trace.pools:
+            change = self._plan_pool(pool.place, now)
+            if change is not None:
+                yield int(change.runner), change.role
+
+    def _hear(self, now):
+        kept = []
+        for item in self._late:
+            at, place, prefill, decode = item
+            if at <= now:
+                self._trends[place].add(prefill, decode, at)
+            else:
+                kept.append(item)
+        self._late = kept
+
+    def _share_rates(self, now):
+        """Tells each instance what the others sent, a period ago."""
+        told = self._told_rates
+        total = {}
+        for rates in told:
+            for name, rate in rates.items():
+                total[name] = total.get(name, 0.0) + rate
+        for placer, rates in zip(self._placers, told, strict=True):
+            placer.set_peer_rates(
+                {
+                    name: max(0.0, rate - rates.get(name, 0.0))
+                    for name, rate in total.items()
+                }
+            )
+        self._told_rates = [p.own_rates(now) for p in self._placers]
+
+    def _plan_pool(self, place, now):
+        members = [e for e in self.engines if e.place == place]
+        away = sum(1 for e in members if e.draining_to is not None)
+        beliefs = [self._beliefs[0].get(str(e.number)) for e in members]
+        if any(belief.report is None for belief in beliefs):
+            return None
+        rates = self._trends[place].rates(now)
+        return placement.plan_roles(beliefs, rates, self._policy, away, now)
+
+
+class WinchNominations(Winch):
+    """The same policy with the nominations house's knob."""
+
+    knob = NOMINATIONS_KNOB
+
+
+POLICIES = {
+    'hire': Winch,
+    'nominations': WinchNominations,
+    'static': StaticSplit,
+    'random': RandomChoice,
+    'least_reported': LeastReported,
+    'ideal_shortest': IdealShortest,
+    'greedy': GreedyRoles,
+}
--- /dev/null
+++ b/dandelionwinch/bench/_simulation.py
@@ -0,0 +1,391 @@
+"""Runs one policy over one trace in virtual time."""
+
+import heapq
+import itertools
+import random
+
+import attrs
+
+from dandelionwinch.bench import _bound
+from dandelionwinch.bench import _engine
+from dandelionwinch.bench import _policies
+from dandelionwinch.bench import _trace
+from dandelionwinch import placement
+from dandelionwinch import settings
+from dandelionwinch import utils
+
+REPORT_PERIOD_S = 0.5
+PLAN_PERIOD_S = 1.0
+HANDOVER_S = 0.005
+SAMPLE_PERIOD_S = 10.0
+MAX_ATTEMPTS = 4
+RETRY_S = 0.2
+
+
+@attrs.frozen
+class Sample:
+    """State of the fleet at one time, for plots."""
+
+    at_s: float
+    prefill_runners: int
+    goodput_tokens: float
+    prompt_tokens: float
+    output_tokens: float
+
+
+@attrs.frozen
+class Result:
+    """One line of the bench."""
+
+    trace: str
+    policy: str
+    seed: int
+    jobs: int
+    jobs_in_slo: int
+    goodput_tokens_per_s: float
+    goodput_bound_tokens_per_s: float
+    role_changes: int
+    refused: int
+    first_token_p95_s: float
+    token_gap_p95_s: float
+    busiest_queue: int
+    samples: tuple = ()
+
+
+class Simulation:
+    """An event loop over engines, arrivals, reports and faults."""
+
+    def __init__(self, trace, policy_name, seed):
+        self._trace = trace
+        self._policy_name = policy_name
+        self._seed = seed
+        self._rng = random.Random(seed + 1)
+        self._engines = self._build()
+        policy = _policies.POLICIES[policy_name]
+        self._policy = policy(trace, self._engines, seed + 2)
+        self._events = []
+        self._order = itertools.count()
+        self._now = 0.0
+        self._works = []
+        self._refused = 0
+        self._role_changes = 0
+        self._reports_lost_until = 0.0
+        self._nonsense_until = {}
+        self._samples = []
+        self._sampled_tokens = 0.0
+        self._window = [0.0, 0.0, 0.0]
+
+    def _build(self):
+        engines = []
+        for pool in self._trace.pools:
+            roles = [settings.Role.PREFILL] * pool.prefill
+            roles += [settings.Role.DECODE] * pool.decode
+            roles += [settings.Role.MIXED] * pool.mixed
+            for role in roles:
+                engines.append(
+                    _engine.Engine(
+                        len(engines),
+                        pool.place,
+                        role,
+                        self._trace.runner,
+                        self._trace.slo.token_gap_s,
+                    )
+                )
+        return engines
+
+    def run(self, jobs):
+        """Runs all arrivals to their end and returns a Result."""
+        for job in jobs:
+            self._at(job.arrived, self._arrive, job)
+        for engine in self._engines:
+            self._at(0.0, self._report, engine)
+        self._at(PLAN_PERIOD_S, self._plan)
+        self._at(SAMPLE_PERIOD_S, self._sample)
+        for fault in self._trace.faults:
+            self._at(fault.at_s, self._fault, fault)
+        end = self._trace.duration_s + 120.0
+        while self._events:
+            moment, _order, action, args = heapq.heappop(self._events)
+            if moment > end:
+                break
+            self._now = moment
+            action(*args)
+        return self._result(jobs)
+
+    def _at(self, moment, action, *args):
+        event = (moment, next(self._order), action, args)
+        heapq.heappush(self._events, event)
+
+    def _after(self, delay_s, action, *args):
+        self._at(self._now + delay_s, action, *args)
+
+    def _running(self):
+        return self._now < self._trace.duration_s
+
+    def _arrive(self, job):
+        work = _engine.Work(job, to_decode=job.output_tokens - 1)
+        self._works.append(work)
+        self._window[1] += job.prompt_tokens
+        self._window[2] += job.output_tokens
+        self._place(work)
+
+    def _place(self, work):
+        placed = self._policy.place(work, self._now)
+        if placed is None:
+            self._refused += 1
+            return
+        engine = self._engines[placed.prefill]
+        if not engine.alive or engine.away:
+            self._policy.failed(engine.number, self._now)
+            self._again(work)
+            return
+        self._advance(engine)
+        made = work.job.output_tokens - 1 - work.to_decode
+        hit = engine.cache.hit(work.job.prefix, work.job.prefix_tokens)
+        work.to_prefill = max(1.0, work.job.prompt_tokens + made - hit)
+        work.prefill_runner = engine.number
+        work.decode_runner = placed.decode
+        work.extra_s = placed.extra_s
+        engine.add_prompt(work)
+        self._schedule(engine)
+
+    def _again(self, work):
+        work.attempts += 1
+        if work.attempts < MAX_ATTEMPTS:
+            self._after(RETRY_S, self._place, work)
+
+    def _advance(self, engine):
+        ready, complete = engine.advance(self._now)
+        for work in ready:
+            self._ready(engine, work)
+        for work in complete:
+            self._complete(work)
+
+    def _ready(self, engine, work):
+        job = work.job
+        if work.first_at is None:
+            work.first_at = self._now
+        dropped = engine.cache.add(job.prefix, job.prefix_tokens)
+        self._tell_cache(engine.number, job, dropped)
+        if work.decode_runner == engine.number:
+            engine.add_decode(work)
+            return
+        self._after(HANDOVER_S, self._hand_over, work)
+
+    def _hand_over(self, work):
+        engine = None
+        if work.decode_runner >= 0:
+            engine = self._engines[work.decode_runner]
+        if engine is None or not engine.alive or engine.away:
+            engine = self._policy.choose_decode(work, self._now)
+        if engine is None or not engine.alive:
+            self._again(work)
+            return
+        self._advance(engine)
+        work.decode_runner = engine.number
+        engine.add_decode(work)
+        self._schedule(engine)
+
+    def _complete(self, work):
+        if self._in_slo(work):
+            self._window[0] += work.job.output_tokens
+
+    def _schedule(self, engine):
+        engine.version += 1
+        delay_s = engine.next_event()
+        if delay_s is not None:
+            self._after(delay_s, self._step, engine, engine.version)
+        elif engine.draining_to is not None and not engine.away:
+            self._go_away(engine)
+
+    def _step(self, engine, version):
+        if version != engine.version or not engine.alive:
+            return
+        self._advance(engine)
+        self._schedule(engine)
+
+    def _tell_cache(self, number, job, dropped):
+        lag_s = self._trace.report_lag_s
+        for instance in range(self._trace.instances):
+            if self._rng.random() < self._trace.report_loss:
+                continue
+            self._after(
+                lag_s,
+                self._policy.cached,
+                instance,
+                number,
+                job.prefix,
+                job.prefix_tokens,
+            )
+            for prefix in dropped:
+                self._after(
+                    lag_s, self._policy.dropped, instance, number, prefix
+                )
+
+    def _report(self, engine):
+        if not self._running():
+            return
+        self._after(REPORT_PERIOD_S, self._report, engine)
+        if not engine.alive or self._now < self._reports_lost_until:
+            return
+        self._advance(engine)
+        self._schedule(engine)
+        report = self._report_of(engine)
+        for instance in range(self._trace.instances):
+            if self._rng.random() >= self._trace.report_loss:
+                self._after(
+                    self._trace.report_lag_s,
+                    self._policy.report,
+                    instance,
+                    engine.number,
+                    report,
+                )
+
+    def _report_of(self, engine):
+        running = engine.decoding() + len(engine.waiting)
+        if self._now < self._nonsense_until.get(engine.number, 0.0):
+            running = -1 if self._rng.random() < 0.5 else 10**9
+        return placement.Report(
+            self._now,
+            running,
+            engine.backlog(),
+            engine.kv_used(),
+            engine.role,
+            engine.away,
+        )
+
+    def _plan(self):
+        if not self._running():
+            return
+        self._after(PLAN_PERIOD_S, self._plan)
+        for number, role in list(self._policy.plan(self._now)):
+            engine = self._engines[number]
+            if engine.draining_to is not None or not engine.alive:
+                continue
+            self._role_changes += 1
+            engine.draining_to = role
+            self._policy.hold(number, True)
+            self._advance(engine)
+            self._schedule(engine)
+
+    def _go_away(self, engine):
+        engine.away = True
+        self._after(self._trace.role_change_s, self._come_back, engine)
+
+    def _come_back(self, engine):
+        if engine.draining_to is not None:
+            engine.role = engine.draining_to
+        engine.draining_to = None
+        engine.away = False
+        engine.cache.clear()
+        self._policy.hold(engine.number, False)
+
+    def _fault(self, fault):
+        engine = self._engines[fault.runner]
+        match fault.kind:
+            case 'runner_crash':
+                self._crash(engine)
+                self._after(fault.for_s, self._restart, engine)
+            case 'runner_withdrawn':
+                self._crash(engine)
+            case 'runner_slow':
+                self._set_speed(engine, fault.factor)
+                self._after(fault.for_s, self._set_speed, engine, 1.0)
+            case 'runner_nonsense':
+                end = self._now + fault.for_s
+                self._nonsense_until[engine.number] = end
+            case 'reports_lost':
+                self._reports_lost_until = self._now + fault.for_s
+
+    def _set_speed(self, engine, factor):
+        self._advance(engine)
+        engine.speed = max(0.01, factor)
+        self._schedule(engine)
+
+    def _crash(self, engine):
+        self._advance(engine)
+        engine.version += 1
+        engine.draining_to = None
+        engine.away = False
+        lost = engine.crash()
+        self._policy.failed(engine.number, self._now)
+        self._policy.hold(engine.number, False)
+        for work in lost:
+            self._again(work)
+
+    def _restart(self, engine):
+        engine.advance(self._now)
+        engine.alive = True
+
+    def _in_slo(self, work):
+        if work.first_at is None or work.ended_at is None:
+            return False
+        limits = self._trace.slo
+        return (
+            self._first_s(work) <= limits.first_token_s
+            and _gap_s(work) <= limits.token_gap_s
+        )
+
+    @staticmethod
+    def _first_s(work):
+        return work.first_at - work.job.arrived + work.extra_s
+
+    def _sample(self):
+        if not self._running():
+            return
+        self._after(SAMPLE_PERIOD_S, self._sample)
+        prefill = sum(
+            1
+            for engine in self._engines
+            if engine.alive and engine.role is settings.Role.PREFILL
+        )
+        sample = Sample(self._now, prefill, *self._window)
+        self._samples.append(sample)
+        self._window = [0.0, 0.0, 0.0]
+
+    def _result(self, jobs):
+        good = [work for work in self._works if self._in_slo(work)]
+        ended = [w for w in self._works if w.ended_at is not None]
+        tokens = sum(work.job.output_tokens for work in good)
+        duration_s = self._trace.duration_s
+        firsts = [self._first_s(work) for work in ended]
+        gaps = [_gap_s(work) for work in ended]
+        return Result(
+            trace='',
+            policy=self._policy_name,
+            seed=self._seed,
+            jobs=len(jobs),
+            jobs_in_slo=len(good),
+            goodput_tokens_per_s=round(tokens / duration_s, 2),
+            goodput_bound_tokens_per_s=round(
+                _bound.bound(self._trace, jobs), 2
+            ),
+            role_changes=self._role_changes,
+            refused=self._refused,
+            first_token_p95_s=round(utils.percentile(firsts, 0.95), 4),
+            token_gap_p95_s=round(utils.percentile(gaps, 0.95), 5),
+            busiest_queue=max(e.busiest for e in self._engines),
+            samples=tuple(self._samples),
+        )
+
+
+def _gap_s(work):
+    tokens = max(1, work.job.output_tokens - 1)
+    return (work.ended_at - work.first_at) / tokens
+
+
+def simulate(trace, name, policy, seed):
+    """Runs a policy over a trace.
+
+    Args:
+        trace: The Trace.
+        name: Name of the trace for the result.
+        policy: Name of the policy.
+        seed: Seed of arrivals and of all chance.
+
+    Returns:
+        A Result.
+    """
+    jobs = _trace.arrivals(trace, seed)
+    result = Simulation(trace, policy, seed).run(jobs)
+    return attrs.evolve(result, trace=name)
--- a/dandelionwinch/daemon/_beats.py
+++ b/dandelionwinch/daemon/_beats.py
@@ -6,6 +6,7 @@
 from dandelionwinch import timeline
 
 LOADS_ACROSS_PLACES = 64
+RATES_LIFE_S = 10.0
 
 
 class Beats:
@@ -15,6 +16,7 @@
         self._core = core
         self._unknown = {}
         self.demands = {}
+        self._sent = {}
 
     def runs(self):
         """Returns the coroutines of this task."""
@@ -90,6 +92,7 @@
         )
         for team, rate in core.work.admission.uses(now).items():
             digest.uses.add(team=team, jobs_per_s=rate)
+        sent = core.work.placer.own_rates(now)
         for pool, rates in core.work.demands(now).items():
             digest.demands.add(
                 pool=pool,
@@ -97,6 +100,7 @@
                 short_decode=rates[0][1],
                 prefill=rates[1][0],
                 decode=rates[1][1],
+                sent=sent.get(pool, 0.0),
             )
         stamp = core.hybrid.now()
         digest.physical_us = stamp.physical_us
@@ -119,10 +123,21 @@
         uses = {item.team: item.jobs_per_s for item in digest.uses}
         core.work.admission.peer_uses(digest.sender.name, uses, now)
         self.demands[digest.sender.name] = (now, _rates_of(digest))
+        sent = {item.pool: item.sent for item in digest.demands}
+        self._sent[digest.sender.name] = (now, sent)
         if digest.revision > core.documents.revision:
             address = digest.sender.peer_address
             await core.settings.fetch_from(address)
 
+    def peer_rates(self, now):
+        """Returns what peers sent of late, in tokens per second by pool."""
+        total = {}
+        for at, sent in self._sent.values():
+            if now - at < RATES_LIFE_S:
+                for pool, rate in sent.items():
+                    total[pool] = total.get(pool, 0.0) + rate
+        return total
+
     async def answer(self, digest):
         """Answers a peer's digest with the own one."""
         await self.take(digest.sender.peer_address, digest)
--- a/dandelionwinch/daemon/_core.py
+++ b/dandelionwinch/daemon/_core.py
@@ -139,11 +139,14 @@
         self.event('instance.started', self.name)
 
     def _wait(self, coroutine, timeout_s):
-        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        fut = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        return self._result(fut, timeout_s)
+
+    def _result(self, fut, timeout_s):
         try:
-            return future.result(timeout_s)
+            return fut.result(timeout_s)
         except concurrent.futures.TimeoutError:
-            future.cancel()
+            fut.cancel()
             raise errors.DeadlinePassed(
                 f'instance "{self.name}" did not answer itself in '
                 f'{timeout_s:g} s'
@@ -155,9 +158,26 @@
         Raises:
             DandelionwinchError: As the handling of the message decides.
         """
-        return self._wait(self._handle(message), timeout_s)
-
-    async def _handle(self, message):
+        fut = concurrent.futures.Future()
+        self._loop.call_soon_threadsafe(self._dispatch, message, fut)
+        return self._result(fut, timeout_s)
+
+    def _dispatch(self, message, fut):
+        """Answers a message; only slow ones become a task."""
+        if fut.cancelled():
+            return
+        try:
+            reply = self._handle(message)
+        except Exception as exc:
+            fut.set_exception(exc)
+            return
+        if not asyncio.iscoroutine(reply):
+            fut.set_result(reply)
+            return
+        task = asyncio.ensure_future(reply)
+        task.add_done_callback(lambda done: _hand_over(done, fut))
+
+    def _handle(self, message):
         match message:
             case messages.Admit():
                 return self.work.admit(message)
@@ -172,13 +192,13 @@
             case messages.Finish():
                 return self.work.finish(message)
             case messages.OpenClaim(opening=opening):
-                return await self.claims.open(opening)
+                return self.claims.open(opening)
             case messages.CloseClaim(close=close):
-                return await self.claims.close_claim(close)
+                return self.claims.close_claim(close)
             case messages.FindAddress(place=place, team=team):
                 return self.find_address(place, team)
             case messages.Ask(text=text):
-                return await self.operators.ask(text)
+                return self.operators.ask(text)
             case messages.Health():
                 return self.unready_reason()
         raise TypeError(f'"{message!r}" is not a message of the core')
@@ -305,8 +325,20 @@
         await self.peers.close()
 
 
+def _hand_over(task, fut):
+    """Gives a task's outcome to the thread that waits for it."""
+    if fut.cancelled():
+        return
+    if task.cancelled():
+        fut.cancel()
+    elif task.exception() is not None:
+        fut.set_exception(task.exception())
+    else:
+        fut.set_result(task.result())
+
+
 async def _guard(run):
-    """Restarts nothing: logs what ended a task and lets it end."""
+    """Logs what ended a task before the task ends."""
     try:
         await run
     except asyncio.CancelledError:
--- a/dandelionwinch/daemon/_earnings.py
+++ b/dandelionwinch/daemon/_earnings.py
@@ -3,6 +3,8 @@
 from dandelionwinch.daemon import _periodic
 from dandelionwinch import earnings
 
+DUE_SHARE = 0.9
+
 
 class Earnings:
     """Owns the ledger of this process."""
@@ -10,16 +12,27 @@
     def __init__(self, core):
         self._core = core
         self.ledger = earnings.Ledger(core.name, core.incarnation)
+        self._written_at = float('-inf')
 
     def runs(self):
         """Returns the coroutines of this task."""
         period_s = self._core.cfg.timing.earnings_s
-        yield _periodic.every(period_s, self.write, self._core.rng)
+        yield _periodic.every(period_s, self._write_if_due, self._core.rng)
 
     def book(self, record, tokens):
         """Books a job whose whole answer reached its clerk."""
         self.ledger.book(record.id, record.team, tokens)
 
+    async def _write_if_due(self):
+        core = self._core
+        now = core.now()
+        period_s = earnings.write_period(
+            core.cfg.timing.earnings_s, len(core.members.live(now))
+        )
+        if now - self._written_at >= period_s * DUE_SHARE:
+            self._written_at = now
+            await self.write()
+
     async def write(self):
         """Writes the totals if they changed."""
         await self._core.run(self.ledger.write())
--- a/dandelionwinch/daemon/_work.py
+++ b/dandelionwinch/daemon/_work.py
@@ -86,9 +86,10 @@
             gap_s=model.token_gap_s,
             exclude=message.exclude,
         )
-        self.placer.set_instances(len(core.members.usable(now)))
+        self.placer.set_peer_rates(core.beats.peer_rates(now))
         choice = self.placer.place(demand, self._sites(pools), now)
         if isinstance(choice, placement.Refusal):
+            self._add_demand(pools, job, now)
             raise errors.NoRunner(
                 choice.reason, retry_after_s=choice.retry_after_s
             )
@@ -128,15 +129,23 @@
                 f'"{choice.decode}": {choice.terms}'
             )
         runner = self._core.catalog.get('runner', choice.prefill)
-        trend = self.trends.setdefault(
-            runner.pool, placement.Trend(self._horizon(runner))
-        )
-        trend.add(job.prompt_tokens - choice.hit_tokens, job.max_tokens, now)
+        pool = self._core.catalog.get('pool', runner.pool)
+        tokens = job.prompt_tokens - choice.hit_tokens
+        self._trend(pool).add(tokens, job.max_tokens, now)
         self._core.event('job.placed', message.job_id, choice.decode)
 
-    def _horizon(self, runner):
-        pool = self._core.catalog.get('pool', runner.pool)
-        return self._core.catalog.policy_of(pool).horizon_s / 2
+    def _trend(self, pool):
+        trend = self.trends.get(pool.name)
+        if trend is None:
+            horizon_s = self._core.catalog.policy_of(pool).horizon_s
+            trend = self.trends[pool.name] = placement.Trend(horizon_s / 2)
+        return trend
+
+    def _add_demand(self, pools, job, now):
+        """Counts a refused job where it would have run."""
+        near = [p for p in pools if p.place == self._core.place] or pools
+        if near:
+            self._trend(near[0]).add(job.prompt_tokens, job.max_tokens, now)
 
     def _placed(self, choice, model):
         catalog = self._core.catalog
--- a/dandelionwinch/earnings/__init__.py
+++ b/dandelionwinch/earnings/__init__.py
@@ -3,5 +3,6 @@
 from dandelionwinch.earnings._ledger import Ledger
 from dandelionwinch.earnings._ledger import ledger_key
 from dandelionwinch.earnings._ledger import Total
+from dandelionwinch.earnings._ledger import write_period
 
-__all__ = ['Ledger', 'Total', 'ledger_key']
+__all__ = ['Ledger', 'Total', 'ledger_key', 'write_period']
--- a/dandelionwinch/earnings/_ledger.py
+++ b/dandelionwinch/earnings/_ledger.py
@@ -12,6 +12,7 @@
 from dandelionwinch import effects
 
 BOOKED_KEPT = 4096
+WRITES_PER_S = 20.0
 
 
 @attrs.frozen
@@ -32,6 +33,15 @@
     return f'earnings/{instance}/{incarnation}'
 
 
+def write_period(least_s, instances):
+    """Returns how often an instance writes its totals.
+
+    The period grows with the number of instances, so that all of them
+    together write at a rate that stays the same.
+    """
+    return max(least_s, instances / WRITES_PER_S)
+
+
 class Ledger:
     """Running totals of one process, and what is not yet written.
 
--- a/dandelionwinch/orders/__init__.py
+++ b/dandelionwinch/orders/__init__.py
@@ -3,6 +3,7 @@
 from dandelionwinch.orders._authority import Authority
 from dandelionwinch.orders._authority import Lost
 from dandelionwinch.orders._authority import Owned
+from dandelionwinch.orders._authority import STEPS_PER_LEASE
 from dandelionwinch.orders._authority import Waiting
 from dandelionwinch.orders._conduct import Conductor
 from dandelionwinch.orders._conduct import Hold
@@ -34,6 +35,7 @@
     'PollRunner',
     'Progress',
     'ReleaseHold',
+    'STEPS_PER_LEASE',
     'SendOrder',
     'Shard',
     'Status',
--- a/dandelionwinch/orders/_authority.py
+++ b/dandelionwinch/orders/_authority.py
@@ -6,6 +6,7 @@
 from dandelionwinch.orders import _shard
 
 MAX_ATTEMPTS = 4
+STEPS_PER_LEASE = 3
 
 
 @attrs.frozen
@@ -107,6 +108,10 @@
             Owned, Waiting or Lost.
         """
         held_before = self.shard is not None
+        if held_before and not self._releasing:
+            renewed = yield from self._renew()
+            if renewed:
+                return Owned(self.shard, self._deadline)
         for _attempt in range(MAX_ATTEMPTS):
             clock = yield effects.Clock()
             reply = yield effects.Read(self._store_key)
@@ -149,6 +154,15 @@
         clock = yield effects.Clock()
         return self._unreached(clock.now)
 
+    def _renew(self):
+        """Renews by the revision last written, without a read."""
+        shard = self.shard
+        renewals = shard.renewals + 1
+        reply = yield from self._write(
+            attrs.evolve(shard, renewals=renewals), self.revision
+        )
+        return isinstance(reply, effects.Committed)
+
     def _is_mine(self, shard):
         return (
             not shard.released
--- a/dandelionwinch/placement/_beliefs.py
+++ b/dandelionwinch/placement/_beliefs.py
@@ -10,6 +10,7 @@
 LONGEST_QUARANTINE_S = 15.0
 CHUNK_EFFICIENCY = 0.8
 GAP_MARGIN = 0.95
+BATCH_MARGIN = 0.9
 NONSENSE_FACTOR = 20
 SENT_KEPT = 512
 
@@ -53,9 +54,9 @@
     kv_capacity: int
     max_batch: int
     report: Report | None = None
-    sent: collections.deque = attrs.field(
-        factory=lambda: collections.deque(maxlen=SENT_KEPT)
-    )
+    sent: collections.deque = attrs.field(factory=collections.deque)
+    sent_decodes: int = 0
+    sent_kv_tokens: float = 0.0
     quarantined_until: float = float('-inf')
     failures: int = 0
     held: bool = False
@@ -65,39 +66,73 @@
         away = self.report is not None and self.report.away
         return not (self.held or away or now < self.quarantined_until)
 
-    def backlog(self, now, rate):
-        """Returns prompt tokens that wait here, by a fluid model."""
+    def note_sent(self, item):
+        """Notes work that was sent here."""
+        if len(self.sent) >= SENT_KEPT:
+            self._drop_oldest()
+        self.sent.append(item)
+        self.sent_decodes += item.decodes
+        self.sent_kv_tokens += item.kv_tokens
+
+    def _drop_oldest(self):
+        item = self.sent.popleft()
+        self.sent_decodes -= item.decodes
+        self.sent_kv_tokens -= item.kv_tokens
+
+    def note_report(self, report):
+        """Takes a report; what was sent before it is part of it."""
+        self.report = report
+        self.role = report.role
+        self.failures = 0
+        while self.sent and self.sent[0].at <= report.made_at:
+            self._drop_oldest()
+
+    def backlog(self, now, rate, inflow=0.0):
+        """Returns prompt tokens that wait here, by a fluid model.
+
+        Args:
+            now: Time in seconds.
+            rate: Tokens per second that the runner takes off.
+            inflow: Tokens per second that others have sent since the
+                last report.
+        """
         tokens = 0.0
         last = now
         if self.report is not None:
             tokens = self.report.waiting_tokens
             last = self.report.made_at
         elif self.sent:
-            last = self.sent[0].at
+            last = min(now, self.sent[0].at)
+        net = rate - inflow
         for item in self.sent:
-            tokens = max(0.0, tokens - rate * (item.at - last))
+            if not item.prefill_tokens:
+                continue
+            tokens = max(0.0, tokens - net * (item.at - last))
             tokens += item.prefill_tokens
             last = item.at
-        return max(0.0, tokens - rate * (now - last))
+        return max(0.0, tokens - net * (now - last))
 
     def decoding(self):
         """Returns the number of jobs that decode here."""
         known = self.report.running if self.report else 0
-        return known + sum(1 for item in self.sent if item.decodes)
+        return known + self.sent_decodes
 
     def kv_used(self):
         """Returns the tokens held in the KV cache."""
         known = self.report.kv_tokens if self.report else 0.0
-        return known + sum(item.kv_tokens for item in self.sent)
+        return known + self.sent_kv_tokens
 
     def chunk_share(self, gap_s):
-        """Returns the share of time that decoding leaves to prefill.
+        """Returns the share of time that it should give to prompts.
+
+        A batch that fills up needs its runner's time for itself, and a
+        prompt taken in then would slow more answers than it starts.
 
         Args:
             gap_s: Longest allowed time between tokens.
         """
-        needed = self.decoding() / (self.decode_rate * gap_s * GAP_MARGIN)
-        return min(1.0, max(0.0, 1.0 - needed))
+        slots = max(1, self.slots(gap_s))
+        return min(1.0, max(0.0, 1.0 - self.decoding() / slots))
 
     def prefill_speed(self, gap_s):
         """Returns the prompt tokens per second that it can prefill."""
@@ -108,8 +143,8 @@
 
     def slots(self, gap_s):
         """Returns how many jobs can decode here within the gap."""
-        by_gap = int(self.decode_rate * gap_s * GAP_MARGIN)
-        return min(self.max_batch, by_gap)
+        by_gap = self.decode_rate * gap_s * GAP_MARGIN
+        return int(min(self.max_batch * BATCH_MARGIN, by_gap))
 
 
 class Beliefs:
@@ -133,6 +168,8 @@
             if held is not None:
                 runner.report = held.report
                 runner.sent = held.sent
+                runner.sent_decodes = held.sent_decodes
+                runner.sent_kv_tokens = held.sent_kv_tokens
                 runner.quarantined_until = held.quarantined_until
                 runner.failures = held.failures
                 runner.held = held.held
@@ -163,18 +200,14 @@
             return False
         if belief.report and report.made_at <= belief.report.made_at:
             return False
-        belief.report = report
-        belief.role = report.role
-        belief.failures = 0
-        while belief.sent and belief.sent[0].at <= report.made_at:
-            belief.sent.popleft()
+        belief.note_report(report)
         return True
 
     def sent(self, name, now, prefill_tokens, kv_tokens, decodes):
         """Notes work that was sent to a runner."""
         belief = self._by_name.get(name)
         if belief is not None:
-            belief.sent.append(_Sent(now, prefill_tokens, kv_tokens, decodes))
+            belief.note_sent(_Sent(now, prefill_tokens, kv_tokens, decodes))
 
     def failed(self, name, now):
         """Notes a failure; the runner is left alone for a while."""
--- a/dandelionwinch/placement/_placer.py
+++ b/dandelionwinch/placement/_placer.py
@@ -4,12 +4,16 @@
 
 from dandelionwinch.placement import _filling
 from dandelionwinch.placement import _prefixes
+from dandelionwinch.placement import _trend
 from dandelionwinch import settings
 
 MAX_CANDIDATES = 16
 HANDOVER_S = 0.005
 LEAST_SPEED_SHARE = 0.05
-RATE_SPAN_S = 10.0
+RATE_SPAN_S = 5.0
+MEAN_SHARE = 0.05
+LEAST_SHARE = 0.02
+CHUNK_WEIGHT = 0.05
 
 
 @attrs.frozen
@@ -98,9 +102,10 @@
 
     __slots__ = (
         '_beliefs',
-        '_instances',
-        '_rate_at',
-        '_rate_tokens',
+        '_mean_output',
+        '_mean_tokens',
+        '_own',
+        '_peers',
         '_rng',
         'prefixes',
     )
@@ -108,14 +113,23 @@
     def __init__(self, beliefs, rng):
         self._beliefs = beliefs
         self._rng = rng
-        self._instances = 1
-        self._rate_tokens = 0.0
-        self._rate_at = None
+        self._own = {}
+        self._peers = {}
+        self._mean_tokens = 1000.0
+        self._mean_output = 200.0
         self.prefixes = _prefixes.Prefixes()
 
-    def set_instances(self, count):
-        """Notes how many instances place on the same runners."""
-        self._instances = max(1, count)
+    def set_peer_rates(self, rates):
+        """Notes what all other instances send together.
+
+        Args:
+            rates: Prompt tokens per second by name of the site.
+        """
+        self._peers = rates
+
+    def own_rates(self, now):
+        """Returns prompt tokens per second sent from here by site."""
+        return {name: rate.read(now) for name, rate in self._own.items()}
 
     def place(self, demand, sites, now):
         """Chooses the runners of a job.
@@ -152,18 +166,29 @@
 
     def _best_of(self, site, demand, hits, now):
         usable = self._usable(site, demand, now)
-        decoders = [b for b in usable if self._has_room(b, demand)]
+        share = self._share(site, now)
+        decoders = [b for b in usable if self._has_room(b, demand, share, now)]
         if not decoders:
             return None
-        options = [
-            self._option(belief, demand, hits, site, now)
+        takers = [
+            (belief, belief.prefill_speed(demand.gap_s))
             for belief in usable
             if belief.role is settings.Role.PREFILL or belief in decoders
         ]
-        options = [option for option in options if option is not None]
-        if not options:
+        takers = [
+            (belief, speed)
+            for belief, speed in takers
+            if speed >= LEAST_SPEED_SHARE * belief.prefill_rate
+        ]
+        if not takers:
             return None
-        return self._draw(options, now)
+        arriving = self._peers.get(site.name, 0.0)
+        arriving /= sum(speed for _belief, speed in takers)
+        options = [
+            self._option(belief, speed, arriving, demand, hits, site, now)
+            for belief, speed in takers
+        ]
+        return self._draw(options, self._peers.get(site.name, 0.0), now)
 
     def _usable(self, site, demand, now):
         names = site.runners
@@ -178,34 +203,47 @@
             and belief.usable(now)
         ]
 
-    @staticmethod
-    def _has_room(belief, demand):
+    def _share(self, site, now):
+        """Returns this instance's share of what all send to a site."""
+        rate = self._own.get(site.name)
+        own = rate.read(now) if rate is not None else 0.0
+        peers = self._peers.get(site.name, 0.0)
+        if peers <= 0:
+            return 1.0
+        return max(LEAST_SHARE, own / (own + peers))
+
+    def _has_room(self, belief, demand, share, now):
+        """Tells whether this instance may add a job to a batch.
+
+        All instances see the same free places. Each takes its share of
+        them, and of those that answers leave until the next report.
+        """
         if belief.role is settings.Role.PREFILL:
             return False
         tokens = demand.prompt_tokens + demand.output_tokens
-        return (
-            belief.decoding() < belief.slots(demand.gap_s)
-            and belief.kv_used() + tokens <= belief.kv_capacity
-        )
+        if belief.kv_used() + tokens > belief.kv_capacity:
+            return False
+        running, age_s = 0, 0.0
+        if belief.report is not None:
+            running = belief.report.running
+            age_s = max(0.0, now - belief.report.made_at)
+        free = belief.slots(demand.gap_s) - running
+        free += age_s * belief.decode_rate / self._mean_output
+        return belief.sent_decodes + self._rng.random() < share * free
 
     @staticmethod
-    def _option(belief, demand, hits, site, now):
-        speed = belief.prefill_speed(demand.gap_s)
-        if speed < LEAST_SPEED_SHARE * belief.prefill_rate:
-            return None
+    def _option(belief, speed, arriving, demand, hits, site, now):
         hit = min(hits.get(belief.name, 0.0), demand.prefix_tokens)
-        wait_s = belief.backlog(now, speed) / speed
+        backlog = belief.backlog(now, speed, arriving * speed)
+        wait_s = backlog / speed
         own_s = (demand.prompt_tokens - hit) / speed
         return _Option(belief, wait_s, own_s, speed, hit, site.extra_s)
 
-    def _draw(self, options, now):
-        picture_age_s = self._picture_age(options, now)
-        others = (self._instances - 1) / self._instances
-        arrivals = self._rate(now) * self._instances * others
+    def _draw(self, options, arriving, now):
         index = _filling.choose_filling(
             [option.wait_s + option.own_s for option in options],
             [option.speed for option in options],
-            arrivals * picture_age_s,
+            arriving * self._picture_age([o.belief for o in options], now),
             self._rng,
         )
         drawn = options[index]
@@ -217,27 +255,14 @@
         return drawn
 
     @staticmethod
-    def _picture_age(options, now):
+    def _picture_age(beliefs, now):
         ages = [
-            now - option.belief.report.made_at
-            for option in options
-            if option.belief.report is not None
+            now - belief.report.made_at
+            for belief in beliefs
+            if belief.report is not None
         ]
         return sum(ages) / len(ages) if ages else 1.0
 
-    def _rate(self, now):
-        if self._rate_at is None:
-            return 0.0
-        kept = max(0.0, 1 - (now - self._rate_at) / RATE_SPAN_S)
-        return self._rate_tokens * kept / RATE_SPAN_S
-
-    def _count(self, tokens, now):
-        if self._rate_at is None:
-            self._rate_at = now
-        kept = max(0.0, 1 - (now - self._rate_at) / RATE_SPAN_S)
-        self._rate_tokens = self._rate_tokens * kept + tokens
-        self._rate_at = now
-
     def _commit(self, option, demand, now, sites):
         belief = option.belief
         stays = belief.role is not settings.Role.PREFILL
@@ -246,7 +271,7 @@
         self._beliefs.sent(
             belief.name, now, tokens, kv_tokens if stays else 0.0, stays
         )
-        self._count(tokens, now)
+        self._note_own(option, demand, sites, tokens, now)
         self.prefixes.learn(
             demand.prefix, belief.name, demand.prefix_tokens, now
         )
@@ -254,7 +279,7 @@
         first_s = option.total_s
         if not stays:
             site = next(s for s in sites if belief.name in s.runners)
-            decode = self.choose_decode(demand, site, now) or ''
+            decode = self.choose_decode(demand, site, now, first_s) or ''
             first_s += HANDOVER_S
         terms = (
             f'wait {option.wait_s:.3f} s, prefill {option.own_s:.3f} s, '
@@ -264,29 +289,55 @@
         )
         return Choice(belief.name, decode, first_s, option.hit, terms)
 
-    def choose_decode(self, demand, site, now):
+    def _note_own(self, option, demand, sites, tokens, now):
+        name = option.belief.name
+        site = next(site for site in sites if name in site.runners)
+        rate = self._own.get(site.name)
+        if rate is None:
+            rate = self._own[site.name] = _trend.Average(RATE_SPAN_S)
+        rate.add(tokens, now)
+        output = demand.output_tokens
+        self._mean_output += MEAN_SHARE * (output - self._mean_output)
+        self._mean_tokens += MEAN_SHARE * (tokens - self._mean_tokens)
+        self._mean_tokens = max(1.0, self._mean_tokens)
+
+    def choose_decode(self, demand, site, now, delay_s=0.0):
         """Chooses the runner that imports a prefilled prompt.
 
+        Args:
+            demand: What the job asks for.
+            site: Where it is prefilled.
+            now: Time in seconds.
+            delay_s: Seconds until the prompt is ready.
+
         Returns:
             Name of the runner, or None if none has room.
         """
+        share = self._share(site, now)
         room = [
             belief
             for belief in self._usable(site, demand, now)
-            if self._has_room(belief, demand)
+            if self._has_room(belief, demand, share, now)
         ]
         if not room:
             return None
-        gaps = [(b.decoding() + 1) / b.decode_rate for b in room]
-        busy = [b.backlog(now, b.prefill_rate) for b in room]
-        levels = [
-            gap + tokens / belief.prefill_rate
-            for gap, tokens, belief in zip(gaps, busy, room, strict=True)
-        ]
+        jobs_per_s = self._peers.get(site.name, 0.0) / self._mean_tokens
         index = _filling.choose_filling(
-            levels, [b.decode_rate for b in room], 0.0, self._rng
+            [self._decode_level(belief, now) for belief in room],
+            [belief.decode_rate for belief in room],
+            jobs_per_s * self._picture_age(room, now),
+            self._rng,
         )
         chosen = room[index]
         tokens = demand.prompt_tokens + demand.output_tokens
-        self._beliefs.sent(chosen.name, now, 0.0, tokens, True)
+        self._beliefs.sent(chosen.name, now + delay_s, 0.0, tokens, True)
         return chosen.name
+
+    @staticmethod
+    def _decode_level(belief, now):
+        """Returns the time between tokens, and what its prompts add."""
+        busy_s = belief.backlog(now, belief.prefill_rate)
+        busy_s /= belief.prefill_rate
+        return (belief.decoding() + 1) / belief.decode_rate + (
+            CHUNK_WEIGHT * busy_s
+        )
--- a/dandelionwinch/placement/_trend.py
+++ b/dandelionwinch/placement/_trend.py
@@ -8,7 +8,9 @@
 
 
 @attrs.define
-class _Average:
+class Average:
+    """An exponentially fading rate."""
+
     span_s: float
     value: float = 0.0
     at: float | None = None
@@ -38,8 +40,8 @@
 
     def __init__(self, long_span_s):
         spans = (SHORT_SPAN_S, long_span_s)
-        self._prefill = [_Average(span) for span in spans]
-        self._decode = [_Average(span) for span in spans]
+        self._prefill = [Average(span) for span in spans]
+        self._decode = [Average(span) for span in spans]
 
     def add(self, prefill_tokens, decode_tokens, now):
         """Notes a job's demand."""
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -236,7 +236,8 @@
     type=click.Choice(['prefill', 'decode', 'mixed']),
 )
 @click.option('--ignores-fencing', is_flag=True)
-def stand_in_runner(listen, model, role, ignores_fencing):
+@click.option('--decode-tokens-per-s', default=500.0, show_default=True)
+def stand_in_runner(listen, model, role, ignores_fencing, decode_tokens_per_s):
     """Start a stand-in of a model engine."""
     cfg = settings.Runner(
         name='stand-in',
@@ -244,7 +245,7 @@
         address='127.0.0.1:1',
         role=settings.Role(role),
         checks_fencing=not ignores_fencing,
-        decode_tokens_per_s=500.0,
+        decode_tokens_per_s=decode_tokens_per_s,
     )
     _serve(runner.RunnerServer(cfg, model, listen), 'runner')
 
--- a/dandelionwinch/tools/demo_fleet.py
+++ b/dandelionwinch/tools/demo_fleet.py
@@ -4,7 +4,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +20,7 @@
 from dandelionwinch.standins import runner
 from dandelionwinch.standins import service
 from dandelionwinch.standins import store
+from dandelionwinch import utils
 
 INSTANCES_PER_PLACE = 2
 READY_TIMEOUT_S = 30.0
@@ -104,7 +104,7 @@
         return path
 
     def _prepare(self, place, number, catalog_path):
-        addresses = [f'127.0.0.1:{port}' for port in _free_ports(3)]
+        addresses = [f'127.0.0.1:{port}' for port in utils.free_ports(3)]
         cfg = settings.InstanceSettings(
             name=f'{place.name.lower()}-{number + 1}',
             place=place.name,
@@ -205,14 +205,3 @@
     def cleanup(self):
         """Removes the settings and logs."""
         shutil.rmtree(self.folder)
-
-
-def _free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
--- a/dandelionwinch/utils.py
+++ b/dandelionwinch/utils.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 import re
+import socket
 
 _DIGEST_BYTES = 8
 _WORDS = re.compile(r'\S+')
@@ -67,3 +68,15 @@
     ranked = sorted(values)
     rank = max(0, math.ceil(share * len(ranked)) - 1)
     return ranked[rank]
+
+
+def free_ports(count):
+    """Returns ports of the loopback address that nobody uses now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for item in sockets:
+            item.bind(('127.0.0.1', 0))
+        return [item.getsockname()[1] for item in sockets]
+    finally:
+        for item in sockets:
+            item.close()
