--- a/dandelionwinch/daemon/_work.py
+++ b/dandelionwinch/daemon/_work.py
@@ -175,10 +175,13 @@
             for runner in core.catalog.runners_of(pool.name):
                 if runner.state is not settings.RunnerState.ACTIVE:
                     continue
-                if core.loads.is_resting(runner.name, now):
+                if core.loads.is_held(runner.name):
                     continue
+                # One that failed of late is a last resort, not ruled out.
+                resting = core.loads.is_resting(runner.name, now)
                 spread = zlib.crc32(f'{message.job_id}{runner.name}'.encode())
-                found.append(((pool.place != core.place, spread), runner))
+                rank = (resting, pool.place != core.place, spread)
+                found.append((rank, runner))
         if not found:
             raise errors.NoRunner(
                 f'no runner of service "{service.name}" takes work',
--- a/dandelionwinch/placement/_beliefs.py
+++ b/dandelionwinch/placement/_beliefs.py
@@ -63,8 +63,12 @@
 
     def usable(self, now):
         """Tells whether new work may be placed here."""
+        return self.allowed() and now >= self.quarantined_until
+
+    def allowed(self):
+        """Tells whether it may get work, though it failed of late."""
         away = self.report is not None and self.report.away
-        return not (self.held or away or now < self.quarantined_until)
+        return not (self.held or away)
 
     def note_sent(self, item):
         """Notes work that was sent here."""
--- a/dandelionwinch/placement/_placer.py
+++ b/dandelionwinch/placement/_placer.py
@@ -194,14 +194,17 @@
         names = site.runners
         if len(names) > MAX_CANDIDATES:
             names = self._rng.sample(names, MAX_CANDIDATES)
-        beliefs = (self._beliefs.get(name) for name in names)
-        return [
+        found = [self._beliefs.get(name) for name in names]
+        allowed = [
             belief
-            for belief in beliefs
+            for belief in found
             if belief is not None
             and belief.name not in demand.exclude
-            and belief.usable(now)
+            and belief.allowed()
         ]
+        # Runners that failed of late are a last resort.
+        usable = [b for b in allowed if now >= b.quarantined_until]
+        return usable or allowed
 
     def _share(self, site, now):
         """Returns this instance's share of what all send to a site."""
--- a/dandelionwinch/readers.py
+++ b/dandelionwinch/readers.py
@@ -3,7 +3,9 @@
 import functools
 import operator
 import pathlib
+import typing
 
+import attrs
 import cattrs
 from cattrs import errors as cattrs_errors
 import yaml
@@ -72,14 +74,46 @@
     try:
         return CONVERTER.structure(raw, kind)
     except cattrs_errors.ClassValidationError as exc:
-        findings = []
+        found = dict(_broken_rules(raw, kind, '$'))
         for text in cattrs.transform_error(exc, format_exception=_explain):
             message, _, path = text.rpartition(' @ ')
-            line = _line_of(path, lines or {})
-            findings.append(errors.Finding(file, line, path, message))
+            # A rule's message comes again for the object as a whole.
+            if message not in found.values():
+                found.setdefault(path, message)
+        findings = [
+            errors.Finding(file, _line_of(path, lines or {}), path, message)
+            for path, message in found.items()
+        ]
         raise errors.SettingsInvalid(findings) from exc
 
 
+def _broken_rules(raw, kind, path):
+    """Yields the path and message of each value that breaks a rule.
+
+    The class itself stops at the first broken rule.
+    """
+    if not isinstance(raw, dict) or not attrs.has(kind):
+        return
+    for field in attrs.fields(attrs.resolve_types(kind)):
+        if field.name not in raw:
+            continue
+        value, where = raw[field.name], f'{path}.{field.name}'
+        inner = typing.get_args(field.type)
+        if isinstance(value, list) and inner:
+            for index, item in enumerate(value):
+                yield from _broken_rules(item, inner[0], f'{where}[{index}]')
+        yield from _broken_rules(value, field.type, where)
+        if field.validator is None or attrs.has(field.type):
+            continue
+        try:
+            field.validator(None, field, value)
+        except ValueError as exc:
+            yield where, str(exc.args[0])
+        except (TypeError, AttributeError):
+            # The wrong type is reported by the structuring itself.
+            continue
+
+
 def _line_of(path, lines):
     while path and path not in lines:
         cut = max(path.rfind('.'), path.rfind('['))
--- a/dandelionwinch/standins/runner.py
+++ b/dandelionwinch/standins/runner.py
@@ -1,6 +1,7 @@
 """A stand-in of a model engine with an OpenAI-style interface."""
 
 import json
+import threading
 import time
 
 from dandelionwinch.standins import engine
@@ -19,11 +20,12 @@
         silent_streams: Streams that are yet to fall silent for good.
     """
 
-    __slots__ = ('_web', 'engine', 'silent_streams')
+    __slots__ = ('_closing', '_web', 'engine', 'silent_streams')
 
     def __init__(self, cfg, model, listen='127.0.0.1:0', role_change_s=2.0):
         self.engine = engine.Engine(cfg, model, role_change_s)
         self.silent_streams = 0
+        self._closing = threading.Event()
         self._web = web.WebServer(self._handle, listen)
 
     @property
@@ -37,6 +39,7 @@
 
     def close(self):
         """Stops serving."""
+        self._closing.set()
         self._web.close()
 
     def _handle(self, req):
@@ -118,7 +121,7 @@
             self._wait_until(made, made.at(index))
             offset = index - made.first
             if silent and offset == job.resumes + SILENT_AFTER:
-                time.sleep(SILENCE_S)
+                self._closing.wait(SILENCE_S)
                 return
             word = engine.word_at(made.prompt, index)
             yield _event(offset, _choice(word, None, job))
--- /dev/null
+++ b/dandelionwinch/tests/conftest.py
@@ -0,0 +1,34 @@
+"""Fixtures that several test modules share."""
+
+import pytest
+
+from dandelionwinch.tests import world as world_module
+
+
+@pytest.fixture(scope='module')
+def shared_world(tmp_path_factory):
+    made = world_module.World()
+    made.start(tmp_path_factory.mktemp('world'))
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def world(shared_world):
+    """The shared instance, with all faults taken back afterwards."""
+    yield shared_world
+    shared_world.store.down = False
+    shared_world.store.lose_answers = 0
+    shared_world.service.lose_answers = 0
+    shared_world.service.alive = True
+    for server in shared_world.runners:
+        server.silent_streams = 0
+        if not server.engine.alive:
+            server.engine.restart()
+    core = shared_world.entry.core
+    world_module.wait_until(
+        lambda: all(
+            belief.usable(core.now()) for belief in core.work.beliefs.all()
+        ),
+        'all runners usable again',
+    )
--- /dev/null
+++ b/dandelionwinch/tests/test_contracts.py
@@ -0,0 +1,223 @@
+"""What any store, list, runner or service adapter has to do."""
+
+import attrs
+import pytest
+
+from dandelionwinch.adapters import connections
+from dandelionwinch.adapters import endpointslices
+from dandelionwinch.adapters import etcd
+from dandelionwinch.adapters import runner as runner_adapter
+from dandelionwinch.adapters import service as service_adapter
+from dandelionwinch import effects
+from dandelionwinch import settings
+from dandelionwinch.standins import livelist
+from dandelionwinch.standins import runner
+from dandelionwinch.standins import service
+from dandelionwinch.standins import store
+from dandelionwinch import utils
+
+IDLE_S = 20.0
+
+
+@pytest.fixture
+def server():
+    made = store.StoreServer()
+    made.start()
+    yield made
+    made.close()
+
+
+@pytest.fixture(params=['memory', 'etcd'])
+def any_store(request, server):
+    if request.param == 'memory':
+        return server.store
+    return _etcd(server.address)
+
+
+def _etcd(address):
+    cfg = settings.StoreSettings(endpoints=[address], timeout_s=5.0)
+    return etcd.EtcdStore(cfg, IDLE_S)
+
+
+def _put(key, value, revision=0):
+    return effects.Commit(
+        (effects.Guard(key, revision),), (effects.Put(key, value),)
+    )
+
+
+def test_absent_key(any_store):
+    reply = any_store.execute(effects.Read('none'))
+    assert reply == effects.Found(effects.Record('none', None, 0))
+
+
+def test_commit_and_read(any_store):
+    committed = any_store.execute(_put('a', b'\x00one'))
+    record = any_store.execute(effects.Read('a')).record
+    assert record == effects.Record('a', b'\x00one', committed.revision)
+
+
+def test_commit_with_a_failed_guard_writes_nothing(any_store):
+    any_store.execute(_put('a', b'one'))
+    reply = any_store.execute(
+        effects.Commit(
+            (effects.Guard('a', 0),),
+            (effects.Put('a', b'two'), effects.Put('b', b'two')),
+        )
+    )
+    assert reply == effects.GuardFailed()
+    assert any_store.execute(effects.Read('a')).record.value == b'one'
+    assert any_store.execute(effects.Read('b')).record.value is None
+
+
+def test_scan_is_one_snapshot_and_can_start_late(any_store):
+    first = any_store.execute(_put('s/a', b'1')).revision
+    any_store.execute(_put('t/a', b'1'))
+    any_store.execute(_put('s/b', b'2'))
+    keys = [r.key for r in any_store.execute(effects.Scan('s/')).records]
+    late = any_store.execute(effects.Scan('s/', first)).records
+    assert keys == ['s/a', 's/b']
+    assert [record.key for record in late] == ['s/b']
+
+
+def test_removal(any_store):
+    revision = any_store.execute(_put('a', b'1')).revision
+    any_store.execute(_put('a', None, revision))
+    assert any_store.execute(effects.Read('a')).record.revision == 0
+
+
+def test_unreachable_store_wrote_nothing():
+    address = f'127.0.0.1:{utils.free_ports(1)[0]}'
+    adapter = _etcd(address)
+    assert adapter.execute(_put('a', b'1')) == effects.Unavailable()
+    assert adapter.execute(effects.Read('a')) == effects.Unavailable()
+
+
+def test_lost_answer_is_uncertain_although_written(server):
+    adapter = _etcd(server.address)
+    server.lose_answers = 1
+    assert adapter.execute(_put('a', b'1')) == effects.Uncertain()
+    assert adapter.execute(effects.Read('a')).record.value == b'1'
+
+
+def test_second_endpoint_is_used(server):
+    dead = f'127.0.0.1:{utils.free_ports(1)[0]}'
+    cfg = settings.StoreSettings(endpoints=[dead, server.address])
+    adapter = etcd.EtcdStore(cfg, IDLE_S)
+    assert isinstance(adapter.execute(_put('a', b'1')), effects.Committed)
+
+
+def test_live_list():
+    server = livelist.LiveListServer()
+    server.start()
+    me = settings.InstanceSettings(name='a-1', place='Nanyuki', region='r')
+    server.add(me, leaving=True)
+    cfg = settings.LiveListSettings(address=server.address)
+    listed = endpointslices.EndpointSliceList(cfg, IDLE_S)
+    line = listed.fetch()[0]
+    server.close()
+    assert (line.name, line.place, line.leaving) == ('a-1', 'Nanyuki', True)
+    assert line.peer_address == me.peer_address
+    assert listed.fetch() is None
+
+
+@pytest.fixture
+def engine_server():
+    cfg = settings.Runner(name='lm-1', pool='lm', address='127.0.0.1:1')
+    made = runner.RunnerServer(cfg, 'lm', role_change_s=0.0)
+    made.start()
+    yield made
+    made.close()
+
+
+CALL = runner_adapter.Call(
+    'job-1',
+    '/v1/completions',
+    {'model': 'lm', 'prompt': 'a b', 'max_tokens': 4},
+    resume_after=-1,
+    silence_s=5.0,
+    first_s=5.0,
+)
+
+
+def _adapter():
+    return runner_adapter.RunnerAdapter(1.0, IDLE_S)
+
+
+def test_stream_has_offsets_and_an_end(engine_server):
+    items = list(_adapter().stream(engine_server.address, CALL))
+    offsets = [i.offset for i in items if isinstance(i, runner_adapter.Piece)]
+    assert offsets == [0, 1, 2, 3, 4]
+    assert items[-1] == runner_adapter.End()
+
+
+def test_stream_resumes_after_an_offset(engine_server):
+    list(_adapter().stream(engine_server.address, CALL))
+    again = attrs.evolve(CALL, resume_after=2)
+    items = list(_adapter().stream(engine_server.address, again))
+    assert [item.offset for item in items[:-1]] == [3, 4]
+
+
+def test_resuming_what_is_gone_is_refused(engine_server):
+    call = attrs.evolve(CALL, job_id='other', resume_after=2)
+    with pytest.raises(runner_adapter.RunnerRefused) as caught:
+        list(_adapter().stream(engine_server.address, call))
+    assert caught.value.status == 410
+
+
+def test_prefilled_cache_is_handed_over(engine_server):
+    adapter = _adapter()
+    params = adapter.prefill(engine_server.address, CALL)
+    assert params['do_remote_prefill'] is True
+    before = engine_server.engine.prefilled_tokens
+    body = {**CALL.body, 'kv_transfer_params': params}
+    call = attrs.evolve(CALL, job_id='job-2', body=body)
+    assert len(list(adapter.stream(engine_server.address, call))) == 6
+    assert engine_server.engine.prefilled_tokens == before
+
+
+@attrs.frozen
+class _Order:
+    id: str
+    epoch: int
+    role: str
+
+
+def test_orders_are_fenced_and_reported(engine_server):
+    adapter = _adapter()
+    address = engine_server.address
+    assert adapter.order(address, _Order('o-2', 2, 'decode')).taken
+    assert adapter.order(address, _Order('o-1', 1, 'prefill')).fenced
+    load = adapter.load(address)
+    assert (load.order_id, load.epoch, load.role) == ('o-2', 2, 'decode')
+
+
+def test_unreachable_runner():
+    address = f'127.0.0.1:{utils.free_ports(1)[0]}'
+    adapter = _adapter()
+    assert adapter.load(address) is None
+    assert adapter.order(address, _Order('o', 1, 'decode')) is None
+    with pytest.raises(runner_adapter.RunnerUnreachable):
+        list(adapter.stream(address, CALL))
+
+
+def test_service_replies():
+    server = service.ServiceServer('plain', service.Journal())
+    server.start()
+    adapter = service_adapter.ServiceAdapter(1.0, IDLE_S)
+    call = service_adapter.ServiceCall(
+        'POST', '/charge', b'{}', 'application/json', 'k-1', 'r-1'
+    )
+    address = server.address
+    assert adapter.outcome(address, 'k-1') == service_adapter.NeverSeen()
+    assert adapter.call(address, call, 5.0).status == 200
+    assert isinstance(adapter.outcome(address, 'k-1'), service_adapter.Ran)
+    server.asks_by_key = False
+    assert adapter.outcome(address, 'k-1') == service_adapter.CannotSay()
+    server.close()
+    assert adapter.call(address, call, 5.0) == service_adapter.NotSent()
+
+
+def test_idle_connections_are_retired():
+    conns = connections.Connections(idle_s=-1.0)
+    first = conns.to('127.0.0.1:1')
+    assert conns.to('127.0.0.1:1') is not first
--- /dev/null
+++ b/dandelionwinch/tests/world.py
@@ -0,0 +1,200 @@
+"""One instance with stand-ins, for tests over real sockets."""
+
+import json
+import threading
+
+import attrs
+import urllib3
+
+from dandelionwinch import entry
+from dandelionwinch import settings
+from dandelionwinch.standins import livelist
+from dandelionwinch.standins import runner
+from dandelionwinch.standins import service
+from dandelionwinch.standins import store
+from dandelionwinch import utils
+
+PATIENCE_STEPS = 1500
+STEP_S = 0.02
+MODEL = 'counter-lm'
+
+
+def wait_until(condition, what):
+    """Waits for a condition, with a bound that only a fault reaches."""
+    idle = threading.Event()
+    for _step in range(PATIENCE_STEPS):
+        if condition():
+            return
+        idle.wait(STEP_S)
+    raise AssertionError(f'never came true: {what}')
+
+
+class World:
+    """Stand-ins and one instance in this process.
+
+    Args:
+        security: SecuritySettings of the instance.
+        relay: RelaySettings of the instance.
+        roles: Roles of the model runners.
+    """
+
+    def __init__(self, security=None, relay=None, roles=('mixed', 'mixed')):
+        self.store = store.StoreServer()
+        self.live_list = livelist.LiveListServer()
+        self.journal = service.Journal()
+        self.service = service.ServiceServer('plain', self.journal)
+        self.runners = [
+            runner.RunnerServer(_runner(n, role), MODEL)
+            for n, role in enumerate(roles)
+        ]
+        self.security = security or settings.SecuritySettings()
+        self._relay = relay or settings.RelaySettings(threads=16, max_jobs=12)
+        self.http = urllib3.PoolManager(retries=False, cert_reqs='CERT_NONE')
+        self.entry = None
+        self.cfg = None
+
+    def start(self, tmp_path):
+        """Starts everything and waits until work is taken."""
+        servers = [self.store, self.live_list, self.service, *self.runners]
+        for server in servers:
+            server.start()
+        catalog = tmp_path / 'catalog.yaml'
+        catalog.write_text(json.dumps(self._catalog()))
+        addresses = [f'127.0.0.1:{p}' for p in utils.free_ports(3)]
+        self.cfg = settings.EntrySettings(
+            instance=settings.InstanceSettings(
+                name='nanyuki-1',
+                place='Nanyuki',
+                region='laikipia',
+                clerk_address=addresses[0],
+                peer_address=addresses[1],
+                operator_address=addresses[2],
+            ),
+            store=settings.StoreSettings(endpoints=[self.store.address]),
+            live_list=settings.LiveListSettings(
+                address=self.live_list.address
+            ),
+            relay=self._relay,
+            security=self.security,
+            catalog_file=str(catalog),
+        )
+        self.live_list.add(self.cfg.instance)
+        self.entry = entry.Entry(self.cfg)
+        self.entry.start()
+        wait_until(
+            lambda: not self.entry.core.unready_reason(), 'instance ready'
+        )
+
+    def _catalog(self):
+        def service_of(name, repeat, **more):
+            return {'name': name, 'repeat': repeat, **more}
+
+        return {
+            'places': [{'name': 'Nanyuki', 'region': 'laikipia'}],
+            'models': [{'name': MODEL}],
+            'services': [
+                service_of('lookups', 'idempotent'),
+                service_of('deposits', 'once', asks_by_key=True),
+                service_of('blind', 'once'),
+                service_of('careful', 'once', dedupes_by_key=True),
+            ],
+            'pools': [
+                {'name': 'lm', 'place': 'Nanyuki', 'model': MODEL},
+                {
+                    'name': 'plain',
+                    'place': 'Nanyuki',
+                    'services': ['lookups', 'deposits', 'blind', 'careful'],
+                },
+            ],
+            'runners': [
+                *(self._row(server) for server in self.runners),
+                {
+                    'name': 'plain-1',
+                    'pool': 'plain',
+                    'address': self.service.address,
+                    'role': 'service',
+                },
+            ],
+        }
+
+    @staticmethod
+    def _row(server):
+        cfg = server.engine.cfg
+        return {
+            'name': cfg.name,
+            'pool': 'lm',
+            'address': server.address,
+            'role': str(cfg.role),
+        }
+
+    def close(self):
+        """Stops the instance and all stand-ins."""
+        if self.entry is not None:
+            self.entry.close()
+        servers = [self.store, self.live_list, self.service, *self.runners]
+        for server in servers:
+            server.close()
+
+    def send(self, method, path, body=None, headers=None, operator=False):
+        """Sends one request and returns the reply."""
+        me = self.cfg.instance
+        address = me.operator_address if operator else me.clerk_address
+        scheme = 'https' if self.security.certificate_file else 'http'
+        if body is not None and not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        return self.http.request(
+            method,
+            f'{scheme}://{address}{path}',
+            body=body,
+            headers=headers or {},
+            timeout=30,
+        )
+
+    def chat(self, tokens=20, stream=False, prompt='boots for a child'):
+        """Sends a chat and returns the reply."""
+        body = {
+            'model': MODEL,
+            'max_tokens': tokens,
+            'stream': stream,
+            'messages': [{'role': 'user', 'content': prompt}],
+        }
+        return self.send('POST', '/v1/chat/completions', body)
+
+    def charge(self, key, service_name='deposits', body=b'{}'):
+        """Sends a call that may run once and returns the reply."""
+        path = f'/v1/services/{service_name}/charge'
+        headers = {'Idempotency-Key': key}
+        return self.send('POST', path, body, headers)
+
+    def ask(self, statement):
+        """Sends a statement and returns the parsed answer."""
+        reply = self.send('POST', '/v1/ask', statement.encode(), {}, True)
+        return reply.json()
+
+
+def _runner(number, role):
+    return settings.Runner(
+        name=f'lm-{number + 1}',
+        pool='lm',
+        address='127.0.0.1:1',
+        role=settings.Role(role),
+        decode_tokens_per_s=1000.0,
+    )
+
+
+def text_of_stream(data):
+    """Returns the text of a stream, which must have its end mark."""
+    lines = data.decode().split('\n\n')
+    assert lines[-2] == 'data: [DONE]'
+    events = [json.loads(line.removeprefix('data: ')) for line in lines[:-2]]
+    deltas = [event['choices'][0]['delta'] for event in events]
+    return ''.join(delta.get('content') or '' for delta in deltas)
+
+
+@attrs.frozen
+class Sealed:
+    """Files of a test's own certificate authority."""
+
+    certificate: str
+    key: str
+    authority: str
