--- a/dandelionwinch/bench/_herding.py
+++ b/dandelionwinch/bench/_herding.py
@@ -13,7 +13,7 @@
     output_tokens=120,
     shared_prefix=0.3,
 )
-_TRACE = _trace.Trace(
+TRACE = _trace.Trace(
     duration_s=120.0,
     pools=[
         _trace.PoolSize(place='Nanyuki', prefill=3, decode=3),
@@ -31,7 +31,7 @@
     """
     rows = []
     for count in INSTANCES:
-        trace = attrs.evolve(_TRACE, instances=count)
+        trace = attrs.evolve(TRACE, instances=count)
         for policy in ('hire', 'least_reported'):
             result = _simulation.simulate(trace, 'herding', policy, seed)
             rows.append(
--- a/dandelionwinch/placement/_filling.py
+++ b/dandelionwinch/placement/_filling.py
@@ -19,7 +19,10 @@
     Returns:
         Index of the chosen candidate.
     """
-    order = sorted(range(len(levels)), key=lambda index: levels[index])
+    # Equal levels in random order, or all would meet on the first.
+    order = list(range(len(levels)))
+    rng.shuffle(order)
+    order.sort(key=lambda index: levels[index])
     lowest = order[0]
     if arrivals <= 0:
         return lowest
--- a/dandelionwinch/placement/_placer.py
+++ b/dandelionwinch/placement/_placer.py
@@ -13,6 +13,7 @@
 RATE_SPAN_S = 5.0
 MEAN_SHARE = 0.05
 LEAST_SHARE = 0.02
+UNKNOWN_RATE = 1.0e7
 CHUNK_WEIGHT = 0.05
 
 
@@ -114,7 +115,7 @@
         self._beliefs = beliefs
         self._rng = rng
         self._own = {}
-        self._peers = {}
+        self._peers = None
         self._mean_tokens = 1000.0
         self._mean_output = 200.0
         self.prefixes = _prefixes.Prefixes()
@@ -182,13 +183,15 @@
         ]
         if not takers:
             return None
-        arriving = self._peers.get(site.name, 0.0)
-        arriving /= sum(speed for _belief, speed in takers)
+        arriving = self._arriving(site)
+        inflow = 0.0
+        if self._peers is not None:
+            inflow = arriving / sum(speed for _belief, speed in takers)
         options = [
-            self._option(belief, speed, arriving, demand, hits, site, now)
+            self._option(belief, speed, inflow, demand, hits, site, now)
             for belief, speed in takers
         ]
-        return self._draw(options, self._peers.get(site.name, 0.0), now)
+        return self._draw(options, arriving, now)
 
     def _usable(self, site, demand, now):
         names = site.runners
@@ -206,13 +209,23 @@
         usable = [b for b in allowed if now >= b.quarantined_until]
         return usable or allowed
 
+    def _arriving(self, site):
+        """Returns prompt tokens per second that peers send to a site.
+
+        As long as nothing is known of the peers they are taken to send
+        a lot, so that instances that start together spread their jobs.
+        """
+        if self._peers is None:
+            return UNKNOWN_RATE
+        return self._peers.get(site.name, 0.0)
+
     def _share(self, site, now):
         """Returns this instance's share of what all send to a site."""
         rate = self._own.get(site.name)
         own = rate.read(now) if rate is not None else 0.0
-        peers = self._peers.get(site.name, 0.0)
-        if peers <= 0:
+        if not self._peers or not self._peers.get(site.name):
             return 1.0
+        peers = self._peers[site.name]
         return max(LEAST_SHARE, own / (own + peers))
 
     def _has_room(self, belief, demand, share, now):
@@ -235,9 +248,9 @@
         return belief.sent_decodes + self._rng.random() < share * free
 
     @staticmethod
-    def _option(belief, speed, arriving, demand, hits, site, now):
+    def _option(belief, speed, inflow, demand, hits, site, now):
         hit = min(hits.get(belief.name, 0.0), demand.prefix_tokens)
-        backlog = belief.backlog(now, speed, arriving * speed)
+        backlog = belief.backlog(now, speed, inflow * speed)
         wait_s = backlog / speed
         own_s = (demand.prompt_tokens - hit) / speed
         return _Option(belief, wait_s, own_s, speed, hit, site.extra_s)
@@ -249,13 +262,7 @@
             arriving * self._picture_age([o.belief for o in options], now),
             self._rng,
         )
-        drawn = options[index]
-        cached = [option for option in options if option.hit > 0]
-        if cached:
-            nearest = min(cached, key=lambda option: option.total_s)
-            if nearest.total_s <= drawn.total_s:
-                return nearest
-        return drawn
+        return options[index]
 
     @staticmethod
     def _picture_age(beliefs, now):
@@ -324,7 +331,7 @@
         ]
         if not room:
             return None
-        jobs_per_s = self._peers.get(site.name, 0.0) / self._mean_tokens
+        jobs_per_s = self._arriving(site) / self._mean_tokens
         index = _filling.choose_filling(
             [self._decode_level(belief, now) for belief in room],
             [belief.decode_rate for belief in room],
--- /dev/null
+++ b/dandelionwinch/tests/test_membership.py
@@ -0,0 +1,206 @@
+"""Heartbeats, leaving, freshness, departures and addresses."""
+
+import random
+
+import pytest
+
+from dandelionwinch.adapters import endpointslices
+from dandelionwinch import addresses
+from dandelionwinch.bench import _control
+from dandelionwinch import membership
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import revisions
+from dandelionwinch import settings
+
+TIMING = settings.TimingSettings()
+PLACES = ('north', 'mid', 'south')
+
+
+def _members(name, place='north', incarnation=1):
+    member = peer_pb2.Member(
+        name=name,
+        place=place,
+        peer_address=name,
+        clerk_address=f'clerk-{name}',
+        incarnation=incarnation,
+        weight=1.0,
+    )
+    return membership.Membership(member, TIMING, random.Random(1))
+
+
+def _tell(sender, receiver, now):
+    """Passes a digest on, and introduces whom the receiver asks for."""
+    asked = receiver.merge(sender.digest(now), now)
+    request = peer_pb2.Digest(sender=receiver.me.member, asked=asked)
+    sender.merge(request, now)
+    receiver.merge(sender.digest(now), now)
+    receiver.merge(sender.digest(now), now)
+
+
+def _exchange(first, second, now):
+    _tell(first, second, now)
+    _tell(second, first, now)
+
+
+def _names(known):
+    return [item.name for item in known]
+
+
+def test_instances_learn_of_each_other_through_a_third():
+    a, b, c = _members('a'), _members('b'), _members('c')
+    for item in (a, b, c):
+        item.tick(0.0)
+    _exchange(a, b, 0.0)
+    _exchange(b, c, 0.0)
+    _exchange(b, c, 0.0)
+    assert _names(c.everyone()) == ['a', 'b', 'c']
+
+
+def test_a_silent_instance_is_no_longer_live_but_may_live():
+    a, b = _members('a'), _members('b')
+    b.tick(0.0)
+    _exchange(b, a, 0.0)
+    _exchange(b, a, 0.0)
+    a.tick(5.0)
+    line = endpointslices.ListedInstance(
+        'b', 'north', 'x', 'b', 'x', True, False
+    )
+    a.overlay([line])
+    assert _names(a.live(5.0)) == ['a']
+    assert _names(a.may_live(5.0)) == ['a', 'b']
+
+
+def test_leaving_is_told_and_taken_back():
+    a, b = _members('a'), _members('b')
+    for now, act in ((0.0, b.stay), (1.0, b.leave), (2.0, b.stay)):
+        act()
+        b.tick(now)
+        a.tick(now)
+        _exchange(b, a, now)
+        _exchange(b, a, now)
+        wanted = ['a'] if b.me.leaving else ['a', 'b']
+        assert _names(a.usable(now)) == wanted
+
+
+def test_an_older_incarnation_changes_nothing():
+    a = _members('a')
+    new, old = _members('b', incarnation=2), _members('b', incarnation=1)
+    new.tick(0.0)
+    _exchange(new, a, 0.0)
+    _exchange(new, a, 0.0)
+    old.leave()
+    old.tick(1.0)
+    a.merge(old.digest(1.0), 1.0)
+    b = next(k for k in a.everyone() if k.name == 'b')
+    assert (b.member.incarnation, b.leaving) == (2, False)
+
+
+def test_a_paused_instance_suspects_itself_first():
+    a, b = _members('a'), _members('b')
+    a.tick(0.0)
+    assert not a.is_suspect(1.0)
+    assert a.is_suspect(30.0)
+    a.tick(30.0)
+    assert a.is_suspect(30.1)
+    b.tick(30.1)
+    a.merge(b.digest(30.1), 30.1)
+    assert not a.is_suspect(30.2)
+
+
+@pytest.mark.parametrize(
+    ('store_at', 'places_at', 'now', 'cut_off'),
+    [
+        (9.0, {}, 10.0, False),
+        (0.0, {}, 10.0, True),
+        (0.0, {'mid': 8.0}, 10.0, False),
+        (0.0, {'mid': 3.0}, 10.0, True),
+    ],
+)
+def test_cut_off(store_at, places_at, now, cut_off):
+    freshness = membership.Freshness('north', cut_off_s=4.0)
+    freshness.store_read(store_at)
+    for place, moment in places_at.items():
+        digest = peer_pb2.Digest(store_age_s=1e9)
+        freshness.heard(place, moment, digest)
+    assert freshness.is_cut_off(PLACES, now) is cut_off
+
+
+def test_a_process_is_gone_only_after_a_long_absence_from_the_list():
+    departures = membership.Departures(margin_s=10.0)
+    assert not departures.is_gone('a', 1, 0.0)
+    departures.listed(['b'])
+    assert not departures.is_gone('a', 1, 0.0)
+    assert not departures.is_gone('a', 1, 9.0)
+    assert departures.is_gone('a', 1, 10.0)
+    departures.unread()
+    assert not departures.is_gone('a', 1, 11.0)
+    departures.restarted('a', 2)
+    assert departures.is_gone('a', 1, 11.0)
+    assert not departures.is_gone('a', 2, 11.0)
+
+
+def test_gossip_finds_everybody_and_its_cost_does_not_run_away():
+    small = _control.gossip(9, 0, 1)
+    large = _control.gossip(60, 0, 1)
+    assert (small['live_seen_by_worst'], large['live_seen_by_worst']) == (
+        9,
+        60,
+    )
+    assert large['messages_per_s'] <= 2 * small['messages_per_s']
+
+
+def _known(name, place, jobs=0):
+    member = peer_pb2.Member(
+        name=name, place=place, clerk_address=f'at-{name}', weight=1.0
+    )
+    return membership.Known(member, jobs=jobs)
+
+
+def test_address_is_near_steady_and_has_a_fallback():
+    usable = [_known('a', 'north'), _known('b', 'mid'), _known('c', 'mid')]
+    first = addresses.answer(usable, 'mid', 'team', 2.0)
+    assert first.instance in ('b', 'c')
+    assert first.fallback in ('at-b', 'at-c')
+    assert addresses.answer(usable, 'mid', 'team', 2.0) == first
+    assert addresses.answer(usable, 'nowhere', 'team', 2.0) is not None
+    assert addresses.answer([], 'mid', 'team', 2.0) is None
+
+
+def test_an_overloaded_instance_is_passed_over():
+    names = ['a', 'b', 'c']
+    usable = [_known(name, 'mid') for name in names]
+    first = addresses.answer(usable, 'mid', 'team', 2.0).instance
+    busy = [_known(n, 'mid', 50 if n == first else 2) for n in names]
+    assert addresses.answer(busy, 'mid', 'team', 2.0).instance != first
+
+
+def _at(name, place, revision):
+    return membership.Known(
+        peer_pb2.Member(name=name, place=place), revision=revision
+    )
+
+
+def test_a_change_is_accepted_when_no_old_one_can_be_served():
+    watch = revisions.AcceptanceWatch(7, PLACES, cut_off_s=4.0)
+    held = [_at('a', 'north', 7), _at('b', 'mid', 7), _at('c', 'south', 6)]
+    assert not watch.observe(held, 0.0).accepted
+    assert not watch.observe(held, 4.0).accepted
+    verdict = watch.observe(held, 4.5)
+    assert (verdict.accepted, verdict.missing) == (True, ('c',))
+
+
+def test_a_change_is_not_accepted_without_a_majority_of_places():
+    watch = revisions.AcceptanceWatch(7, PLACES, cut_off_s=4.0)
+    held = [_at('a', 'north', 7), _at('b', 'mid', 7), _at('d', 'mid', 6)]
+    for now in (0.0, 100.0):
+        assert not watch.observe(held, now).accepted
+
+
+def test_documents_never_go_back():
+    documents = revisions.Documents()
+    newer = revisions.Document('pool/a', 5, {'n': 5})
+    older = revisions.Document('pool/a', 4, {'n': 4})
+    assert documents.adopt(5, [newer])
+    assert not documents.adopt(4, [older])
+    assert documents.adopt(6, [older])
+    assert documents.values() == {'pool/a': {'n': 5}}
--- /dev/null
+++ b/dandelionwinch/tests/test_security.py
@@ -0,0 +1,79 @@
+"""Tokens by role, separate interfaces and TLS."""
+
+import pytest
+import trustme
+
+from dandelionwinch import settings
+from dandelionwinch.tests import world as world_module
+
+
+@pytest.fixture(scope='module')
+def sealed(tmp_path_factory):
+    folder = tmp_path_factory.mktemp('sealed')
+    authority = trustme.CA()
+    issued = authority.issue_cert('127.0.0.1')
+    authority.cert_pem.write_to_path(folder / 'ca.pem')
+    issued.private_key_pem.write_to_path(folder / 'key.pem')
+    for pem in issued.cert_chain_pems:
+        pem.write_to_path(folder / 'cert.pem', append=True)
+    security = settings.SecuritySettings(
+        clerk_token='for-clerks',
+        operator_token='for-operators',
+        peer_token='for-peers',
+        certificate_file=str(folder / 'cert.pem'),
+        key_file=str(folder / 'key.pem'),
+        authority_file=str(folder / 'ca.pem'),
+    )
+    made = world_module.World(security, roles=('mixed',))
+    made.start(folder)
+    yield made
+    made.close()
+
+
+def _bearer(token):
+    return {'Authorization': f'Bearer {token}'}
+
+
+@pytest.mark.parametrize(
+    ('operator', 'token', 'status'),
+    [
+        (False, 'for-clerks', 200),
+        (False, 'for-operators', 401),
+        (False, '', 401),
+        (True, 'for-operators', 200),
+        (True, 'for-clerks', 401),
+        (True, 'for-peers', 401),
+    ],
+)
+def test_each_interface_takes_its_own_token(sealed, operator, token, status):
+    method, path, body = 'GET', '/v1/models', None
+    if operator:
+        method, path, body = 'POST', '/v1/ask', b'show places'
+    reply = sealed.send(method, path, body, _bearer(token), operator)
+    assert reply.status == status
+    if status == 401:
+        assert reply.json()['error']['code'] == 'unauthorized'
+
+
+def test_operators_interface_has_no_clerks_paths(sealed):
+    headers = _bearer('for-operators')
+    reply = sealed.send('GET', '/v1/models', None, headers, True)
+    assert reply.status == 404
+
+
+def test_health_needs_no_token(sealed):
+    assert sealed.send('GET', '/healthz').status == 200
+
+
+def test_oversized_header_is_refused(sealed):
+    headers = {'X-Team': 'x' * 20000, **_bearer('for-clerks')}
+    reply = sealed.send('GET', '/v1/models', None, headers)
+    assert reply.status == 413
+
+
+def test_tokens_stand_in_no_event(sealed):
+    reply = sealed.send(
+        'POST', '/v1/ask', b'show events', _bearer('for-operators'), True
+    )
+    assert b'for-clerks' not in reply.data
+    assert b'for-peers' not in reply.data
