--- a/dandelionwinch/daemon/_core.py
+++ b/dandelionwinch/daemon/_core.py
@@ -252,14 +252,7 @@
 
     def not_gone(self):
         """Returns known instances that are not certainly gone."""
-        now = self.now()
-        return [
-            known
-            for known in self.members.everyone()
-            if not self.departures.is_gone(
-                known.name, known.member.incarnation, now
-            )
-        ]
+        return self.departures.remaining(self.members.everyone(), self.now())
 
     def unready_reason(self):
         """Returns why no new work is taken, or an empty string."""
@@ -278,7 +271,7 @@
         """Tells whether new work is refused for lack of contact."""
         if self.cfg.when_cut_off == 'serve':
             return False
-        places = [place.name for place in self.catalog.all('place')]
+        places = membership.staffed_places(self.not_gone())
         return self.freshness.is_cut_off(places, self.now())
 
     def leave(self):
--- a/dandelionwinch/daemon/_operators.py
+++ b/dandelionwinch/daemon/_operators.py
@@ -7,6 +7,7 @@
 from dandelionwinch import effects
 from dandelionwinch import errors
 from dandelionwinch import language
+from dandelionwinch import membership
 from dandelionwinch import orders
 from dandelionwinch.peers import peer_pb2
 from dandelionwinch import revisions
@@ -262,7 +263,7 @@
 
     async def _await_acceptance(self, revision, asked_at):
         core = self._core
-        places = [place.name for place in core.catalog.all('place')]
+        places = membership.staffed_places(core.not_gone())
         watch = revisions.AcceptanceWatch(
             revision, places, core.cfg.timing.cut_off_s
         )
--- a/dandelionwinch/jobs/_assembly.py
+++ b/dandelionwinch/jobs/_assembly.py
@@ -12,15 +12,26 @@
     dropped, as are pieces that arrive twice. An attempt either resumes
     the generation of the one before it, with the same offsets, or
     continues the text on another runner with offsets from zero.
+
+    Attributes:
+        tokens: Pieces with text; the last piece often has none.
     """
 
-    __slots__ = ('_base', 'attempt', 'ended', 'next_offset', 'parts')
+    __slots__ = (
+        '_base',
+        'attempt',
+        'ended',
+        'next_offset',
+        'parts',
+        'tokens',
+    )
 
     def __init__(self):
         self.attempt = 0
         self.next_offset = 0
         self.parts = []
         self.ended = False
+        self.tokens = 0
         self._base = 0
 
     @property
@@ -73,6 +84,7 @@
                 'is missing'
             )
         self.next_offset += 1
+        self.tokens += bool(text)
         self.parts.append(text)
         return True
 
--- a/dandelionwinch/membership/__init__.py
+++ b/dandelionwinch/membership/__init__.py
@@ -1,9 +1,17 @@
 """Which instances live, by heartbeats and the platform's list."""
 
 from dandelionwinch.membership._departures import Departures
+from dandelionwinch.membership._departures import staffed_places
 from dandelionwinch.membership._freshness import Freshness
 from dandelionwinch.membership._members import Known
 from dandelionwinch.membership._members import member_id
 from dandelionwinch.membership._members import Membership
 
-__all__ = ['Departures', 'Freshness', 'Known', 'Membership', 'member_id']
+__all__ = [
+    'Departures',
+    'Freshness',
+    'Known',
+    'Membership',
+    'member_id',
+    'staffed_places',
+]
--- a/dandelionwinch/membership/_departures.py
+++ b/dandelionwinch/membership/_departures.py
@@ -52,3 +52,16 @@
             return False
         since = self._absent_since.setdefault(name, now)
         return now - since >= self._margin_s
+
+    def remaining(self, members, now):
+        """Returns the members whose process is not certainly gone."""
+        return [
+            known
+            for known in members
+            if not self.is_gone(known.name, known.member.incarnation, now)
+        ]
+
+
+def staffed_places(members):
+    """Returns the names of the places that have members."""
+    return sorted({known.place for known in members})
--- a/dandelionwinch/membership/_freshness.py
+++ b/dandelionwinch/membership/_freshness.py
@@ -54,7 +54,7 @@
         """Tells whether new work must be refused.
 
         Args:
-            places: Names of all places of the catalog.
+            places: Names of the places that have instances.
             now: Time in seconds.
         """
         if self.store_age(now) <= self._cut_off_s:
--- a/dandelionwinch/relay.py
+++ b/dandelionwinch/relay.py
@@ -159,7 +159,7 @@
 
     def tokens(self):
         """Returns the number of tokens of the answer so far."""
-        return self._usage or self._assembly.next_offset
+        return self._usage or self._assembly.tokens
 
     def pieces(self):
         """Yields new pieces in order until the whole answer is there.
@@ -205,7 +205,7 @@
 
     def _call(self):
         body = jobs.with_partial(
-            self.job, self._assembly_text(), self._assembly.next_offset
+            self.job, self._assembly_text(), self._assembly.tokens
         )
         placed = self._target.placed
         silence_s = max(
@@ -405,7 +405,7 @@
         choice['message'] = {'role': 'assistant', 'content': text}
     else:
         choice['text'] = text
-    made = max(0, assembly.next_offset - 1)
+    made = assembly.tokens
     return {
         'id': request_id,
         'object': _object_of(job, False),
--- a/dandelionwinch/search/_settings.py
+++ b/dandelionwinch/search/_settings.py
@@ -49,12 +49,17 @@
     def admits(self):
         """Tells whether the instance takes new work at this moment."""
         now = self.now()
+        places = membership.staffed_places(self.remaining())
         return (
             self.documents.revision > 0
             and not self.members.is_suspect(now)
-            and not self.freshness.is_cut_off(PLACES, now)
+            and not self.freshness.is_cut_off(places, now)
         )
 
+    def remaining(self):
+        """Returns known instances that are not certainly gone."""
+        return self.departures.remaining(self.members.everyone(), self.now())
+
     def _beat(self):
         self.process.soon(self.timing.beat_s, self._beat)
         now = self.now()
@@ -304,21 +309,16 @@
         if isinstance(result, revisions.Changed):
             self._commits[result.revision] = self.world.now
             peer.fetch()
+            places = membership.staffed_places(peer.remaining())
             watch = revisions.AcceptanceWatch(
-                result.revision, PLACES, self.timing.cut_off_s
+                result.revision, places, self.timing.cut_off_s
             )
             self._await(peer, watch, result.revision, peer.now())
 
     def _await(self, peer, watch, revision, committed_at):
         now = peer.now()
         peer.members.me.revision = peer.documents.revision
-        members = [
-            known
-            for known in peer.members.everyone()
-            if not peer.departures.is_gone(
-                known.name, known.member.incarnation, now
-            )
-        ]
+        members = peer.remaining()
         if watch.observe(members, now).accepted:
             self.accepted = max(self.accepted, revision)
         elif now - committed_at < COMMAND_TIMEOUT_S:
