--- a/dandelionwinch/bench/_trace.py
+++ b/dandelionwinch/bench/_trace.py
@@ -60,7 +60,12 @@
 
 @attrs.frozen(kw_only=True)
 class Way:
-    """The way between places."""
+    """The way between places.
+
+    Attributes:
+        bytes_per_s: Its rate. Texts are small beside it, and KV cache
+            does not go this way, so only the latency counts.
+    """
 
     latency_s: float = attrs.field(default=0.010, validator=_not_negative)
     bytes_per_s: float = attrs.field(default=1.0e8, validator=_positive)
--- a/dandelionwinch/calls.py
+++ b/dandelionwinch/calls.py
@@ -7,10 +7,10 @@
 from dandelionwinch.adapters import service as service_adapter
 from dandelionwinch import claims
 from dandelionwinch.daemon import messages
+from dandelionwinch import delivery
 from dandelionwinch import effects
 from dandelionwinch import errors
 from dandelionwinch import listeners
-from dandelionwinch import relay
 from dandelionwinch import settings
 from dandelionwinch import utils
 
@@ -61,7 +61,7 @@
         try:
             answer, headers = self._call(request, name, path)
         except errors.DandelionwinchError as exc:
-            finish(relay.state_of(exc), exc.code, 0)
+            finish(delivery.state_of(exc), exc.code, 0)
             raise
         except BaseException:
             finish('unknown', 'internal', 0)
@@ -326,5 +326,5 @@
         answer.status,
         content_type=answer.content_type or 'application/octet-stream',
         headers={**headers, 'Content-Length': str(len(body))},
-        chunks=relay.Delivery(chunks(), finish, lambda: 1),
+        chunks=delivery.Delivery(chunks(), finish, lambda: 1),
     )
--- a/dandelionwinch/catalog.py
+++ b/dandelionwinch/catalog.py
@@ -17,7 +17,6 @@
     'teams': 'team',
     'instances': 'instance',
 }
-PLURAL_OF_KIND = {kind: plural for plural, kind in KIND_OF_PLURAL.items()}
 
 DEFAULT_POLICY = settings.Policy(name='default')
 DEFAULT_LINK = settings.Link(name='default')
--- a/dandelionwinch/daemon/_work.py
+++ b/dandelionwinch/daemon/_work.py
@@ -10,6 +10,9 @@
 from dandelionwinch import settings
 
 DEFAULT_PATIENCE_S = 5.0
+PROMPT_TOKEN_BYTES = 6
+OUTPUT_TOKEN_BYTES = 200
+GIGABYTE = 1e9
 
 
 class Work:
@@ -87,7 +90,7 @@
             exclude=message.exclude,
         )
         self.placer.set_peer_rates(core.beats.peer_rates(now))
-        choice = self.placer.place(demand, self._sites(pools), now)
+        choice = self.placer.place(demand, self._sites(pools, job), now)
         if isinstance(choice, placement.Refusal):
             self._add_demand(pools, job, now)
             raise errors.NoRunner(
@@ -96,7 +99,7 @@
         self._note(message, choice, now)
         return self._placed(choice, model)
 
-    def _sites(self, pools):
+    def _sites(self, pools, job):
         catalog = self._core.catalog
         here = self._core.place
         region = catalog.region_of(here)
@@ -107,7 +110,7 @@
             if pool.place != here:
                 extra_s = link.latency_s
             if catalog.region_of(pool.place) != region:
-                extra_s += 2 * link.latency_s
+                extra_s += 2 * link.latency_s + _link_s(link, job)
             names = tuple(
                 runner.name
                 for runner in catalog.runners_of(pool.name)
@@ -242,6 +245,7 @@
         core.metrics.jobs.labels(message.state, message.code).inc()
         if message.state == 'done':
             self._budget(record.target).succeeded()
+            core.loads.rested(record.runner)
             core.metrics.tokens.inc(message.tokens)
             core.earnings.book(record, message.tokens)
         core.event(f'job.{message.state}', record.id, message.code)
@@ -251,6 +255,13 @@
         return {pool: trend.rates(now) for pool, trend in self.trends.items()}
 
 
+def _link_s(link, job):
+    """Returns what the way of a job between regions costs, in seconds."""
+    size = job.prompt_tokens * PROMPT_TOKEN_BYTES
+    size += job.max_tokens * OUTPUT_TOKEN_BYTES
+    return size / link.bytes_per_s + link.price * size / GIGABYTE
+
+
 def _belief(runner, place):
     return placement.Belief(
         name=runner.name,
--- /dev/null
+++ b/dandelionwinch/delivery.py
@@ -0,0 +1,52 @@
+"""The way of an answer to its clerk, with exactly one ending."""
+
+from dandelionwinch import errors
+
+
+class Delivery:
+    """Chunks on their way to a clerk, with exactly one ending.
+
+    Iterating to the end means that every chunk was written to the
+    clerk's connection; closing before means that the clerk went away.
+
+    Args:
+        chunks: Generator of bytes.
+        finish: Function of a state, a code and a number of tokens.
+        tokens: Function that returns the tokens delivered.
+    """
+
+    __slots__ = ('_chunks', '_finish', '_tokens')
+
+    def __init__(self, chunks, finish, tokens):
+        self._chunks = chunks
+        self._finish = finish
+        self._tokens = tokens
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        try:
+            return next(self._chunks)
+        except StopIteration:
+            self._end('done', '', self._tokens())
+            raise
+        except errors.DandelionwinchError as exc:
+            self._end(state_of(exc), exc.code, 0)
+            raise StopIteration from None
+
+    def close(self):
+        """Ends the delivery; the clerk may be gone."""
+        self._chunks.close()
+        self._end('abandoned', 'clerk_left', 0)
+
+    def _end(self, state, code, tokens):
+        if self._finish is not None:
+            finish, self._finish = self._finish, None
+            finish(state, code, tokens)
+
+
+def state_of(exc):
+    """Returns the state of a job that ended with an error."""
+    unknown = exc.truth is errors.Truth.UNKNOWN
+    return 'unknown' if unknown else 'refused'
--- a/dandelionwinch/jobs/_requests.py
+++ b/dandelionwinch/jobs/_requests.py
@@ -8,7 +8,6 @@
 from dandelionwinch import utils
 
 CHAT_PATH = '/v1/chat/completions'
-TEXT_PATH = '/v1/completions'
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 131072
 PREFIX_CHARACTERS = 1024
--- a/dandelionwinch/membership/_members.py
+++ b/dandelionwinch/membership/_members.py
@@ -8,6 +8,8 @@
 FANOUT = 3
 SPEAKERS_PER_PLACE = 2
 CROSS_EVERY_BEATS = 4
+FAR_PULSES = 16
+FAR_PATIENCE = 5.0
 
 
 def member_id(name):
@@ -166,18 +168,26 @@
         return ranked[:SPEAKERS_PER_PLACE]
 
     def digest(self, now, to_place=None):
-        """Makes the part of a digest that this aggregate owns."""
+        """Makes the part of a digest that this aggregate owns.
+
+        Members of the own and the peer's place are told of each time.
+        Of others a few are drawn, so that a digest grows with a place
+        and not with all instances.
+        """
         digest = peer_pb2.Digest(sender=self.me.member)
+        near_places = (self.me.place, to_place)
+        far = []
         for key, known in self._by_id.items():
+            if key in self._asked:
+                digest.introduced.append(known.member)
             if now - known.heard_at > self._forget_s:
                 continue
-            if to_place in (None, self.me.place) or known.place in (
-                self.me.place,
-                to_place,
-            ):
+            if known.place in near_places:
                 digest.pulses.append(_pulse(key, known))
-            if key in self._asked:
-                digest.introduced.append(known.member)
+            else:
+                far.append((key, known))
+        for key, known in self._sample(far, FAR_PULSES):
+            digest.pulses.append(_pulse(key, known))
         self._asked.clear()
         return digest
 
@@ -246,14 +256,17 @@
     def live(self, now):
         """Returns the instances heard of recently, in order of name."""
         return sorted(
-            (
-                known
-                for known in self._by_id.values()
-                if now - known.heard_at <= self._suspect_s
-            ),
+            (k for k in self._by_id.values() if self._is_live(k, now)),
             key=lambda known: known.name,
         )
 
+    def _is_live(self, known, now):
+        """Tells whether a member was heard of; far ones take longer."""
+        patience_s = self._suspect_s
+        if known.place != self.me.place:
+            patience_s *= FAR_PATIENCE
+        return now - known.heard_at <= patience_s
+
     def everyone(self):
         """Returns all known instances in order of name."""
         return sorted(self._by_id.values(), key=lambda known: known.name)
@@ -263,7 +276,7 @@
         return [
             known
             for known in self.everyone()
-            if known.listed or now - known.heard_at <= self._suspect_s
+            if known.listed or self._is_live(known, now)
         ]
 
     def place_at(self, peer_address):
--- a/dandelionwinch/search/__init__.py
+++ b/dandelionwinch/search/__init__.py
@@ -7,6 +7,7 @@
 
 from dandelionwinch.search._claims import search_claims
 from dandelionwinch.search._orders import search_orders
+from dandelionwinch.search._settings import in_force_times
 from dandelionwinch.search._settings import search_settings
 from dandelionwinch.search._world import Broken
 
@@ -16,4 +17,4 @@
     'settings': search_settings,
 }
 
-__all__ = ['MATTERS', 'Broken']
+__all__ = ['MATTERS', 'Broken', 'in_force_times']
--- a/dandelionwinch/search/_settings.py
+++ b/dandelionwinch/search/_settings.py
@@ -1,12 +1,13 @@
 """Searches for instances that serve under an old configuration."""
 
-import attrs
+import math
 
 from dandelionwinch.adapters import endpointslices
 from dandelionwinch import effects
 from dandelionwinch import membership
 from dandelionwinch.peers import peer_pb2
 from dandelionwinch import revisions
+from dandelionwinch.search import _peer
 from dandelionwinch.search import _world
 from dandelionwinch import settings
 
@@ -14,156 +15,12 @@
 INSTANCES_PER_PLACE = 2
 RUN_S = 300.0
 FAULTS_UNTIL_S = 200.0
-POLL_S = 1.0
 CHECK_S = 0.25
 COMMAND_TIMEOUT_S = 20.0
 RPC_TIMEOUT_S = 1.0
 LIST_LAG_S = 5.0
 
 
-@attrs.define
-class _Peer:
-    """One instance's part in keeping the configuration."""
-
-    search: object
-    process: _world.Process
-    place: str
-    members: membership.Membership
-    freshness: membership.Freshness
-    departures: membership.Departures
-    timing: settings.TimingSettings
-    documents: revisions.Documents = attrs.field(factory=revisions.Documents)
-    store_revision: int = 0
-    polled_at: float = float('-inf')
-    asked: dict = attrs.field(factory=dict)
-
-    def start(self):
-        """Starts the periodic steps."""
-        self.process.soon(0, self._beat)
-        self.process.soon(0.1, self._poll)
-
-    def now(self):
-        """Returns the process's monotonic clock."""
-        return self.process.now()
-
-    def admits(self):
-        """Tells whether the instance takes new work at this moment."""
-        now = self.now()
-        places = membership.staffed_places(self.remaining())
-        return (
-            self.documents.revision > 0
-            and not self.members.is_suspect(now)
-            and not self.freshness.is_cut_off(places, now)
-        )
-
-    def remaining(self):
-        """Returns known instances that are not certainly gone."""
-        return self.departures.remaining(self.members.everyone(), self.now())
-
-    def _beat(self):
-        self.process.soon(self.timing.beat_s, self._beat)
-        now = self.now()
-        lines = self.search.listed()
-        self.members.overlay(lines)
-        self.departures.listed(line.name for line in lines)
-        self.members.me.revision = self.documents.revision
-        for address in self.members.tick(now):
-            self.exchange(address)
-
-    def exchange(self, address):
-        """Exchanges digests with a peer."""
-        asked_at = self.now()
-        place = self.members.place_at(address)
-        digest = self._digest(address, place)
-
-        def replied(reply):
-            if reply is not None:
-                self._take(address, reply)
-                self._note(asked_at, address, reply)
-
-        self.search.call(self, address, digest, replied)
-
-    def _note(self, asked_at, address, reply):
-        if reply.revision <= self.documents.revision:
-            self.freshness.heard(reply.sender.place, asked_at, reply)
-        else:
-            self.search.pull(self, address)
-
-    def _digest(self, key, place):
-        now = self.now()
-        digest = self.members.digest(now, place)
-        digest.asked.extend(self.asked.pop(key, ()))
-        digest.revision = self.documents.revision
-        digest.store_age_s = min(1e9, self.freshness.store_age(now))
-        for name, age_s in self.freshness.place_ages(now).items():
-            digest.places.add(place=name, age_s=age_s)
-        return digest
-
-    def _take(self, key, digest):
-        self.asked[key] = self.members.merge(digest, self.now())
-
-    def answer(self, digest):
-        """Answers a peer's digest."""
-        key = digest.sender.peer_address
-        self._take(key, digest)
-        if digest.revision > self.documents.revision:
-            self.search.pull(self, key)
-        return self._digest(key, digest.sender.place)
-
-    def _poll(self):
-        self.process.soon(POLL_S, self._poll)
-        now = self.now()
-        speaks = self.members.me in self.members.speakers(self.place, now)
-        if speaks or now - self.polled_at > 30.0:
-            self.fetch()
-
-    def fetch(self):
-        """Reads the newest configuration from the store."""
-        asked_at = self.now()
-        self.polled_at = asked_at
-        program = revisions.fetch(self.store_revision)
-
-        def fetched(result):
-            if isinstance(result, revisions.Fetched):
-                self.store_revision = result.store_revision
-                self.freshness.store_read(asked_at)
-                self.adopt(result.revision, result.documents)
-
-        self.process.run(program, fetched)
-
-    def adopt(self, revision, documents):
-        """Takes over a higher revision and tells all peers."""
-        if not self.documents.adopt(revision, documents):
-            return
-        self.members.me.revision = self.documents.revision
-        self.members.tick(self.now())
-        for known in self.members.live(self.now()):
-            if known is not self.members.me:
-                self.exchange(known.member.peer_address)
-
-    def handle(self, _process, request, _reply):
-        """No other requests are made here."""
-        raise TypeError(f'"{request!r}" is not a store request')
-
-
-class _GatedStore(_world.FaultyStore):
-    """The store as one process reaches it."""
-
-    def __init__(self, world, shared, search, name):
-        super().__init__(world)
-        self._memory = shared._memory
-        self._shared = shared
-        self._search = search
-        self._name = name
-
-    def submit(self, request, reply):
-        """Runs a request if store and network let it through."""
-        self.down_until = self._shared.down_until
-        if self._name in self._search.storeless:
-            self.down_until = self._world.now + 1
-        super().submit(request, reply)
-
-
 class _Search:
     """One seeded run of changes under partitions and outages."""
 
@@ -197,7 +54,7 @@
     def _start(self, place):
         self._sequence += 1
         name = f'{place.lower()}-{self._sequence}'
-        gate = _GatedStore(self.world, self.store, self, name)
+        gate = _peer.GatedStore(self.world, self.store, self, name)
         holder = []
         process = _world.Process(
             self.world, name, gate, lambda *args: holder[0].handle(*args)
@@ -215,7 +72,7 @@
         )
         freshness = membership.Freshness(place, self.timing.cut_off_s)
         departures = membership.Departures(self.timing.gone_margin_s)
-        peer = _Peer(
+        peer = _peer.Peer(
             self,
             process,
             place,
@@ -396,9 +253,7 @@
             for peer in self.peers.values()
             if peer.admits() and not peer.process.paused()
         ]
-        if not held:
-            return
-        lowest = min(held)
+        lowest = min(held, default=math.inf)
         for revision in [r for r in self._commits if r <= lowest]:
             committed_at = self._commits.pop(revision)
             self.in_force.append(self.world.now - committed_at)
--- a/dandelionwinch/settings.py
+++ b/dandelionwinch/settings.py
@@ -236,7 +236,6 @@
     name: str = attrs.field(validator=_name)
     token_gap_s: float = attrs.field(default=0.041, validator=_positive)
     first_token_s: float = attrs.field(default=1.1, validator=_positive)
-    kv_bytes_per_token: int = attrs.field(default=131072, validator=_positive)
 
 
 @attrs.frozen(kw_only=True)
--- a/dandelionwinch/tools/bench.py
+++ b/dandelionwinch/tools/bench.py
@@ -21,6 +21,7 @@
 from dandelionwinch.bench import _trace
 from dandelionwinch import errors
 from dandelionwinch import search as search_package
+from dandelionwinch import utils
 
 TRACES = pathlib.Path(_trace.__file__).parent / 'traces'
 FINDINGS_EXIT = 2
@@ -164,6 +165,29 @@
     sys.exit(1 if any(row['broken'] for row in rows) else 0)
 
 
+@bench.command('in-force')
+@click.option('--seeds', default=10, show_default=True)
+@_options
+def in_force(seeds, seed, as_json):
+    """Measure, in virtual time, how soon a change is in force.
+
+    Under loss, partitions, outages and pauses: seconds from the commit
+    until no instance that takes work holds an older revision.
+    """
+    times = []
+    for number in range(seed, seed + seeds):
+        times.extend(search_package.in_force_times(number))
+    row = {
+        'first_seed': seed,
+        'seeds': seeds,
+        'changes': len(times),
+        'median_s': round(utils.percentile(times, 0.5), 2),
+        'p95_s': round(utils.percentile(times, 0.95), 2),
+        'longest_s': round(max(times), 2),
+    }
+    _print([row], as_json)
+
+
 def _searched(name, first, count):
     faults = 0
     broken = []
--- a/dandelionwinch/tools/demo_clerks.py
+++ b/dandelionwinch/tools/demo_clerks.py
@@ -71,7 +71,7 @@
         self._fleet = fleet
         self._names = names
         self._place = place
-        self._mix = mix
+        self.mix = mix
         self._team = names.teams[number % len(names.teams)]
         self._http = urllib3.PoolManager(retries=False, maxsize=2)
         self._address = ''
@@ -112,15 +112,11 @@
             headers['Idempotency-Key'] = key
             path = f'/v1/services/{self._names.once}/charge'
             return path, headers, b'{"amount": 20}'
-        words = max(
-            2, int(self._mix.prompt_words * self._rng.uniform(0.5, 1.5))
-        )
+        words = self._around(self.mix.prompt_words)
         prompt = ' '.join(
             f'w{self._rng.randrange(10**6)}' for _ in range(words)
         )
-        tokens = max(
-            2, int(self._mix.output_tokens * self._rng.uniform(0.5, 1.5))
-        )
+        tokens = self._around(self.mix.output_tokens)
         body = {
             'model': self._names.model,
             'max_tokens': tokens,
@@ -252,7 +248,7 @@
     def change_mix(self, mix):
         """Changes what all clerks ask for."""
         for clerk in self._clerks:
-            clerk._mix = mix
+            clerk.mix = mix
 
     def stop(self):
         """Lets each clerk finish its last job."""
