--- a/dandelionwinch/membership/_members.py
+++ b/dandelionwinch/membership/_members.py
@@ -6,10 +6,13 @@
 from dandelionwinch import utils
 
 FANOUT = 3
+FANOUT_IN_LARGE_PLACES = 2
+LARGE_PLACE = 16
 SPEAKERS_PER_PLACE = 2
 CROSS_EVERY_BEATS = 4
 FAR_PULSES = 16
 FAR_PATIENCE = 5.0
+BEAT_SLACK = 0.5
 
 
 def member_id(name):
@@ -68,9 +71,11 @@
 
     __slots__ = (
         '_asked',
+        '_beat_s',
         '_beats',
         '_by_id',
         '_forget_s',
+        '_last_beat',
         '_last_tick',
         '_paused_since',
         '_rng',
@@ -85,6 +90,8 @@
         self._rng = rng
         self._seeds = list(seeds)
         self._suspect_s = timing.suspect_s
+        self._beat_s = timing.beat_s
+        self._last_beat = float('-inf')
         self._forget_s = timing.forget_s
         self._beats = 0
         self._asked = set()
@@ -99,12 +106,26 @@
         """
         self._note_pause(now)
         self._last_tick = now
-        self._beats += 1
-        self.me.beat += 1
         self.me.heard_at = now
         self._forget(now)
+        due_s = self._beat_s * (self._pace() - BEAT_SLACK)
+        if now - self._last_beat < due_s:
+            return []
+        self._last_beat = now
+        self._beats += 1
+        self.me.beat += 1
         return self._targets(now)
 
+    def _pace(self):
+        """Returns how much slower a large place beats, from 1 up.
+
+        A digest grows with the place, so its rate falls, and what an
+        instance sends in a second stays within bounds.
+        """
+        place = self.me.place
+        size = sum(1 for k in self._by_id.values() if k.place == place)
+        return max(1.0, size / LARGE_PLACE)
+
     def _note_pause(self, now):
         if self._last_tick is None:
             return
@@ -133,7 +154,9 @@
     def _targets(self, now):
         others = [k for k in self._by_id.values() if k is not self.me]
         near = [k for k in others if k.place == self.me.place]
-        chosen = self._sample(near, FANOUT)
+        large = self._pace() > 1
+        fanout = FANOUT_IN_LARGE_PLACES if large else FANOUT
+        chosen = self._sample(near, fanout)
         if not near or self._speaks(now):
             if self._beats % CROSS_EVERY_BEATS == 1 or not near:
                 chosen += self._one_of_each_place(others)
@@ -255,17 +278,18 @@
 
     def live(self, now):
         """Returns the instances heard of recently, in order of name."""
+        pace = self._pace()
         return sorted(
-            (k for k in self._by_id.values() if self._is_live(k, now)),
+            (k for k in self._by_id.values() if self._is_live(k, now, pace)),
             key=lambda known: known.name,
         )
 
-    def _is_live(self, known, now):
+    def _is_live(self, known, now, pace):
         """Tells whether a member was heard of; far ones take longer."""
         patience_s = self._suspect_s
         if known.place != self.me.place:
             patience_s *= FAR_PATIENCE
-        return now - known.heard_at <= patience_s
+        return now - known.heard_at <= patience_s * pace
 
     def everyone(self):
         """Returns all known instances in order of name."""
@@ -273,10 +297,11 @@
 
     def may_live(self, now):
         """Returns instances that may still run: live or listed."""
+        pace = self._pace()
         return [
             known
             for known in self.everyone()
-            if known.listed or self._is_live(known, now)
+            if known.listed or self._is_live(known, now, pace)
         ]
 
     def place_at(self, peer_address):
