--- /dev/null
+++ b/dandelionwinch/bench/_takeover.py
@@ -0,0 +1,69 @@
+"""How long a shard is without a holder, in virtual time."""
+
+import random
+
+from dandelionwinch import effects
+from dandelionwinch import membership
+from dandelionwinch import orders
+from dandelionwinch import settings
+from dandelionwinch.standins import store
+
+ROUNDS = 200
+LIST_LAG_S = 5.0
+_TIMING = settings.TimingSettings()
+
+
+def measure(seed):
+    """Returns seconds from a holder's death to its successor.
+
+    One row for runners that check fencing numbers and one for runners
+    that ignore them; a release is taken over at the next step.
+    """
+    rng = random.Random(seed)
+    rows = []
+    for kind, fenced, released in (
+        ('killed, runners check fencing', True, False),
+        ('killed, runners ignore fencing', False, False),
+        ('released', False, True),
+    ):
+        times = sorted(
+            _take_over(fenced, released, rng) for _round in range(ROUNDS)
+        )
+        rows.append(
+            {
+                'holder': kind,
+                'median_s': round(times[ROUNDS // 2], 2),
+                'longest_s': round(times[-1], 2),
+                'seed': seed,
+            }
+        )
+    return rows
+
+
+def _take_over(fenced, released, rng):
+    memory = store.MemoryStore()
+    now = [0.0]
+
+    def run(program):
+        return effects.drive(
+            program, memory.execute, lambda: effects.Time(now[0], now[0])
+        )
+
+    def authority(name):
+        return orders.Authority('shard', name, 1, _TIMING)
+
+    first, second = authority('a'), authority('b')
+    departures = membership.Departures(_TIMING.gone_margin_s)
+    run(first.acquire(fenced, departures.is_gone))
+    if released:
+        run(first.release())
+    died_at = 0.0
+    step_s = _TIMING.lease_s / orders.STEPS_PER_LEASE
+    now[0] = step_s * rng.random()
+    while True:
+        listed = ['b'] if now[0] > died_at + LIST_LAG_S else ['a', 'b']
+        departures.listed(listed)
+        result = run(second.acquire(fenced, departures.is_gone))
+        if isinstance(result, orders.Owned):
+            return now[0] - died_at
+        now[0] += step_s
--- a/dandelionwinch/daemon/_beats.py
+++ b/dandelionwinch/daemon/_beats.py
@@ -83,9 +83,7 @@
         digest = core.members.digest(now, place)
         digest.asked.extend(self._unknown.pop(peer, ()))
         digest.revision = core.documents.revision
-        digest.store_age_s = min(1e9, core.freshness.store_age(now))
-        for name, age_s in core.freshness.place_ages(now).items():
-            digest.places.add(place=name, age_s=age_s)
+        core.freshness.tell(digest, now)
         near = place in (None, core.place)
         digest.loads.extend(
             core.loads.known(now, None if near else LOADS_ACROSS_PLACES)
--- a/dandelionwinch/membership/_freshness.py
+++ b/dandelionwinch/membership/_freshness.py
@@ -2,6 +2,8 @@
 
 import math
 
+LONGEST_AGE_S = 1e9
+
 
 class Freshness:
     """Ages of the last certain contact with the store and each place.
@@ -50,6 +52,12 @@
         ages[self.place] = 0.0
         return ages
 
+    def tell(self, digest, now):
+        """Puts the ages into a digest for a peer."""
+        digest.store_age_s = min(LONGEST_AGE_S, self.store_age(now))
+        for place, age_s in self.place_ages(now).items():
+            digest.places.add(place=place, age_s=age_s)
+
     def is_cut_off(self, places, now):
         """Tells whether new work must be refused.
 
--- a/dandelionwinch/search/_claims.py
+++ b/dandelionwinch/search/_claims.py
@@ -209,23 +209,19 @@
     return claims.Bucket.load(_CFG, reply.record.value)
 
 
-class _Search:
+class _Search(_world.Scene):
     """One seeded run of clerks that repeat their calls."""
 
     def __init__(self, seed):
-        self.world = _world.World(seed, FAULTS_UNTIL_S)
-        self.store = _world.FaultyStore(self.world, 0.1)
-        self.platform = _world.PlatformList(self.world, LIST_LAG_S)
+        super().__init__(seed, FAULTS_UNTIL_S, LIST_LAG_S, 0.1)
         self.back_end = _BackEnd(self.world.chance(0.7))
-        self.instances = []
-        self._started = 0
         self._not_run = {}
         self._told_done = set()
 
     def run(self):
         """Runs to the end, then checks what the clerks were told."""
         for _number in range(INSTANCES):
-            self._start_instance()
+            self.start_instance(_Instance)
         for number in range(KEYS):
             delay_s = FAULTS_UNTIL_S * self.world.rng.random()
             self.world.after(delay_s, self._ask, f'service/key-{number}')
@@ -234,21 +230,6 @@
         self._check()
         return self.world.faults
 
-    def _start_instance(self):
-        self._started += 1
-        name = f'entry-{self._started}'
-        holder = []
-
-        def handle(process, request, reply):
-            holder[0].handle(process, request, reply)
-
-        process = _world.Process(self.world, name, self.store, handle)
-        instance = _Instance(self, process)
-        holder.append(instance)
-        self.platform.add(name)
-        self.instances.append(instance)
-        instance.start()
-
     def _ask(self, key):
         """A clerk asks some instances, again and again."""
         world = self.world
@@ -288,10 +269,7 @@
                 seconds = _world.LONGEST_PAUSE_S * world.rng.random()
                 instance.process.pause(seconds)
             case 1 if world.chance(0.5):
-                self.instances.remove(instance)
-                instance.process.kill()
-                self.platform.ended(instance.process.name)
-                self._start_instance()
+                self.replace(instance, _Instance)
             case 2:
                 self.store.outage(10 * world.rng.random())
 
--- a/dandelionwinch/search/_orders.py
+++ b/dandelionwinch/search/_orders.py
@@ -150,13 +150,11 @@
         self.process.soon(0, self.search.send, order, self.process, ended)
 
 
-class _Search:
+class _Search(_world.Scene):
     """One seeded run over a shard and its runners."""
 
     def __init__(self, seed):
-        self.world = _world.World(seed, FAULTS_UNTIL_S)
-        self.store = _world.FaultyStore(self.world)
-        self.platform = _world.PlatformList(self.world, LIST_LAG_S)
+        super().__init__(seed, FAULTS_UNTIL_S, LIST_LAG_S)
         fenced = self.world.chance(0.5)
         self.runners = [
             _Runner(
@@ -170,35 +168,18 @@
             for number in range(2)
         ]
         self.wanted = {r.cfg.name: ('mixed', 0) for r in self.runners}
-        self.instances = []
         self._revision = 0
-        self._started = 0
 
     def run(self):
         """Runs to the end, then checks that all orders came through."""
         for _number in range(INSTANCES):
-            self._start_instance()
+            self.start_instance(_Instance)
         self.world.after(1, self._disturb)
         self.world.after(1, self._want)
         self.world.run(RUN_S)
         self._check_progress()
         return self.world.faults
 
-    def _start_instance(self):
-        self._started += 1
-        name = f'entry-{self._started}'
-        holder = []
-
-        def handle(process, request, reply):
-            holder[0].handle(process, request, reply)
-
-        process = _world.Process(self.world, name, self.store, handle)
-        instance = _Instance(self, process)
-        holder.append(instance)
-        self.platform.add(name)
-        self.instances.append(instance)
-        instance.start()
-
     def _disturb(self):
         world = self.world
         if world.now > FAULTS_UNTIL_S:
@@ -211,20 +192,12 @@
                 seconds = _world.LONGEST_PAUSE_S * world.rng.random()
                 instance.process.pause(seconds)
             case 1 if world.chance(0.4):
-                self._replace(instance)
+                self.replace(instance, _Instance)
             case 2:
                 self.store.outage(20 * world.rng.random())
             case 3 if world.chance(0.5):
                 instance.leaving = True
-                self.world.after(30, self._replace, instance)
-
-    def _replace(self, instance):
-        if instance not in self.instances:
-            return
-        self.instances.remove(instance)
-        instance.process.kill()
-        self.platform.ended(instance.process.name)
-        self._start_instance()
+                world.after(30, self.replace, instance, _Instance)
 
     def _want(self):
         world = self.world
--- a/dandelionwinch/search/_peer.py
+++ b/dandelionwinch/search/_peer.py
@@ -83,9 +83,7 @@
         digest = self.members.digest(now, place)
         digest.asked.extend(self.asked.pop(key, ()))
         digest.revision = self.documents.revision
-        digest.store_age_s = min(1e9, self.freshness.store_age(now))
-        for name, age_s in self.freshness.place_ages(now).items():
-            digest.places.add(place=name, age_s=age_s)
+        self.freshness.tell(digest, now)
         return digest
 
     def _take(self, key, digest):
--- a/dandelionwinch/tools/bench.py
+++ b/dandelionwinch/tools/bench.py
@@ -18,6 +18,7 @@
 from dandelionwinch.bench import _policies
 from dandelionwinch.bench import _relay
 from dandelionwinch.bench import _simulation
+from dandelionwinch.bench import _takeover
 from dandelionwinch.bench import _trace
 from dandelionwinch import errors
 from dandelionwinch import search as search_package
@@ -126,6 +127,13 @@
     _print(_control.measure(seed), as_json)
 
 
+@bench.command()
+@_options
+def takeover(seed, as_json):
+    """Measure how long a shard is without a holder."""
+    _print(_takeover.measure(seed), as_json)
+
+
 @bench.command()
 @_options
 def claims(seed, as_json):
