--- a/dandelionwinch/tests/test_contracts.py
+++ b/dandelionwinch/tests/test_contracts.py
@@ -221,3 +221,9 @@
     conns = connections.Connections(idle_s=-1.0)
     first = conns.to('127.0.0.1:1')
     assert conns.to('127.0.0.1:1') is not first
+
+
+def test_free_ports_are_not_those_of_outgoing_connections():
+    ports = utils.free_ports(20)
+    assert len(set(ports)) == 20
+    assert max(ports) < utils.first_ephemeral_port()
--- a/dandelionwinch/utils.py
+++ b/dandelionwinch/utils.py
@@ -2,11 +2,25 @@
 
 import hashlib
 import math
+import pathlib
+import random
 import re
 import socket
 
+LOWEST_PORT = 20000
+DEFAULT_EPHEMERAL_PORT = 32768
 _DIGEST_BYTES = 8
 _WORDS = re.compile(r'\S+')
+_PORT_RANGE = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+
+
+def first_ephemeral_port():
+    """Returns the lowest port that the system gives to connections."""
+    try:
+        first = int(_PORT_RANGE.read_text().split()[0])
+    except (OSError, ValueError, IndexError):
+        first = DEFAULT_EPHEMERAL_PORT
+    return max(LOWEST_PORT + 1000, first)
 
 
 def stable_hash(*parts):
@@ -71,11 +85,23 @@
 
 
 def free_ports(count):
-    """Returns ports of the loopback address that nobody uses now."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Returns ports of the loopback address that nobody uses now.
+
+    They lie below those that the system gives to outgoing connections,
+    so that none is taken between this check and its use.
+    """
+    rng = random.SystemRandom()
+    sockets = []
     try:
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
+        while len(sockets) < count:
+            port = rng.randrange(LOWEST_PORT, first_ephemeral_port())
+            item = socket.socket()
+            try:
+                item.bind(('127.0.0.1', port))
+            except OSError:
+                item.close()
+                continue
+            sockets.append(item)
         return [item.getsockname()[1] for item in sockets]
     finally:
         for item in sockets:
