--- a/dandelionwinch/daemon/_core.py
+++ b/dandelionwinch/daemon/_core.py
@@ -219,15 +219,22 @@
             self.executor, self.store.execute, request
         )
 
-    async def run(self, program):
-        """Runs a decision program to its end."""
+    async def run(self, program, handle=None):
+        """Runs a decision program to its end.
+
+        Args:
+            program: A generator of requests.
+            handle: Async function that serves its requests, or None if
+                they are all for the store and the clock.
+        """
+        handle = handle or self.run_request
         reply = None
         while True:
             try:
                 request = program.send(reply)
             except StopIteration as stop:
                 return stop.value
-            reply = await self.run_request(request)
+            reply = await handle(request)
 
     async def run_request(self, request):
         """Runs one request of a decision program."""
--- a/dandelionwinch/daemon/_shards.py
+++ b/dandelionwinch/daemon/_shards.py
@@ -141,23 +141,20 @@
 
     async def _run(self, program, authority, runner):
         core = self._core
-        reply = None
-        while True:
-            try:
-                request = program.send(reply)
-            except StopIteration as stop:
-                return stop.value
+
+        async def handle(request):
             match request:
                 case orders.PollRunner():
-                    reply = _status_of(await core.loads.poll(runner))
+                    return _status_of(await core.loads.poll(runner))
                 case orders.HoldRunner(order_id=order_id):
-                    reply = await self._hold(runner.name, order_id)
+                    return await self._hold(runner.name, order_id)
                 case orders.ReleaseHold(order_id=order_id):
-                    reply = await self._release_hold(runner.name, order_id)
+                    return await self._release_hold(runner.name, order_id)
                 case orders.SendOrder(order=order):
-                    reply = await self._send(authority, runner, order)
-                case _:
-                    reply = await core.run_request(request)
+                    return await self._send(authority, runner, order)
+            return await core.run_request(request)
+
+        return await core.run(program, handle)
 
     def _wish_of_operators(self, shard, runner):
         core = self._core
