--- /dev/null
+++ b/dandelionwinch/attempts/_budget.py
@@ -0,0 +1,60 @@
+"""A retry budget that instances share without asking each other."""
+
+import collections
+
+BUCKETS = 10
+RATIO_SHARE = 0.85
+SLACK_SHARE = 0.7
+
+
+class SharedBudget:
+    """One instance's part of the retry budget of all services.
+
+    Each instance earns the allowed ratio of the requests it received
+    itself, and an equal part of the fixed slack. The parts add up to
+    less than the whole, which covers instances not yet known.
+    """
+
+    __slots__ = ('_ratio', '_requests', '_retries', '_slack', '_span_s')
+
+    def __init__(self, ratio, slack, window_s):
+        self._ratio = ratio * RATIO_SHARE
+        self._slack = slack * SLACK_SHARE
+        self._span_s = window_s / BUCKETS
+        self._requests = {}
+        self._retries = {}
+
+    def received(self, service, now):
+        """Notes a caller's request for a service."""
+        self._add(self._requests, service, now)
+
+    def spend(self, service, instances, now):
+        """Takes one retry and tells whether the budget allowed it.
+
+        Args:
+            service: Name of the service.
+            instances: Instances that are believed to share the budget.
+            now: Time in seconds.
+        """
+        requests = self._count(self._requests, service, now)
+        retries = self._count(self._retries, service, now)
+        allowed = self._ratio * requests + self._slack / max(1, instances)
+        if retries + 1 > allowed:
+            return False
+        self._add(self._retries, service, now)
+        return True
+
+    def _add(self, counts, service, now):
+        buckets = counts.setdefault(service, collections.deque())
+        index = int(now / self._span_s)
+        if buckets and buckets[-1][0] == index:
+            buckets[-1][1] += 1
+            return
+        buckets.append([index, 1])
+        while buckets[0][0] <= index - BUCKETS:
+            buckets.popleft()
+
+    def _count(self, counts, service, now):
+        oldest = int(now / self._span_s) - BUCKETS
+        buckets = counts.get(service, ())
+        return sum(count for index, count in buckets if index > oldest)
--- /dev/null
+++ b/dandelionwinch/attempts/_verdict.py
@@ -0,0 +1,47 @@
+"""Which requests may be sent again, and which answer tells the truth."""
+
+import enum
+
+from dandelionwinch import routes
+
+
+class Fate(enum.Enum):
+    """What is known of an attempt that brought no whole answer."""
+
+    NOT_SENT = 'not sent'
+    NOT_EXECUTED = 'not executed'
+    FAILED = 'failed'
+    UNKNOWN = 'unknown'
+
+
+class Final(enum.IntEnum):
+    """Status of a final answer of our own."""
+
+    BAD_GATEWAY = 502
+    NOT_RUN = 503
+    TIMEOUT = 504
+
+
+def may_repeat(repeat, fate):
+    """Tells whether a request may be sent once more.
+
+    Args:
+        repeat: Repeat of the route.
+        fate: Fate of the last attempt.
+    """
+    if fate in (Fate.NOT_SENT, Fate.NOT_EXECUTED):
+        return True
+    return repeat is not routes.Repeat.ONCE
+
+
+def final_of(fates, timed_out):
+    """Returns the status that is true of all attempts together.
+
+    Args:
+        fates: Fate of each attempt, in any order; may be empty.
+        timed_out: Whether the time for the request is over.
+    """
+    not_run = (Fate.NOT_SENT, Fate.NOT_EXECUTED)
+    if all(fate in not_run for fate in fates):
+        return Final.NOT_RUN
+    return Final.TIMEOUT if timed_out else Final.BAD_GATEWAY
--- /dev/null
+++ b/dandelionwinch/dispatch/_plain.py
@@ -0,0 +1,45 @@
+"""Placement on plain services: the nearest upstream that is not loaded.
+
+Answers the load of many short calls of one size: the distance outweighs
+small differences of load, and a queue outweighs the distance.
+"""
+
+from dandelionwinch.upstreams import _beliefs
+
+QUEUE_S = 0.004
+FAILURE_S = 0.2
+
+
+def choose_plain(beliefs, exclude, distances, rng, now):
+    """Chooses an upstream of a plain service.
+
+    Args:
+        beliefs: Upstreams that take requests.
+        exclude: Ids of upstreams already tried.
+        distances: Distances from here.
+        rng: Source of randomness for ties.
+        now: Time in seconds.
+
+    Returns:
+        A Belief, or None if there is none left.
+    """
+    fresh = [b for b in beliefs if b.entry.id not in exclude]
+    usable = _beliefs.available(fresh, now)
+    if not usable:
+        return None
+
+    def cost_s(belief):
+        return (
+            distances.round_trip_s(belief.entry.data_centre)
+            + QUEUE_S * belief.active
+            + FAILURE_S * belief.failures
+            + max(0.0, belief.excess_s) * _freshness(belief, now)
+            + rng.random() * QUEUE_S
+        )
+
+    return min(usable, key=cost_s)
+
+
+def _freshness(belief, now):
+    age_s = now - belief.observed_at
+    return max(0.0, 1.0 - age_s / _beliefs.RETURN_S)
--- /dev/null
+++ b/dandelionwinch/gateway/__init__.py
@@ -0,0 +1,33 @@
+"""The data path: callers' requests to upstreams on one event loop."""
+
+from dandelionwinch.gateway._codec import BadMessage
+from dandelionwinch.gateway._codec import Head
+from dandelionwinch.gateway._codec import request_bytes
+from dandelionwinch.gateway._fleet import Fleet
+from dandelionwinch.gateway._gateway import Gateway
+from dandelionwinch.gateway._inquiry import Dialect
+from dandelionwinch.gateway._inquiry import Inquiry
+from dandelionwinch.gateway._inquiry import Reply
+from dandelionwinch.gateway._inquiry import Sending
+from dandelionwinch.gateway._server import Server
+from dandelionwinch.gateway._upstream import ConnectionLost
+from dandelionwinch.gateway._upstream import End
+from dandelionwinch.gateway._upstream import NotConnected
+from dandelionwinch.gateway._upstream import Pool
+
+__all__ = [
+    'BadMessage',
+    'ConnectionLost',
+    'Dialect',
+    'End',
+    'Fleet',
+    'Gateway',
+    'Head',
+    'Inquiry',
+    'NotConnected',
+    'Pool',
+    'Reply',
+    'Sending',
+    'Server',
+    'request_bytes',
+]
--- /dev/null
+++ b/dandelionwinch/gateway/_fleet.py
@@ -0,0 +1,58 @@
+"""Connection pools and beliefs of the upstreams, kept in step."""
+
+from dandelionwinch import upstreams
+from dandelionwinch.gateway import _upstream
+
+CONNECTION_SHARE = 0.8
+DEFAULT_CONNECTIONS = 64
+FORGET_S = 30.0
+
+
+class Fleet:
+    """The upstreams as one instance uses them."""
+
+    __slots__ = ('_loop', '_pools', 'beliefs', 'instances', 'table')
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._pools = {}
+        self.beliefs = upstreams.Beliefs()
+        self.instances = 1
+        self.table = None
+
+    def pool(self, belief):
+        """Returns the connections to one incarnation of an upstream."""
+        entry = belief.entry
+        key = (entry.id, entry.born, entry.address)
+        pool = self._pools.get(key)
+        limit = self._limit(entry.service)
+        if pool is None:
+            pool = _upstream.Pool(self._loop, entry.address, limit)
+            self._pools[key] = pool
+        pool.limit = limit
+        return pool
+
+    def _limit(self, service):
+        known = self.table.services.get(service) if self.table else None
+        most = known.max_connections if known else DEFAULT_CONNECTIONS
+        return max(2, int(most * CONNECTION_SHARE / max(1, self.instances)))
+
+    def sweep(self, now):
+        """Closes idle connections and those to upstreams that are gone."""
+        self.beliefs.forget(now, FORGET_S)
+        serving = {
+            (b.entry.id, b.entry.born, b.entry.address)
+            for b in self.beliefs
+            if b.gone_at is None
+        }
+        for key, pool in list(self._pools.items()):
+            pool.sweep()
+            if key not in serving:
+                pool.close()
+                if not pool.open:
+                    del self._pools[key]
+
+    def close(self):
+        """Closes idle connections."""
+        for pool in self._pools.values():
+            pool.close()
--- /dev/null
+++ b/dandelionwinch/gateway/_gateway.py
@@ -0,0 +1,150 @@
+"""Wires routes, beliefs, placement, limits and connections together."""
+
+import random
+import traceback
+
+from dandelionwinch import attempts
+from dandelionwinch import dispatch
+from dandelionwinch import errors
+from dandelionwinch.gateway import _exchange
+from dandelionwinch.gateway import _fleet
+from dandelionwinch.gateway import _metrics
+
+NO_ROUTES_RETRY_S = 0.5
+SWEEP_S = 1.0
+
+
+class Gateway:
+    """Serves callers' requests from what is believed now."""
+
+    __slots__ = (
+        '_sweeper',
+        'active',
+        'budget',
+        'dialect',
+        'distances',
+        'fleet',
+        'log',
+        'loop',
+        'metrics',
+        'placer',
+        'rng',
+    )
+
+    def __init__(self, loop, dialect, log, cfg, rng=None):
+        self.loop = loop
+        self.dialect = dialect
+        self.log = log
+        self.rng = rng or random.Random()
+        self.distances = dispatch.Distances(cfg.data_centre, cfg.regions)
+        self.placer = dispatch.EnginePlacer(self.distances, self.rng)
+        self.budget = attempts.SharedBudget(
+            cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
+        )
+        self.fleet = _fleet.Fleet(loop)
+        self.metrics = _metrics.Metrics()
+        self.active = 0
+        self._sweeper = None
+
+    def start(self):
+        """Starts the periodic work."""
+        self._sweep()
+
+    def close(self):
+        """Stops the periodic work and closes idle connections."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        self.fleet.close()
+
+    def _sweep(self):
+        self.fleet.sweep(self.loop.time())
+        self._sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    async def handle(self, incoming, caller):
+        """Serves one request of a caller's connection."""
+        self.active += 1
+        try:
+            await self._serve(incoming, caller)
+        except errors.DandelionwinchError as exc:
+            self._refuse(caller, incoming, exc.status, exc.message)
+        except Exception:
+            self.log.event('gateway.fault', trace=traceback.format_exc())
+            caller.cut()
+        finally:
+            self.active -= 1
+
+    async def _serve(self, incoming, caller):
+        head = incoming.head
+        table = self.fleet.table
+        if table is None:
+            headers = self.dialect.come_back(NO_ROUTES_RETRY_S)
+            self._refuse(caller, incoming, 503, 'no routes yet', headers)
+            return
+        route = table.match(head.header('host'), head.path)
+        if route is None:
+            self._refuse(caller, incoming, 404, 'no route matches')
+            return
+        inquiry = self.dialect.read(head, bytes(incoming.body))
+        exchange = _exchange.Exchange(
+            self, inquiry, route, caller, incoming.at
+        )
+        try:
+            await exchange.run()
+        except BaseException as exc:
+            self.log.event(
+                'request.left', request=inquiry.id, reason=repr(exc)
+            )
+            raise
+
+    def _refuse(self, caller, incoming, status, reason, headers=()):
+        self.log.event(
+            'request.refused',
+            host=incoming.head.header('host'),
+            path=incoming.head.path,
+            status=status,
+            reason=reason,
+        )
+        caller.answer(status, headers, reason.encode())
+
+    def refused_early(self, status, reason):
+        """Notes a request that was refused before it was whole."""
+        self.log.event('request.refused', status=status, reason=reason)
+
+    def spend_retry(self, service):
+        """Takes a retry out of the shared budget."""
+        return self.budget.spend(
+            service, self.fleet.instances, self.loop.time()
+        )
+
+    def first_event(self, route, taken_s):
+        """Notes the time to the first event of a stream."""
+        self.metrics.first_event.labels(route.name).observe(taken_s)
+
+    def log_placement(self, request_id, placement):
+        """Logs where a generation goes, and why."""
+        prefill = placement.prefill
+        self.log.event(
+            'request.placed',
+            request=request_id,
+            prefill=prefill.entry.id if prefill else '',
+            decode=placement.decode.entry.id,
+            terms=placement.terms,
+        )
+
+    def closed(self, exchange, status, reason):
+        """Notes the final answer of a request."""
+        taken_s = exchange.taken_s()
+        name = exchange.route.name
+        self.metrics.answers.labels(name, str(status)).inc()
+        self.metrics.seconds.labels(name).observe(taken_s)
+        self.log.event(
+            'request.answered',
+            request=exchange.request_id,
+            route=name,
+            upstream=exchange.upstream_id,
+            status=status,
+            outcome=exchange.outcome,
+            reason=reason,
+            attempts=exchange.attempts,
+            taken_ms=round(taken_s * 1e3, 1),
+        )
--- /dev/null
+++ b/dandelionwinch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that only translates between the product and the platform."""
--- /dev/null
+++ b/dandelionwinch/platform/_boot.py
@@ -0,0 +1,125 @@
+"""The settings file that the platform gives to each process."""
+
+import pathlib
+import tomllib
+
+import attrs
+
+from dandelionwinch import errors
+
+VARIABLE = 'DANDELIONWINCH_BOOT'
+
+
+class SettingsInvalid(errors.DandelionwinchError):
+    """The settings file cannot be used."""
+
+    code = 'boot_settings_invalid'
+
+
+@attrs.frozen
+class Boot:
+    """What one process is told at its start.
+
+    Attributes:
+        regions: Region of each data centre.
+        callers: Address for callers' requests, or ''.
+        readiness: Address for questions whether it is ready, or ''.
+        directory: Address for questions where to connect, or ''.
+        store: Address of the platform's store.
+        grace_s: Seconds between SIGTERM and SIGKILL.
+        drain_s: Longest time until a leaving upstream gets no requests.
+    """
+
+    instance: str
+    ip: str
+    data_centre: str
+    regions: dict
+    callers: str
+    readiness: str
+    directory: str
+    store: str
+    heartbeat_s: float
+    grace_s: float
+    drain_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    least_lease_s: float
+    max_ttl_s: float
+    findings: tuple[str, ...] = ()
+
+
+class _Reader:
+    """Reads fields of nested tables; collects findings with places."""
+
+    def __init__(self, data):
+        self._data = data
+        self.findings = []
+
+    def get(self, path, kind, default):
+        value = self._data
+        for name in path.split('.'):
+            value = value.get(name) if isinstance(value, dict) else None
+        if value is None:
+            self.findings.append(f'field "{path}" is missing')
+            return default
+        if kind is float and type(value) is int:
+            return float(value)
+        if not isinstance(value, kind) or isinstance(value, bool):
+            self.findings.append(
+                f'field "{path}" is not of type "{kind.__name__}"'
+            )
+            return default
+        return value
+
+
+def read(text):
+    """Reads a settings file.
+
+    Args:
+        text: The file's text.
+
+    Returns:
+        Boot, with findings for fields that were replaced by defaults.
+
+    Raises:
+        SettingsInvalid: If it names no address of the store.
+    """
+    try:
+        reader = _Reader(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as exc:
+        raise SettingsInvalid(f'the file is not TOML: {exc}') from exc
+    get = reader.get
+    boot = Boot(
+        get('nodeName', str, ''),
+        get('ip', str, '127.0.0.1'),
+        get('zone', str, ''),
+        {
+            name: region
+            for name, region in get('zones', dict, {}).items()
+            if isinstance(region, str)
+        },
+        get('listen.frontend', str, ''),
+        get('listen.readiness', str, ''),
+        get('listen.directory', str, ''),
+        get('platform.address', str, ''),
+        get('heartbeatMs', float, 1200.0) / 1e3,
+        get('bounds.graceS', float, 8.0),
+        get('bounds.drainMs', float, 2500.0) / 1e3,
+        get('bounds.retryBudgetRatio', float, 0.2),
+        get('bounds.retrySlack', float, 0.0),
+        get('bounds.budgetWindowS', float, 10.0),
+        get('platform.minTtlMs', float, 1000.0) / 1e3,
+        get('bounds.ttl_max_s', float, 5.0),
+        tuple(reader.findings),
+    )
+    if not boot.store or not boot.instance:
+        raise SettingsInvalid(
+            'the settings have no field "platform.address" or "nodeName"'
+        )
+    return boot
+
+
+def load(path):
+    """Reads the settings file at a path."""
+    return read(pathlib.Path(path).read_text())
--- /dev/null
+++ b/dandelionwinch/platform/_dialect.py
@@ -0,0 +1,127 @@
+"""Headers of callers' requests and of upstreams' answers."""
+
+import json
+
+from dandelionwinch import dispatch
+from dandelionwinch import errors
+from dandelionwinch import gateway
+
+REQUEST_ID = 'x-dandelionwinch-request-id'
+TIMEOUT_MS = 'x-dandelionwinch-request-timeout-ms'
+TARGET = 'x-dandelionwinch-target-instance'
+NOT_EXECUTED = 'x-dandelionwinch-not-executed'
+SIGNATURE = 'x-dandelionwinch-response-signature'
+MODEL = 'x-dandelionwinch-model'
+TOKEN_USAGE = 'x-dandelionwinch-token-usage'
+PROMPT_PREFIX = 'x-dandelionwinch-prompt-prefix'
+STAGE = 'x-dandelionwinch-stage'
+KV_SOURCE = 'x-dandelionwinch-kv-source'
+PRIORITY = 'x-dandelionwinch-request-priority'
+LAST_EVENT_ID = 'last-event-id'
+
+# Only the system may say these to an upstream.
+SYSTEM_ONLY = frozenset(
+    (
+        TARGET,
+        STAGE,
+        KV_SOURCE,
+        PRIORITY,
+        TIMEOUT_MS,
+        LAST_EVENT_ID,
+        'x-dandelionwinch-kv-hold',
+        'x-dandelionwinch-kv-backup',
+        'x-dandelionwinch-pin-ms',
+        'x-dandelionwinch-expected-version',
+        'kv-fetch',
+        'x-dandelionwinch-kv-fetch',
+    )
+)
+
+
+class Dialect:
+    """The platform's headers in the gateway's types."""
+
+    __slots__ = ()
+
+    def read(self, head, body):
+        """Returns the Inquiry of a caller's request.
+
+        Raises:
+            BadRequest: If it bears no id.
+        """
+        request_id = head.header(REQUEST_ID)
+        if not request_id:
+            raise errors.BadRequest(f'header "{REQUEST_ID}" is missing')
+        headers = tuple(
+            pair for pair in head.end_to_end() if pair[0] not in SYSTEM_ONLY
+        )
+        timeout_ms = _number(head.header(TIMEOUT_MS))
+        return gateway.Inquiry(
+            request_id,
+            head.method,
+            head.target,
+            headers,
+            body,
+            None if timeout_ms is None else timeout_ms / 1e3,
+            _prompt(head),
+            _number(head.header(LAST_EVENT_ID)),
+        )
+
+    def headers(self, inquiry, sending):
+        """Returns the headers of a request to an upstream."""
+        pairs = list(inquiry.headers)
+        pairs.append((TARGET, sending.upstream_id))
+        pairs.append((TIMEOUT_MS, str(max(1, int(sending.left_s * 1e3)))))
+        if sending.last_event is not None:
+            pairs.append((LAST_EVENT_ID, str(sending.last_event)))
+        if sending.urgency is not None:
+            pairs.append((PRIORITY, str(sending.urgency)))
+        if sending.prefill_only:
+            pairs.append((STAGE, 'prefill'))
+        if sending.source:
+            pairs.append((KV_SOURCE, sending.source))
+        return pairs
+
+    def reply(self, head):
+        """Returns the Reply of a response head."""
+        return gateway.Reply(
+            head.header(REQUEST_ID),
+            bool(head.header(NOT_EXECUTED)),
+            bool(head.header(SIGNATURE)),
+        )
+
+    def handle(self, body):
+        """Returns the handle of a prefilled prompt, or ''."""
+        try:
+            value = json.loads(body)
+        except ValueError:
+            return ''
+        handle = value.get('kvHandle') if isinstance(value, dict) else None
+        return handle if isinstance(handle, str) else ''
+
+    def release(self, handle):
+        """Returns method and path that free a prefilled prompt."""
+        return 'DELETE', f'/-/kv-handle/{handle}'
+
+    def come_back(self, wait_s):
+        """Returns the headers that say when to come back."""
+        return [('Retry-After', f'{wait_s:.2f}')]
+
+
+def _number(text):
+    return int(text) if text.isdigit() else None
+
+
+def _prompt(head):
+    usage = head.header(TOKEN_USAGE).split(',')
+    if len(usage) != 2 or not all(item.strip().isdigit() for item in usage):
+        return None
+    parts = []
+    for item in head.header(PROMPT_PREFIX).split(','):
+        part_id, _, tokens = item.strip().partition(':')
+        if part_id and tokens.isdigit():
+            parts.append((part_id, int(tokens)))
+    # A part is cached by model; the same id may stand for two of them.
+    model = head.header(MODEL)
+    named = tuple((f'{model}/{name}', tokens) for name, tokens in parts)
+    return dispatch.Prompt(int(usage[0]), int(usage[1]), named)
--- /dev/null
+++ b/dandelionwinch/platform/_sync.py
@@ -0,0 +1,310 @@
+"""Follows the store and keeps routes, upstreams and instances in step."""
+
+import asyncio
+import json
+
+from dandelionwinch import addresses
+from dandelionwinch.platform import _catalogue
+from dandelionwinch.platform import _store
+from dandelionwinch import upstreams
+
+INSTANCE_PREFIX = 'dandelionwinch/instances/'
+EVERYTHING = ''
+WATCH_S = 2.5
+COALESCE_S = 0.4
+BACKOFF_S = 0.3
+MAX_BACKOFF_S = 1.5
+INSTANCE_KEEP_S = 20.0
+
+
+class Sync:
+    """A task that owns what is known from the store."""
+
+    __slots__ = (
+        '_absence',
+        '_gateway',
+        '_log',
+        '_loop',
+        '_recent',
+        '_revision',
+        '_rng',
+        '_store',
+        '_synced',
+        '_task',
+        'on_config',
+        'present',
+    )
+
+    def __init__(self, loop, store, gateway, log, rng, on_config):
+        self._loop = loop
+        self._store = store
+        self._gateway = gateway
+        self._log = log
+        self._rng = rng
+        self._absence = upstreams.Absence()
+        self._revision = 0
+        self._task = None
+        self._synced = False
+        self._recent = {}
+        self.present = {}
+        self.on_config = on_config
+
+    def start(self):
+        """Starts following the store."""
+        self._task = self._loop.create_task(self._run())
+
+    def close(self):
+        """Stops following the store."""
+        if self._task is not None:
+            self._task.cancel()
+
+    @property
+    def ready(self):
+        """Tells whether routes are known."""
+        return self._gateway.fleet.table is not None
+
+    async def _run(self):
+        backoff_s = BACKOFF_S
+        listed = False
+        while True:
+            try:
+                if not listed:
+                    await self._list()
+                    listed = True
+                await self._watch()
+                backoff_s = BACKOFF_S
+            except _store.HistoryGone as exc:
+                self._log.event('store.history_gone', reason=str(exc))
+                listed = False
+            except _store.StoreFailed as exc:
+                self._failed(exc)
+                await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
+                backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+
+    def _failed(self, exc):
+        if self._synced:
+            self._log.event('store.lost', reason=str(exc))
+        self._synced = False
+        self._absence.store_failed(self._loop.time())
+
+    def _reached(self):
+        if not self._synced:
+            self._log.event('store.reached', revision=self._revision)
+        self._synced = True
+
+    async def _list(self):
+        listing = await self._store.list(EVERYTHING)
+        now = self._loop.time()
+        self._revision = listing.revision
+        self._reached()
+        keys = {item.key for item in listing.items}
+        for item in listing.items:
+            self._apply(item, now)
+        self._vanish(
+            [
+                belief.entry.id
+                for belief in self._gateway.fleet.beliefs
+                if belief.gone_at is None
+                and _catalogue.UPSTREAM_PREFIX + belief.entry.id not in keys
+            ],
+            now,
+        )
+        for key in list(self.present):
+            if key not in keys:
+                self._remove_instance(key, now)
+        self._settle(now)
+
+    async def _watch(self):
+        listing = await self._store.watch(
+            EVERYTHING, self._revision, WATCH_S
+        )
+        now = self._loop.time()
+        self._revision = max(self._revision, listing.revision)
+        self._reached()
+        gone = []
+        for item in listing.items:
+            if item.value is None and _is_upstream(item.key):
+                gone.append(item.key.removeprefix(_catalogue.UPSTREAM_PREFIX))
+            else:
+                if _is_upstream(item.key):
+                    name = item.key.removeprefix(_catalogue.UPSTREAM_PREFIX)
+                    gone = [upstream for upstream in gone if upstream != name]
+                self._apply(item, now)
+        if gone:
+            self._vanish(gone, now)
+        self._settle(now)
+        if listing.items:
+            await asyncio.sleep(COALESCE_S)
+
+    def _apply(self, item, now):
+        if item.key == _catalogue.CONFIG_KEY:
+            self._apply_config(item)
+        elif _is_upstream(item.key):
+            self._apply_upstream(item, now)
+        elif item.key.startswith(INSTANCE_PREFIX):
+            self._apply_instance(item, now)
+
+    def _apply_config(self, item):
+        if item.value is None:
+            return
+        try:
+            table = _catalogue.read_config(item.value)
+        except _catalogue.EntryInvalid as exc:
+            self._log.event('config.invalid', finding=exc.message)
+            return
+        fleet = self._gateway.fleet
+        if fleet.table is not None and table.version <= fleet.table.version:
+            return
+        fleet.table = table
+        self._log.event(
+            'config.applied', version=table.version, revision=item.revision
+        )
+        self.on_config(table)
+
+    def _apply_upstream(self, item, now):
+        name = item.key.removeprefix(_catalogue.UPSTREAM_PREFIX)
+        beliefs = self._gateway.fleet.beliefs
+        try:
+            entry = _catalogue.read_upstream(name, item.value)
+        except _catalogue.EntryInvalid as exc:
+            self._log.event('upstream.invalid', finding=exc.message)
+            beliefs.remove(name, now)
+            return
+        known = beliefs.get(name)
+        before = known.entry if known else None
+        self._absence.returned(name)
+        if beliefs.apply(entry):
+            self._gateway.placer.forget(name)
+        if before is None or (before.ready, before.role, before.born) != (
+            entry.ready,
+            entry.role,
+            entry.born,
+        ):
+            self._log.event(
+                'upstream.changed',
+                upstream=name,
+                service=entry.service,
+                ready=entry.ready,
+                role=entry.role.value,
+                born=entry.born,
+                revision=item.revision,
+            )
+
+    def _vanish(self, upstream_ids, now):
+        known = sum(
+            1 for b in self._gateway.fleet.beliefs if b.gone_at is None
+        )
+        for name in self._absence.vanished(upstream_ids, known, now):
+            self._gone(name, now, held=False)
+
+    def _settle(self, now):
+        for name in self._absence.due(now):
+            self._gone(name, now, held=True)
+
+    def _gone(self, name, now, held):
+        self._gateway.fleet.beliefs.remove(name, now)
+        self._log.event('upstream.gone', upstream=name, held=held)
+
+    def _apply_instance(self, item, now):
+        if item.value is None:
+            self._remove_instance(item.key, now)
+            return
+        try:
+            data = json.loads(item.value)
+            presence = addresses.Presence(
+                data['name'],
+                data['address'],
+                data['data_centre'],
+                data['region'],
+            )
+        except (ValueError, KeyError, TypeError) as exc:
+            self._log.event('instance.invalid', key=item.key, reason=str(exc))
+            return
+        self.present[item.key] = presence
+        self._count(item.key, now)
+
+    def _remove_instance(self, key, now):
+        if self.present.pop(key, None) is not None:
+            self._log.event('instance.gone', key=key)
+        self._count(None, now)
+
+    def _count(self, key, now):
+        """Counts instances; those that vanished count for a while yet."""
+        if key is not None:
+            self._recent[key] = now
+        for present in self.present:
+            self._recent[present] = now
+        old = [k for k, at in self._recent.items() if now - at > INSTANCE_KEEP_S]
+        for stale in old:
+            del self._recent[stale]
+        self._gateway.fleet.instances = max(1, len(self._recent))
+
+
+def _is_upstream(key):
+    return key.startswith(_catalogue.UPSTREAM_PREFIX)
+
+
+class Registration:
+    """Keeps this instance's entry in the store while it is ready."""
+
+    __slots__ = ('_key', '_lease', '_log', '_loop', '_store', '_task', '_ttl_s', '_value')
+
+    def __init__(self, loop, store, log, presence, ttl_s):
+        self._loop = loop
+        self._store = store
+        self._log = log
+        self._key = INSTANCE_PREFIX + presence.name
+        self._value = json.dumps(
+            {
+                'name': presence.name,
+                'address': presence.address,
+                'data_centre': presence.data_centre,
+                'region': presence.region,
+            }
+        ).encode()
+        self._ttl_s = ttl_s
+        self._lease = 0
+        self._task = None
+
+    def start(self):
+        """Starts to register and to renew."""
+        self._task = self._loop.create_task(self._run())
+
+    async def _run(self):
+        while True:
+            wait_s = self._ttl_s / 3
+            try:
+                if self._lease:
+                    await self._store.keep(self._lease)
+                else:
+                    await self._register()
+            except _store.LeaseEnded:
+                self._log.event('registration.lapsed', lease=self._lease)
+                self._lease = 0
+                wait_s = 0.1
+            except _store.StoreFailed as exc:
+                self._log.event('registration.failed', reason=str(exc))
+                wait_s = min(1.0, wait_s)
+            await asyncio.sleep(wait_s)
+
+    async def _register(self):
+        lease = await self._store.lease(self._ttl_s)
+        await self._store.put(self._key, self._value, lease)
+        self._lease = lease
+        self._log.event('registration.made', lease=lease)
+
+    async def withdraw(self):
+        """Removes the entry, as before a planned stop."""
+        if self._task is not None:
+            self._task.cancel()
+        if not self._lease:
+            return
+        try:
+            await self._store.end(self._lease)
+        except _store.StoreFailed as exc:
+            self._log.event('registration.not_withdrawn', reason=str(exc))
+
+    def close(self):
+        """Stops renewing."""
+        if self._task is not None:
+            self._task.cancel()
--- /dev/null
+++ b/dandelionwinch/routes/__init__.py
@@ -0,0 +1,19 @@
+"""Routes of callers' requests to services, by revision of a configuration."""
+
+from dandelionwinch.routes._table import Engine
+from dandelionwinch.routes._table import Limits
+from dandelionwinch.routes._table import Repeat
+from dandelionwinch.routes._table import Route
+from dandelionwinch.routes._table import RouteTable
+from dandelionwinch.routes._table import Service
+from dandelionwinch.routes._table import Share
+
+__all__ = [
+    'Engine',
+    'Limits',
+    'Repeat',
+    'Route',
+    'RouteTable',
+    'Service',
+    'Share',
+]
--- /dev/null
+++ b/dandelionwinch/upstreams/__init__.py
@@ -0,0 +1,10 @@
+"""What one instance believes of the upstreams, and why."""
+
+from dandelionwinch.upstreams._absence import Absence
+from dandelionwinch.upstreams._beliefs import available
+from dandelionwinch.upstreams._beliefs import Beliefs
+from dandelionwinch.upstreams._beliefs import Belief
+from dandelionwinch.upstreams._beliefs import Entry
+from dandelionwinch.upstreams._beliefs import Role
+
+__all__ = ['Absence', 'Belief', 'Beliefs', 'Entry', 'Role', 'available']
