--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -3,14 +3,14 @@
 from dandelionwinch.dispatch._engines import EnginePlacer
 from dandelionwinch.dispatch._engines import Placement
 from dandelionwinch.dispatch._engines import Prompt
-from dandelionwinch.dispatch._engines import SHORT_PROMPT_TOKENS
+from dandelionwinch.dispatch._engines import Lane
 from dandelionwinch.dispatch._plain import choose_plain
 from dandelionwinch.dispatch._distance import Distances
 
 __all__ = [
-    'SHORT_PROMPT_TOKENS',
     'Distances',
     'EnginePlacer',
+    'Lane',
     'Placement',
     'Prompt',
     'choose_plain',
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -2,16 +2,20 @@
 
 Answers a mix that swings between long prompts and long answers: requests
 that share the beginning of their prompts meet at one engine, and leave it
-for the one that can start them first when it falls behind.
+for the next one of the same order when it falls behind. Short prompts
+with long answers keep an engine of their own, as long prompts between
+their tokens would make pauses.
 """
 
+import enum
+
 import attrs
 
+from dandelionwinch.dispatch import _pace
 from dandelionwinch import upstreams
-from dandelionwinch.upstreams import _beliefs
 from dandelionwinch import utils
 
-SHORT_PROMPT_TOKENS = 512
+SHORT_PROMPT_TOKENS = 1024
 DECODE_SPEED = 200_000.0
 PREFILL_SPEED = 400_000.0
 SPEED_GAIN = 0.05
@@ -19,12 +23,22 @@
 LEAST_SAMPLE_TOKENS = 1000
 LEAST_SPEED = 1000.0
 HANDOVER_S = 0.004
-SPILL_S = 0.03
 CACHED_S = 8.0
 MAX_CACHED = 20_000
 RUNNING_S = 0.0005
 FAILURE_S = 0.2
-LOAD_FACTOR = 2.0
+HOMES = 3
+RETURNED_SHARE = 0.85
+BACKGROUND_SLOTS = 40
+ANSWER_KEY = 'answers'
+
+
+class Lane(enum.Enum):
+    """How urgent a prompt is at its engine."""
+
+    ANSWER = 'answer'
+    URGENT = 'urgent'
+    BACKGROUND = 'background'
 
 
 @attrs.frozen
@@ -44,6 +58,11 @@
         """Returns the parts that other requests may have too."""
         return self.parts[:-1]
 
+    @property
+    def short(self):
+        """Tells whether reading it is little work."""
+        return self.tokens < SHORT_PROMPT_TOKENS
+
 
 @attrs.frozen
 class Placement:
@@ -58,24 +77,41 @@
 
     prefill: object
     decode: object
+    lane: Lane
     fresh_tokens: int
     work_s: float
     terms: str
 
+    @property
+    def reader(self):
+        """Returns the belief of the engine that reads the prompt."""
+        return self.prefill or self.decode
+
 
 class EnginePlacer:
     """Chooses engines for prompts; owns what is believed to be cached."""
 
-    __slots__ = ('_cached', '_distances', '_rng', '_speeds')
+    __slots__ = (
+        '_background',
+        '_cached',
+        '_distances',
+        '_paces',
+        '_rng',
+        '_speeds',
+        'instances',
+    )
 
     def __init__(self, distances, rng):
         self._distances = distances
         self._rng = rng
         self._cached = {}
         self._speeds = {}
+        self._paces = {}
+        self._background = {}
+        self.instances = 1
 
-    def place(self, prompt, beliefs, exclude, now, *, direct=False):
-        """Chooses engines.
+    def place(self, prompt, beliefs, exclude, now, *, direct, late):
+        """Chooses engines and a lane.
 
         Args:
             prompt: The Prompt.
@@ -83,90 +119,99 @@
             exclude: Ids of engines already tried.
             now: Time in seconds.
             direct: Whether the prompt must not be prefilled elsewhere.
+            late: Whether its latency objective cannot be met any more.
 
         Returns:
-            A Placement, or None if no engine can make the answer.
+            A Placement, or None if no engine has room for it.
         """
         fresh = [b for b in beliefs if b.entry.id not in exclude]
-        usable = _beliefs.available(fresh, now)
+        usable = upstreams.available(fresh, now)
         decoders = [
             b for b in usable if b.entry.role is not upstreams.Role.PREFILL
         ]
         if not decoders:
             return None
-        takers = usable
-        if direct or prompt.tokens < SHORT_PROMPT_TOKENS:
-            takers = decoders
-        costs = {b.entry.id: self._cost_s(prompt, b, now) for b in takers}
-        best = min(takers, key=lambda b: costs[b.entry.id])
-        home = self._home(prompt, takers)
-        chosen = best
-        if home is not None:
-            limit_s = costs[best.entry.id] + SPILL_S
-            if costs[home.entry.id] <= limit_s:
-                chosen = home
-        return self._placement(prompt, chosen, best, decoders, costs, now)
-
-    def _placement(self, prompt, chosen, best, decoders, costs, now):
-        tokens = prompt.tokens - self._hit(prompt, chosen, now)
-        work_s = self._round_trip_s(chosen) + tokens / self._speed(chosen)
-        terms = (
-            f'cost {costs[chosen.entry.id] * 1e3:.1f} ms, '
-            f'best {costs[best.entry.id] * 1e3:.1f} ms, '
-            f'{tokens} of {prompt.tokens} tokens not cached, '
-            f'excess {chosen.excess_s * 1e3:.1f} ms'
-        )
-        if chosen.entry.role is not upstreams.Role.PREFILL:
-            return Placement(None, chosen, tokens, work_s, terms)
-        decode = min(decoders, key=lambda b: self._decode_cost_s(b, chosen))
-        work_s += HANDOVER_S + self._round_trip_s(decode)
-        return Placement(chosen, decode, tokens, work_s, terms)
+        if prompt.short:
+            chosen = self._answer_home(decoders)
+            return self._placement(
+                prompt, chosen, decoders, Lane.ANSWER, now
+            )
+        takers = decoders if direct else self._takers(usable, decoders)
+        ranked = self._ranked(prompt, takers)
+        if not late:
+            for belief in ranked[:HOMES]:
+                tokens = prompt.tokens - self._hit(prompt, belief, now)
+                if self._pace(belief, now).admit(tokens, now):
+                    return self._placement(
+                        prompt, belief, decoders, Lane.URGENT, now
+                    )
+        for belief in ranked[:HOMES]:
+            waiting = self._background.get(belief.entry.id, 0)
+            if waiting < max(1, BACKGROUND_SLOTS // self.instances):
+                return self._placement(
+                    prompt, belief, decoders, Lane.BACKGROUND, now
+                )
+        return None
+
+    def _takers(self, usable, decoders):
+        """Leaves out the engine for answers if there are others."""
+        home = self._answer_home(decoders)
+        others = [b for b in usable if b is not home]
+        return others or usable
 
-    def _decode_cost_s(self, belief, prefill):
-        near = belief.entry.data_centre == prefill.entry.data_centre
-        return (
-            self._round_trip_s(belief)
-            + (0.0 if near else HANDOVER_S)
-            + RUNNING_S * belief.active
-            + FAILURE_S * belief.failures
-            + self._rng.random() * RUNNING_S
+    @staticmethod
+    def _answer_home(decoders):
+        return max(
+            decoders,
+            key=lambda b: utils.rendezvous_score(
+                1.0, ANSWER_KEY, b.entry.id
+            ),
         )
 
-    def _home(self, prompt, takers):
-        if prompt.tokens < SHORT_PROMPT_TOKENS or not prompt.shared:
-            return None
-        key = prompt.shared[-1][0]
+    def _ranked(self, prompt, takers):
+        key = prompt.shared[-1][0] if prompt.shared else self._rng.random()
 
         def score(belief):
             prefill = belief.entry.role is upstreams.Role.PREFILL
             weight = 2.0 if prefill else 1.0
             return utils.rendezvous_score(weight, key, belief.entry.id)
 
-        return max(takers, key=score)
+        return sorted(takers, key=score, reverse=True)
 
-    def _cost_s(self, prompt, belief, now):
-        speed = self._speed(belief)
-        tokens = prompt.tokens - self._hit(prompt, belief, now)
-        waiting_s = max(
-            belief.prompt_tokens / speed * LOAD_FACTOR,
-            self._excess_s(belief, now),
+    def _pace(self, belief, now):
+        pace = self._paces.get(belief.entry.id)
+        if pace is None:
+            pace = _pace.Pace(self._speed(belief), self.instances, now)
+            self._paces[belief.entry.id] = pace
+        return pace
+
+    def _placement(self, prompt, chosen, decoders, lane, now):
+        tokens = prompt.tokens - self._hit(prompt, chosen, now)
+        work_s = self._round_trip_s(chosen) + tokens / self._speed(chosen)
+        terms = (
+            f'{tokens} of {prompt.tokens} tokens not cached, '
+            f'excess {chosen.excess_s * 1e3:.1f} ms, '
+            f'rate {self._pace(chosen, now).rate:.0f} tokens/s'
         )
-        cost_s = self._round_trip_s(belief) + waiting_s + tokens / speed
-        if belief.entry.role is upstreams.Role.PREFILL:
-            cost_s += HANDOVER_S
+        prefill, decode = None, chosen
+        if chosen.entry.role is upstreams.Role.PREFILL:
+            prefill = chosen
+            decode = min(
+                decoders, key=lambda b: self._decode_cost_s(b, chosen)
+            )
+            work_s += HANDOVER_S + self._round_trip_s(decode)
+        return Placement(prefill, decode, lane, tokens, work_s, terms)
+
+    def _decode_cost_s(self, belief, prefill):
+        near = belief.entry.data_centre == prefill.entry.data_centre
         return (
-            cost_s
+            self._round_trip_s(belief)
+            + (0.0 if near else HANDOVER_S)
             + RUNNING_S * belief.active
             + FAILURE_S * belief.failures
             + self._rng.random() * RUNNING_S
         )
 
-    @staticmethod
-    def _excess_s(belief, now):
-        age_s = now - belief.observed_at
-        keep = max(0.0, 1.0 - age_s / _beliefs.RETURN_S)
-        return max(0.0, belief.excess_s) * keep
-
     def _round_trip_s(self, belief):
         return self._distances.round_trip_s(belief.entry.data_centre)
 
@@ -192,34 +237,58 @@
             hit += tokens
         return min(hit, prompt.tokens)
 
-    def sent(self, prompt, belief, now):
-        """Notes that an engine begins to read a prompt."""
+    def sent(self, prompt, placement, now):
+        """Notes that an engine gets a prompt."""
+        upstream_id = placement.reader.entry.id
         for part_id, _tokens in prompt.shared:
             held = self._cached.pop(part_id, None) or {}
-            held[belief.entry.id] = now
+            held[upstream_id] = now
             self._cached[part_id] = held
         while len(self._cached) > MAX_CACHED:
             del self._cached[next(iter(self._cached))]
+        if placement.lane is Lane.BACKGROUND:
+            waiting = self._background.get(upstream_id, 0)
+            self._background[upstream_id] = waiting + 1
 
-    def started(self, belief, tokens, taken_s):
-        """Learns the speed of a role from one prompt.
+    def ended(self, placement):
+        """Notes that an engine no longer has a prompt."""
+        if placement.lane is Lane.BACKGROUND:
+            self._background[placement.reader.entry.id] -= 1
+
+    def started(self, placement, taken_s, now):
+        """Learns from the first token of a prompt.
 
         Args:
-            belief: The engine.
-            tokens: Prompt tokens that it had to read.
+            placement: Where it was placed.
             taken_s: Seconds until its first token, with distance.
+            now: Time in seconds.
         """
+        reader = placement.reader
+        excess_s = taken_s - placement.work_s
+        if placement.lane is Lane.BACKGROUND:
+            reader.succeeded(reader.excess_s, now)
+            return
+        reader.succeeded(excess_s, now)
+        if placement.lane is Lane.ANSWER:
+            return
+        self._learn_speed(reader, placement.fresh_tokens, taken_s)
+        self._pace(reader, now).observe(
+            excess_s, self._speed(reader), self.instances, now
+        )
+
+    def _learn_speed(self, belief, tokens, taken_s):
         taken_s -= self._round_trip_s(belief)
         if tokens < LEAST_SAMPLE_TOKENS or taken_s <= 0:
             return
         sample = tokens / taken_s
         speed = self._speed(belief)
         gain = SPEED_GAIN if sample > speed else SPEED_LOSS
-        entry = belief.entry
         speed += gain * (min(sample, 4 * speed) - speed)
+        entry = belief.entry
         self._speeds[(entry.service, entry.role)] = max(LEAST_SPEED, speed)
 
     def forget(self, upstream_id):
         """Drops what an engine held, as after its restart."""
+        self._paces.pop(upstream_id, None)
         for held in self._cached.values():
             held.pop(upstream_id, None)
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -20,7 +20,12 @@
 RETRY_AFTER_S = 0.2
 RETRY_SPREAD_S = 0.4
 SERVER_ERROR = 500
-URGENT = 3
+URGENCY = {
+    dispatch.Lane.ANSWER: 2,
+    dispatch.Lane.URGENT: 5,
+    dispatch.Lane.BACKGROUND: 8,
+}
+RETURNED_SHARE = 0.85
 
 
 class AttemptFailed(Exception):
@@ -374,25 +379,38 @@
             self._tried,
             now,
             direct=bool(self._attempt),
+            late=self._is_late(),
         )
         if placement is None:
             raise self._nowhere()
         self._gateway.log_placement(self._inquiry.id, placement)
-        reader = placement.prefill or placement.decode
-        reader.prompt_tokens += placement.fresh_tokens
-        self._gateway.placer.sent(prompt, reader, now)
+        self._gateway.placer.sent(prompt, placement, now)
         try:
             source = ''
             if placement.prefill is not None:
                 source = await self._prefill(placement)
             await self._decode(placement, source, now)
         finally:
-            reader.prompt_tokens -= placement.fresh_tokens
+            self._gateway.placer.ended(placement)
+
+    def _is_late(self):
+        """Tells whether the latency objective is out of reach.
+
+        A caller that comes back waits for less than its whole timeout.
+        """
+        route = self._route
+        if self._loop.time() - self._began > route.objective_s:
+            return True
+        timeout_s = self._inquiry.timeout_s
+        return (
+            timeout_s is not None
+            and timeout_s < RETURNED_SHARE * route.timeout_s
+        )
 
     async def _prefill(self, placement):
         belief = placement.prefill
         sending = self._sending(
-            belief, prefill_only=True, urgency=self._urgency()
+            belief, prefill_only=True, urgency=URGENCY[placement.lane]
         )
         pool = self._fleet.pool(belief)
         self.upstream_id = belief.entry.id
@@ -435,16 +453,11 @@
             raise AttemptFailed(fate, f'status {head.status}, no handle')
         return handle
 
-    def _urgency(self):
-        if self._inquiry.prompt.tokens < dispatch.SHORT_PROMPT_TOKENS:
-            return URGENT
-        return None
-
     async def _decode(self, placement, source, began):
         belief = placement.decode
         pool, conn = await self._connect(belief)
         sending = self._sending(
-            belief, source=source, urgency=self._urgency()
+            belief, source=source, urgency=URGENCY[placement.lane]
         )
         belief.active += 1
         try:
@@ -513,14 +526,8 @@
 
     def _started(self, placement, began):
         now = self._loop.time()
-        taken_s = now - began
         self._gateway.first_event(self._route, now - self._began)
-        reader = placement.prefill or placement.decode
-        excess_s = taken_s - placement.work_s
-        reader.succeeded(excess_s, now)
-        self._gateway.placer.started(
-            reader, placement.fresh_tokens, taken_s
-        )
+        self._gateway.placer.started(placement, now - began, now)
 
     async def _whole_failure(self, conn, head, belief, patience_s):
         """Reads an answer that is not a stream of events."""
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -110,6 +110,11 @@
         """Notes a request that was refused before it was whole."""
         self.log.event('request.refused', status=status, reason=reason)
 
+    def set_instances(self, count):
+        """Takes the number of instances that share all limits."""
+        self.fleet.instances = count
+        self.placer.instances = count
+
     def spend_retry(self, service):
         """Takes a retry out of the shared budget."""
         return self.budget.spend(
@@ -128,6 +133,7 @@
             request=request_id,
             prefill=prefill.entry.id if prefill else '',
             decode=placement.decode.entry.id,
+            lane=placement.lane.value,
             terms=placement.terms,
         )
 
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -237,7 +237,7 @@
         old = [k for k, at in self._recent.items() if now - at > INSTANCE_KEEP_S]
         for stale in old:
             del self._recent[stale]
-        self._gateway.fleet.instances = max(1, len(self._recent))
+        self._gateway.set_instances(max(1, len(self._recent)))
 
 
 def _is_upstream(key):
--- a/dandelionwinch/upstreams/_beliefs.py
+++ b/dandelionwinch/upstreams/_beliefs.py
@@ -58,7 +58,6 @@
     failures: float = 0.0
     excess_s: float = 0.0
     active: int = 0
-    prompt_tokens: int = 0
     ejected_until: float = 0.0
     ejections: int = 0
     observed_at: float = 0.0
