--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -2,9 +2,9 @@
 
 Answers a mix that swings between long prompts and long answers: requests
 that share the beginning of their prompts meet at one engine, and leave it
-for the next one of the same order when it falls behind. Short prompts
-with long answers keep an engine of their own, as long prompts between
-their tokens would make pauses.
+for the next one of the same order when it falls behind. Long prompts
+between the tokens of long answers make pauses, so engines that make
+answers read a smaller share of the prompts than those that only read.
 """
 
 import enum
@@ -25,12 +25,14 @@
 HANDOVER_S = 0.004
 CACHED_S = 8.0
 MAX_CACHED = 20_000
-RUNNING_S = 0.0005
+RUNNING_S = 0.002
+DISTANCE_SHARE = 0.1
+PREFILL_WEIGHT = 2.0
+DECODE_WEIGHT = 0.65
 FAILURE_S = 0.2
 HOMES = 3
-RETURNED_SHARE = 0.85
-BACKGROUND_SLOTS = 40
-ANSWER_KEY = 'answers'
+BACKGROUND_SLOTS = 54
+PAUSE_SHARE = 0.7
 
 
 class Lane(enum.Enum):
@@ -132,11 +134,11 @@
         if not decoders:
             return None
         if prompt.short:
-            chosen = self._answer_home(decoders)
+            chosen = min(decoders, key=self._answer_cost_s)
             return self._placement(
                 prompt, chosen, decoders, Lane.ANSWER, now
             )
-        takers = decoders if direct else self._takers(usable, decoders)
+        takers = decoders if direct else usable
         ranked = self._ranked(prompt, takers)
         if not late:
             for belief in ranked[:HOMES]:
@@ -153,19 +155,12 @@
                 )
         return None
 
-    def _takers(self, usable, decoders):
-        """Leaves out the engine for answers if there are others."""
-        home = self._answer_home(decoders)
-        others = [b for b in usable if b is not home]
-        return others or usable
-
-    @staticmethod
-    def _answer_home(decoders):
-        return max(
-            decoders,
-            key=lambda b: utils.rendezvous_score(
-                1.0, ANSWER_KEY, b.entry.id
-            ),
+    def _answer_cost_s(self, belief):
+        return (
+            RUNNING_S * belief.active
+            + self._round_trip_s(belief) * DISTANCE_SHARE
+            + FAILURE_S * belief.failures
+            + self._rng.random() * RUNNING_S
         )
 
     def _ranked(self, prompt, takers):
@@ -173,7 +168,7 @@
 
         def score(belief):
             prefill = belief.entry.role is upstreams.Role.PREFILL
-            weight = 2.0 if prefill else 1.0
+            weight = PREFILL_WEIGHT if prefill else DECODE_WEIGHT
             return utils.rendezvous_score(weight, key, belief.entry.id)
 
         return sorted(takers, key=score, reverse=True)
@@ -276,6 +271,12 @@
             excess_s, self._speed(reader), self.instances, now
         )
 
+    def paused(self, placement, gap_s, allowed_s, now):
+        """Learns from the pause between two events of an answer."""
+        if allowed_s and gap_s > PAUSE_SHARE * allowed_s:
+            belief = placement.decode
+            self._pace(belief, now).slow_down(now)
+
     def _learn_speed(self, belief, tokens, taken_s):
         taken_s -= self._round_trip_s(belief)
         if tokens < LEAST_SAMPLE_TOKENS or taken_s <= 0:
--- a/dandelionwinch/dispatch/_pace.py
+++ b/dandelionwinch/dispatch/_pace.py
@@ -27,6 +27,7 @@
     __slots__ = (
         '_balance',
         '_changed_at',
+        '_instances',
         '_limited',
         '_rate',
         '_read_at',
@@ -35,6 +36,7 @@
 
     def __init__(self, speed, instances, now):
         self._speed = speed
+        self._instances = instances
         self._rate = min(speed, FIRST_SHARE * speed / instances)
         self._balance = self._rate * BURST_S
         self._read_at = now
@@ -66,19 +68,23 @@
             now: Time in seconds.
         """
         self._speed = speed
-        if now - self._changed_at < STEP_S:
-            return
-        self._refill(now)
-        rate = self._rate
+        self._instances = instances
         if excess_s > HIGH_S:
-            rate *= DECREASE
+            self.slow_down(now)
         elif excess_s < LOW_S and self._limited:
-            rate += INCREASE * speed
             self._limited = False
-        else:
+            self._change(self._rate + INCREASE * speed, now)
+
+    def slow_down(self, now):
+        """Lowers the rate by one step."""
+        self._change(self._rate * DECREASE, now)
+
+    def _change(self, rate, now):
+        if now - self._changed_at < STEP_S:
             return
-        least = LEAST_SHARE * speed / instances
-        self._rate = max(least, min(MOST_SHARE * speed, rate))
+        self._refill(now)
+        least = LEAST_SHARE * self._speed / self._instances
+        self._rate = max(least, min(MOST_SHARE * self._speed, rate))
         self._changed_at = now
 
     @property
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -482,15 +482,20 @@
             await self._whole_failure(conn, head, placement.decode, patience_s)
             return
         splitter = _events.Splitter()
-        first = True
+        last_at = None
         while True:
             item = await self._item(conn, patience_s)
             if isinstance(item, _upstream.End):
                 break
             for event in self._split(splitter, item.data):
-                if first:
-                    first = False
+                now = self._loop.time()
+                if last_at is None:
                     self._started(placement, began)
+                else:
+                    self._gateway.placer.paused(
+                        placement, now - last_at, self._route.gap_s, now
+                    )
+                last_at = now
                 await self._deliver(head, event)
         if splitter.torn:
             raise AttemptFailed(attempts.Fate.UNKNOWN, 'a torn event')
