--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -42,8 +42,8 @@
         self.relayed = relayed
 
 
-class OutOfBudget(AttemptFailed):
-    """There is no retry left in the budget."""
+class NoFurtherAttempt(AttemptFailed):
+    """There is no upstream or no retry left for another attempt."""
 
 
 @attrs.frozen
@@ -64,6 +64,7 @@
         '_deadline',
         '_fates',
         '_fleet',
+        '_full',
         '_gateway',
         '_inquiry',
         '_last_event',
@@ -92,6 +93,7 @@
         self._service = route.service_for(inquiry.id)
         self._fates = []
         self._tried = set()
+        self._full = set()
         self._attempt = 0
         self._relayed = None
         self._last_event = inquiry.last_event
@@ -134,13 +136,13 @@
     async def _try_once(self):
         """Makes one attempt; returns whether another one follows."""
         if self._left_s() < LEAST_LEFT_S:
-            raise AttemptFailed(attempts.Fate.NOT_SENT, 'no time is left')
+            raise NoFurtherAttempt(attempts.Fate.NOT_SENT, 'no time is left')
         try:
             if self._route.streaming and self._inquiry.prompt is not None:
                 await self._generate()
             else:
                 await self._call()
-        except OutOfBudget:
+        except NoFurtherAttempt:
             raise
         except AttemptFailed as exc:
             self._fates.append(exc.fate)
@@ -207,7 +209,7 @@
         now = self._loop.time()
         belief = dispatch.choose_plain(
             self._fleet.beliefs.serving(self._service),
-            self._tried,
+            self._tried | self._full,
             self._gateway.distances,
             self._gateway.rng,
             now,
@@ -248,7 +250,7 @@
         self._gateway.closed(self, answer.head.status, '')
 
     def _nowhere(self):
-        return AttemptFailed(
+        return NoFurtherAttempt(
             self._fates[-1] if self._fates else attempts.Fate.NOT_SENT,
             f'service "{self._service}" has no upstream left to try',
             relayed=self._relayed,
@@ -274,12 +276,15 @@
         self.upstream_id = belief.entry.id
         try:
             conn = await pool.take(timeout_s, fresh_s=fresh_s)
+        except _upstream.PoolBusy as exc:
+            self._full.add(belief.entry.id)
+            raise AttemptFailed(attempts.Fate.NOT_SENT, str(exc)) from exc
         except _upstream.NotConnected as exc:
             self._tried_without_sending(belief)
             raise AttemptFailed(attempts.Fate.NOT_SENT, str(exc)) from exc
         if self._attempt and not self._gateway.spend_retry(self._service):
             pool.give_unused(conn)
-            raise OutOfBudget(
+            raise NoFurtherAttempt(
                 self._fates[-1], 'the retry budget is spent', self._relayed
             )
         self._attempt += 1
@@ -288,6 +293,7 @@
 
     def _tried_without_sending(self, belief):
         now = self._loop.time()
+        self._full.add(belief.entry.id)
         belief.failed(now)
         belief.eject(now)
 
@@ -376,7 +382,7 @@
         placement = self._gateway.placer.place(
             prompt,
             self._fleet.beliefs.serving(self._service),
-            self._tried,
+            self._tried | self._full,
             now,
             direct=bool(self._attempt),
             late=self._is_late(),
@@ -416,6 +422,9 @@
         self.upstream_id = belief.entry.id
         try:
             conn = await pool.take(min(TAKE_TIMEOUT_S, self._left_s()))
+        except _upstream.PoolBusy as exc:
+            self._full.add(belief.entry.id)
+            raise AttemptFailed(attempts.Fate.NOT_SENT, str(exc)) from exc
         except _upstream.NotConnected as exc:
             self._tried_without_sending(belief)
             raise AttemptFailed(attempts.Fate.NOT_SENT, str(exc)) from exc
--- a/dandelionwinch/gateway/_upstream.py
+++ b/dandelionwinch/gateway/_upstream.py
@@ -40,6 +40,10 @@
     """No connection could be made; nothing was sent."""
 
 
+class PoolBusy(NotConnected):
+    """All connections that are allowed carry requests."""
+
+
 @attrs.frozen
 class Data:
     """Bytes of a response's body."""
@@ -305,14 +309,14 @@
     async def _free(self, deadline):
         left_s = deadline - self._loop.time()
         if left_s <= 0:
-            raise NotConnected(f'all connections to "{self._address}" work')
+            raise PoolBusy(f'all connections to "{self._address}" work')
         fut = self._loop.create_future()
         self._waiters.append(fut)
         try:
             async with asyncio.timeout(left_s):
                 await fut
         except TimeoutError as exc:
-            raise NotConnected(
+            raise PoolBusy(
                 f'all connections to "{self._address}" work'
             ) from exc
 
