--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -135,9 +135,7 @@
             return None
         if prompt.short:
             chosen = min(decoders, key=self._answer_cost_s)
-            return self._placement(
-                prompt, chosen, decoders, Lane.ANSWER, now
-            )
+            return self._placement(prompt, chosen, decoders, Lane.ANSWER, now)
         takers = decoders if direct else usable
         ranked = self._ranked(prompt, takers)
         if not late:
--- a/dandelionwinch/dispatch/_plain.py
+++ b/dandelionwinch/dispatch/_plain.py
@@ -4,10 +4,11 @@
 small differences of load, and a queue outweighs the distance.
 """
 
-from dandelionwinch.upstreams import _beliefs
+from dandelionwinch import upstreams
 
 QUEUE_S = 0.004
 FAILURE_S = 0.2
+EXCESS_KEEP_S = 2.0
 
 
 def choose_plain(beliefs, exclude, distances, rng, now):
@@ -24,7 +25,7 @@
         A Belief, or None if there is none left.
     """
     fresh = [b for b in beliefs if b.entry.id not in exclude]
-    usable = _beliefs.available(fresh, now)
+    usable = upstreams.available(fresh, now)
     if not usable:
         return None
 
@@ -42,4 +43,4 @@
 
 def _freshness(belief, now):
     age_s = now - belief.observed_at
-    return max(0.0, 1.0 - age_s / _beliefs.RETURN_S)
+    return max(0.0, 1.0 - age_s / EXCESS_KEEP_S)
--- a/dandelionwinch/gateway/_codec.py
+++ b/dandelionwinch/gateway/_codec.py
@@ -149,9 +149,7 @@
     def _grow(self, size):
         self._size += size
         if self._size > self.max_head_bytes:
-            raise HeadTooLarge(
-                f'the head is over {self.max_head_bytes} bytes'
-            )
+            raise HeadTooLarge(f'the head is over {self.max_head_bytes} bytes')
 
     def on_body(self, body):
         self._sink.on_body(body)
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -299,7 +299,10 @@
 
     def _sending(self, belief, **more):
         return _inquiry.Sending(
-            belief.entry.id, self._left_s(), last_event=self._last_event, **more
+            belief.entry.id,
+            self._left_s(),
+            last_event=self._last_event,
+            **more,
         )
 
     async def _ask(self, conn, sending, patience_s):
@@ -552,5 +555,3 @@
                 attempts.Fate.FAILED, f'status {head.status} on resumption'
             )
         self._accept(belief, answer)
-
-
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -1,7 +1,7 @@
 """Connection pools and beliefs of the upstreams, kept in step."""
 
-from dandelionwinch import upstreams
 from dandelionwinch.gateway import _upstream
+from dandelionwinch import upstreams
 
 CONNECTION_SHARE = 0.8
 DEFAULT_CONNECTIONS = 64
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -115,9 +115,7 @@
         self._settle(now)
 
     async def _watch(self):
-        listing = await self._store.watch(
-            EVERYTHING, self._revision, WATCH_S
-        )
+        listing = await self._store.watch(EVERYTHING, self._revision, WATCH_S)
         now = self._loop.time()
         self._revision = max(self._revision, listing.revision)
         self._reached()
@@ -234,7 +232,9 @@
             self._recent[key] = now
         for present in self.present:
             self._recent[present] = now
-        old = [k for k, at in self._recent.items() if now - at > INSTANCE_KEEP_S]
+        old = [
+            k for k, at in self._recent.items() if now - at > INSTANCE_KEEP_S
+        ]
         for stale in old:
             del self._recent[stale]
         self._gateway.set_instances(max(1, len(self._recent)))
@@ -247,7 +247,16 @@
 class Registration:
     """Keeps this instance's entry in the store while it is ready."""
 
-    __slots__ = ('_key', '_lease', '_log', '_loop', '_store', '_task', '_ttl_s', '_value')
+    __slots__ = (
+        '_key',
+        '_lease',
+        '_log',
+        '_loop',
+        '_store',
+        '_task',
+        '_ttl_s',
+        '_value',
+    )
 
     def __init__(self, loop, store, log, presence, ttl_s):
         self._loop = loop
--- /dev/null
+++ b/dandelionwinch/tests/test_attempts.py
@@ -0,0 +1,77 @@
+"""Attempts: what may be sent again, what is true, and the budget."""
+
+import itertools
+
+import pytest
+
+from dandelionwinch import attempts
+from dandelionwinch import routes
+
+Fate = attempts.Fate
+Repeat = routes.Repeat
+
+
+@pytest.mark.parametrize(
+    ('repeat', 'fate', 'may'),
+    [
+        (Repeat.ONCE, Fate.NOT_SENT, True),
+        (Repeat.ONCE, Fate.NOT_EXECUTED, True),
+        (Repeat.ONCE, Fate.FAILED, False),
+        (Repeat.ONCE, Fate.UNKNOWN, False),
+        (Repeat.IDEMPOTENT, Fate.FAILED, True),
+        (Repeat.IDEMPOTENT, Fate.UNKNOWN, True),
+        (Repeat.RESUMABLE, Fate.UNKNOWN, True),
+    ],
+)
+def test_what_may_be_sent_again(repeat, fate, may):
+    assert attempts.may_repeat(repeat, fate) is may
+
+
+@pytest.mark.parametrize('timed_out', [False, True])
+@pytest.mark.parametrize('length', range(4))
+def test_not_run_is_said_only_when_no_attempt_may_have_run(length, timed_out):
+    harmless = {Fate.NOT_SENT, Fate.NOT_EXECUTED}
+    for fates in itertools.product(Fate, repeat=length):
+        final = attempts.final_of(fates, timed_out)
+        assert (final is attempts.Final.NOT_RUN) == (set(fates) <= harmless)
+
+
+def _retries(budget, instances, seconds, requests_per_s, service='s'):
+    taken = []
+    for step in range(seconds * requests_per_s):
+        now = step / requests_per_s
+        budget.received(service, now)
+        for _turn in range(3):
+            if budget.spend(service, instances, now):
+                taken.append(now)
+    return taken
+
+
+@pytest.mark.parametrize('instances', [1, 6, 9, 90])
+def test_the_parts_of_all_instances_stay_in_the_whole_budget(instances):
+    ratio, slack, window_s, rate = 0.2, 58.0, 10.0, 20
+    taken = []
+    for _instance in range(instances):
+        budget = attempts.SharedBudget(ratio, slack, window_s)
+        taken += _retries(budget, instances, 30, rate)
+    taken.sort()
+    requests = instances * rate * window_s
+    for start in range(0, 20):
+        inside = sum(1 for at in taken if start <= at < start + window_s)
+        assert inside <= ratio * requests + slack
+    assert len(taken) > 0.5 * ratio * instances * rate * 30
+
+
+def test_services_have_budgets_of_their_own():
+    budget = attempts.SharedBudget(0.0, 10.0, 10.0)
+    while budget.spend('a', 1, 0.0):
+        pass
+    assert budget.spend('b', 1, 0.0)
+
+
+def test_retries_are_forgotten_with_their_window():
+    budget = attempts.SharedBudget(0.0, 10.0, 10.0)
+    while budget.spend('a', 1, 0.0):
+        pass
+    assert not budget.spend('a', 1, 9.0)
+    assert budget.spend('a', 1, 11.5)
--- /dev/null
+++ b/dandelionwinch/tests/test_dispatch.py
@@ -0,0 +1,195 @@
+"""Placement of prompts: homes, lanes, leaving, and replayed overload."""
+
+import random
+import statistics
+
+from dandelionwinch import dispatch
+from dandelionwinch import upstreams
+
+SPEED = 200_000.0
+OBJECTIVE_S = 0.2
+
+
+def engines(count, role=upstreams.Role.DECODE, first=0):
+    return [
+        upstreams.Belief(
+            upstreams.Entry(
+                f'e{n}', 's', f'10.0.0.{n}:80', 'dc', 1, True, role, 24
+            )
+        )
+        for n in range(first, first + count)
+    ]
+
+
+def placer(seed=1, instances=1):
+    distances = dispatch.Distances('dc', {'dc': 'r'})
+    made = dispatch.EnginePlacer(distances, random.Random(seed))
+    made.instances = instances
+    return made
+
+
+def prompt(session=1, tokens=9000):
+    parts = (('a', 2500), (f's{session}', 3500), (f'own{session}', 3000))
+    return dispatch.Prompt(tokens, 50, parts)
+
+
+def place(made, asked, beliefs, now=0.0, exclude=(), **more):
+    flags = {'direct': False, 'late': False, **more}
+    return made.place(asked, beliefs, set(exclude), now, **flags)
+
+
+def test_requests_of_a_session_meet_at_one_engine_from_all_instances():
+    beliefs = engines(6)
+    homes = {
+        place(placer(seed), prompt(7), beliefs).decode.entry.id
+        for seed in range(9)
+    }
+    assert len(homes) == 1
+
+
+def test_sessions_spread_over_the_engines():
+    beliefs = engines(4)
+    found = [
+        place(placer(1), prompt(n), beliefs).decode.entry.id
+        for n in range(400)
+    ]
+    counts = [found.count(b.entry.id) for b in beliefs]
+    assert min(counts) > 50
+
+
+def test_what_was_sent_is_believed_to_be_cached_until_a_restart():
+    made = placer()
+    beliefs = engines(1)
+    first = place(made, prompt(), beliefs)
+    made.sent(prompt(), first, 0.0)
+    again = place(made, prompt(), beliefs, 1.0)
+    assert (first.fresh_tokens, again.fresh_tokens) == (9000, 3000)
+    made.forget('e0')
+    assert place(made, prompt(), beliefs, 2.0).fresh_tokens == 9000
+
+
+def test_a_prompt_for_a_prefill_engine_gets_an_engine_for_its_answer():
+    beliefs = engines(1, upstreams.Role.PREFILL) + engines(1, first=5)
+    made = [place(placer(s), prompt(s), beliefs) for s in range(40)]
+    split = [p for p in made if p.prefill is not None]
+    assert split
+    assert all(p.decode.entry.id == 'e5' for p in made)
+    direct = place(placer(), prompt(), beliefs, direct=True)
+    assert direct.prefill is None
+
+
+def test_short_prompts_go_to_engines_that_make_answers():
+    beliefs = engines(2, upstreams.Role.PREFILL) + engines(2, first=5)
+    short = dispatch.Prompt(140, 400, (('p', 40), ('q', 100)))
+    found = place(placer(), short, beliefs)
+    assert found.prefill is None
+    assert found.lane is dispatch.Lane.ANSWER
+
+
+def test_without_an_engine_for_answers_nothing_is_placed():
+    beliefs = engines(2, upstreams.Role.PREFILL)
+    assert place(placer(), prompt(), beliefs) is None
+
+
+def test_a_late_request_waits_behind_those_that_can_be_in_time():
+    found = place(placer(), prompt(), engines(2), late=True)
+    assert found.lane is dispatch.Lane.BACKGROUND
+
+
+def test_background_has_a_bound_and_then_nothing_is_placed():
+    made = placer(instances=9)
+    beliefs = engines(1)
+    found = []
+    while True:
+        placement = place(made, prompt(), beliefs, late=True)
+        if placement is None:
+            break
+        made.sent(prompt(), placement, 0.0)
+        found.append(placement)
+    assert 0 < len(found) <= dispatch._engines.BACKGROUND_SLOTS / 9
+    made.ended(found[0])
+    assert place(made, prompt(), beliefs, late=True) is not None
+
+
+class _Queue:
+    """An engine that reads prompts in order of lane, then of arrival."""
+
+    def __init__(self):
+        self.free_at = {}
+
+    def read(self, name, tokens, now):
+        start = max(now, self.free_at.get(name, 0.0))
+        self.free_at[name] = start + tokens / SPEED
+        return self.free_at[name]
+
+
+def _overload(instances, load, seconds=20, paced=True):
+    """Replays arrivals at `load` times what four engines can read.
+
+    Returns:
+        Prompt tokens per second that were read within the objective,
+        as a share of what the engines can read.
+    """
+    rng = random.Random(5)
+    beliefs = [engines(4) for _n in range(instances)]
+    placers = [placer(n, instances) for n in range(instances)]
+    queue = _Queue()
+    pending, good = [], 0
+    rate = load * 4 * SPEED / 3000
+    now = 0.0
+    while now < seconds:
+        now += rng.expovariate(rate)
+        for done in [p for p in pending if p[0] <= now]:
+            pending.remove(done)
+            at, who, placement, sent = done
+            placers[who].started(placement, at - sent, at)
+        who = rng.randrange(instances)
+        asked = dispatch.Prompt(3000, 50, ((f'x{now}', 3000),))
+        placement = place(placers[who], asked, beliefs[who], now)
+        if placement is None:
+            continue
+        if paced and placement.lane is not dispatch.Lane.URGENT:
+            continue
+        at = queue.read(placement.decode.entry.id, 3000, now)
+        pending.append((at, who, placement, now))
+        if at - now <= OBJECTIVE_S:
+            good += 3000
+    return good / (seconds * 4 * SPEED)
+
+
+def test_under_overload_most_of_what_is_read_is_in_time():
+    before = _overload(9, 2.5, paced=False)
+    after = _overload(9, 2.5)
+    assert before < 0.2
+    assert after > 0.7
+
+
+def test_a_load_that_fits_is_hardly_held_back():
+    assert _overload(9, 0.6) > 0.55
+
+
+def test_pauses_of_an_answer_slow_prompts_down():
+    made = placer()
+    belief = engines(1)[0]
+    placement = place(made, prompt(), [belief])
+    before = made._pace(belief, 0.0).rate
+    for step in range(1, 20):
+        made.paused(placement, 0.14, 0.15, step * 0.2)
+    assert made._pace(belief, 4.0).rate < before / 2
+
+
+def test_the_rates_of_instances_come_to_share_an_engine():
+    shares = statistics.pstdev
+    paces = [dispatch.Pace(SPEED, 4, 0.0) for _n in range(4)]
+    paces[0].observe(1.0, SPEED, 4, 1.0)
+    first = shares([p.rate for p in paces])
+    now = 1.0
+    for _step in range(400):
+        now += 0.1
+        total = sum(p.rate for p in paces)
+        excess_s = 0.1 if total > SPEED else 0.0
+        for pace in paces:
+            while pace.admit(3000, now):
+                pass
+            pace.observe(excess_s, SPEED, 4, now)
+    assert shares([p.rate for p in paces]) < first
--- /dev/null
+++ b/dandelionwinch/tests/test_routes.py
@@ -0,0 +1,53 @@
+"""Routes: the longest prefix, weights and steadiness by id."""
+
+import pytest
+
+from dandelionwinch import routes
+
+
+def _route(name, prefix, host='desk.example', shares=(('a', 1.0),)):
+    return routes.Route(
+        name,
+        host,
+        prefix,
+        routes.Repeat.ONCE,
+        False,
+        1.0,
+        0.1,
+        0,
+        1,
+        tuple(routes.Share(*share) for share in shares),
+    )
+
+
+TABLE = routes.RouteTable(
+    1,
+    [_route('short', '/a/'), _route('long', '/a/b/'), _route('all', '/x/')],
+    [],
+    routes.Limits(),
+)
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'name'),
+    [
+        ('desk.example', '/a/1', 'short'),
+        ('desk.example', '/a/b/1', 'long'),
+        ('DESK.example', '/a/b/', 'long'),
+        ('desk.example:80', '/x/1', 'all'),
+        ('desk.example', '/a', None),
+        ('desk.example', '/ab/', None),
+        ('other.example', '/a/1', None),
+    ],
+)
+def test_the_longest_prefix_wins(host, path, name):
+    route = TABLE.match(host, path)
+    assert (route.name if route else None) == name
+
+
+def test_weights_share_requests_and_an_id_keeps_its_service():
+    route = _route('split', '/s/', shares=(('a', 9.0), ('b', 1.0)))
+    found = [route.service_for(f'request-{n}') for n in range(2000)]
+    again = [route.service_for(f'request-{n}') for n in range(2000)]
+    assert found == again
+    assert 100 < found.count('b') < 320
--- /dev/null
+++ b/dandelionwinch/tests/test_upstreams.py
@@ -0,0 +1,75 @@
+"""Upstreams: incarnations, leaving, ejection, and entries that lapse."""
+
+import attrs
+import pytest
+
+from dandelionwinch import upstreams
+
+
+def entry(name='u1', **changes):
+    made = upstreams.Entry(
+        name, 's', '10.0.0.1:80', 'dc', 1, True, upstreams.Role.PLAIN, 4
+    )
+    return attrs.evolve(made, **changes)
+
+
+def test_a_new_start_under_the_old_id_is_another_incarnation():
+    beliefs = upstreams.Beliefs()
+    assert beliefs.apply(entry())
+    beliefs.get('u1').failed(1.0)
+    assert not beliefs.apply(entry(slots=5))
+    assert beliefs.get('u1').failures > 0
+    assert beliefs.apply(entry(born=2))
+    assert beliefs.get('u1').failures == 0
+
+
+@pytest.mark.parametrize('change', ['draining', 'gone'])
+def test_a_leaving_upstream_gets_nothing_more(change):
+    beliefs = upstreams.Beliefs()
+    beliefs.apply(entry())
+    if change == 'draining':
+        beliefs.apply(entry(ready=False))
+    else:
+        beliefs.remove('u1', 1.0)
+    assert beliefs.serving('s') == []
+    beliefs.apply(entry(born=3))
+    assert [b.entry.born for b in beliefs.serving('s')] == [3]
+
+
+def test_failures_eject_and_time_brings_back():
+    belief = upstreams.Belief(entry())
+    for _turn in range(10):
+        belief.failed(1.0)
+    others = [upstreams.Belief(entry(f'u{n}')) for n in range(2, 5)]
+    group = [belief, *others]
+    assert belief not in upstreams.available(group, 1.1)
+    until = belief.ejected_until
+    assert belief in upstreams.available(group, until)
+
+
+def test_at_most_half_are_ejected_when_all_look_bad():
+    group = [upstreams.Belief(entry(f'u{n}')) for n in range(6)]
+    for belief in group:
+        belief.eject(1.0)
+    assert len(upstreams.available(group, 1.0)) >= 3
+
+
+def test_in_calm_a_vanished_entry_is_gone_at_once():
+    absence = upstreams.Absence()
+    assert absence.vanished(['u1'], 9, 100.0) == ['u1']
+
+
+def test_entries_that_lapse_with_the_store_are_held_until_they_are_back():
+    absence = upstreams.Absence()
+    absence.store_failed(100.0)
+    assert absence.vanished(['u1', 'u2'], 9, 101.0) == []
+    absence.returned('u1')
+    assert absence.due(102.0) == []
+    assert absence.due(103.5) == ['u2']
+
+
+def test_many_that_vanish_together_are_held_even_in_calm():
+    absence = upstreams.Absence()
+    names = [f'u{n}' for n in range(5)]
+    assert absence.vanished(names, 9, 100.0) == []
+    assert sorted(absence.due(103.0)) == names
--- a/dandelionwinch/upstreams/__init__.py
+++ b/dandelionwinch/upstreams/__init__.py
@@ -2,8 +2,8 @@
 
 from dandelionwinch.upstreams._absence import Absence
 from dandelionwinch.upstreams._beliefs import available
-from dandelionwinch.upstreams._beliefs import Beliefs
 from dandelionwinch.upstreams._beliefs import Belief
+from dandelionwinch.upstreams._beliefs import Beliefs
 from dandelionwinch.upstreams._beliefs import Entry
 from dandelionwinch.upstreams._beliefs import Role
 
--- a/dandelionwinch/upstreams/_beliefs.py
+++ b/dandelionwinch/upstreams/_beliefs.py
@@ -10,7 +10,6 @@
 MAX_EJECT_S = 8.0
 MAX_EJECTED_SHARE = 0.5
 LATENCY_SHARE = 0.2
-RETURN_S = 2.0
 
 
 class Role(enum.Enum):
