--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -74,6 +74,8 @@
         '_service',
         '_streaming',
         '_tried',
+        'first_event_s',
+        'longest_gap_s',
         'outcome',
         'upstream_id',
     )
@@ -98,6 +100,8 @@
         self._relayed = None
         self._last_event = inquiry.last_event
         self._streaming = False
+        self.first_event_s = 0.0
+        self.longest_gap_s = 0.0
         self.outcome = ''
         self.upstream_id = ''
 
@@ -504,6 +508,7 @@
                 if last_at is None:
                     self._started(placement, began)
                 else:
+                    self.longest_gap_s = max(self.longest_gap_s, now - last_at)
                     self._gateway.placer.paused(
                         placement, now - last_at, self._route.gap_s, now
                     )
@@ -543,6 +548,7 @@
 
     def _started(self, placement, began):
         now = self._loop.time()
+        self.first_event_s = self.first_event_s or now - self._began
         self._gateway.first_event(self._route, now - self._began)
         self._gateway.placer.started(placement, now - began, now)
 
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -27,13 +27,12 @@
 STOP_STEP_S = 0.1
 METRICS_PORT = 9464
 METRICS_PATH = '/metrics'
-LEASE_MARGIN = 1.5
 
 
 class Entry:
     """One instance: its servers, its gateway and its tasks."""
 
-    def __init__(self, loop, boot, path):
+    def __init__(self, loop, boot, path, metrics_port=METRICS_PORT):
         self._loop = loop
         self._boot = boot
         self._path = path
@@ -63,14 +62,22 @@
         self._callers = gateway.Server(
             loop, self._gateway.handle, limits, self._gateway.refused_early
         )
-        self._questions = [
-            (boot.readiness, gateway.Server(loop, self._ask_ready, limits)),
-            (boot.directory, gateway.Server(loop, self._resolve, limits)),
-            (
-                f'{boot.ip}:{METRICS_PORT}',
+        self._servers = {
+            'callers': (boot.callers, self._callers),
+            'readiness': (
+                boot.readiness,
+                gateway.Server(loop, self._ask_ready, limits),
+            ),
+            'directory': (
+                boot.directory,
+                gateway.Server(loop, self._resolve, limits),
+            ),
+            'metrics': (
+                f'{boot.ip}:{metrics_port}',
                 gateway.Server(loop, self._metrics, limits),
             ),
-        ]
+        }
+        self._flusher = None
         self._registered = False
         self._stopping = False
         self._stopped = loop.create_future()
@@ -81,19 +88,25 @@
             self._log.event('settings.finding', finding=finding)
         self._gateway.start()
         self._sync.start()
-        if self._boot.callers:
-            await self._callers.start(self._boot.callers)
-        for address, server in self._questions:
+        for address, server in self._servers.values():
             if address:
                 await server.start(address)
         self._flush()
-        self._loop.add_signal_handler(signal.SIGTERM, self._stop)
+        self._loop.add_signal_handler(signal.SIGTERM, self.stop)
         self._loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._log.event('instance.started', pid=os.getpid())
 
+    def ports(self):
+        """Returns the bound port of each server, by its name."""
+        return {
+            name: server.port
+            for name, (address, server) in self._servers.items()
+            if address
+        }
+
     def _flush(self):
         self._log.flush()
-        self._loop.call_later(eventlog.FLUSH_S, self._flush)
+        self._flusher = self._loop.call_later(eventlog.FLUSH_S, self._flush)
 
     def _configured(self, table):
         self._callers.limits = table.limits
@@ -141,7 +154,8 @@
         changed = boot != self._boot
         self._log.event('settings.reloaded', changed=changed)
 
-    def _stop(self):
+    def stop(self):
+        """Begins a planned stop."""
         if self._stopping:
             return
         self._stopping = True
@@ -172,9 +186,11 @@
         self._sync.close()
         self._registration.close()
         self._gateway.close()
-        self._callers.close()
-        for _address, server in self._questions:
-            server.close()
+        if self._flusher is not None:
+            self._flusher.cancel()
+        for address, server in self._servers.values():
+            if address:
+                server.close()
         self._store.close()
 
 
