--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from dandelionwinch.dispatch import _layout
 from dandelionwinch.dispatch import _pace
 from dandelionwinch import upstreams
 from dandelionwinch import utils
@@ -33,6 +34,7 @@
 HOMES = 3
 BACKGROUND_SLOTS = 54
 PAUSE_SHARE = 0.7
+ANSWER_SLOT_SHARE = 0.6
 
 
 class Lane(enum.Enum):
@@ -94,6 +96,7 @@
     """Chooses engines for prompts; owns what is believed to be cached."""
 
     __slots__ = (
+        '_answers',
         '_background',
         '_cached',
         '_distances',
@@ -109,6 +112,7 @@
         self._cached = {}
         self._speeds = {}
         self._paces = {}
+        self._answers = {}
         self._background = {}
         self.instances = 1
 
@@ -128,31 +132,41 @@
         """
         fresh = [b for b in beliefs if b.entry.id not in exclude]
         usable = upstreams.available(fresh, now)
-        decoders = [
-            b for b in usable if b.entry.role is not upstreams.Role.PREFILL
-        ]
-        if not decoders:
+        layout = _layout.lay_out(usable)
+        if layout is None:
             return None
         if prompt.short:
-            chosen = min(decoders, key=self._answer_cost_s)
-            return self._placement(prompt, chosen, decoders, Lane.ANSWER, now)
-        takers = decoders if direct else usable
+            chosen = self._answer_host(layout)
+            return self._placement(prompt, chosen, layout, Lane.ANSWER, now)
+        takers = layout.decoders if direct else layout.readers
         ranked = self._ranked(prompt, takers)
         if not late:
             for belief in ranked[:HOMES]:
                 tokens = prompt.tokens - self._hit(prompt, belief, now)
                 if self._pace(belief, now).admit(tokens, now):
                     return self._placement(
-                        prompt, belief, decoders, Lane.URGENT, now
+                        prompt, belief, layout, Lane.URGENT, now
                     )
         for belief in ranked[:HOMES]:
             waiting = self._background.get(belief.entry.id, 0)
             if waiting < max(1, BACKGROUND_SLOTS // self.instances):
                 return self._placement(
-                    prompt, belief, decoders, Lane.BACKGROUND, now
+                    prompt, belief, layout, Lane.BACKGROUND, now
                 )
         return None
 
+    def _answer_host(self, layout):
+        """Returns the engine for an answer to a short prompt."""
+        for group in (layout.reserved, layout.mixed):
+            room = [b for b in group if self._has_slot(b)]
+            if room:
+                return min(room, key=self._answer_cost_s)
+        return min(layout.decoders, key=self._answer_cost_s)
+
+    def _has_slot(self, belief):
+        slots = ANSWER_SLOT_SHARE * belief.entry.slots / self.instances
+        return self._answers.get(belief.entry.id, 0) < max(1.0, slots)
+
     def _answer_cost_s(self, belief):
         return (
             RUNNING_S * belief.active
@@ -178,7 +192,7 @@
             self._paces[belief.entry.id] = pace
         return pace
 
-    def _placement(self, prompt, chosen, decoders, lane, now):
+    def _placement(self, prompt, chosen, layout, lane, now):
         tokens = prompt.tokens - self._hit(prompt, chosen, now)
         work_s = self._round_trip_s(chosen) + tokens / self._speed(chosen)
         terms = (
@@ -190,7 +204,8 @@
         if chosen.entry.role is upstreams.Role.PREFILL:
             prefill = chosen
             decode = min(
-                decoders, key=lambda b: self._decode_cost_s(b, chosen)
+                layout.partners(chosen),
+                key=lambda b: self._decode_cost_s(b, chosen),
             )
             work_s += HANDOVER_S + self._round_trip_s(decode)
         return Placement(prefill, decode, lane, tokens, work_s, terms)
@@ -242,29 +257,60 @@
         if placement.lane is Lane.BACKGROUND:
             waiting = self._background.get(upstream_id, 0)
             self._background[upstream_id] = waiting + 1
+        elif placement.lane is Lane.ANSWER:
+            self._answers[upstream_id] = self._answers.get(upstream_id, 0) + 1
 
     def ended(self, placement):
         """Notes that an engine no longer has a prompt."""
         if placement.lane is Lane.BACKGROUND:
             self._background[placement.reader.entry.id] -= 1
+        elif placement.lane is Lane.ANSWER:
+            self._answers[placement.decode.entry.id] -= 1
+
+    def prefilled(self, placement, taken_s, now):
+        """Learns from a prompt that an engine has read for another.
+
+        Args:
+            placement: Where it was placed.
+            taken_s: Seconds until its handle came, with distance.
+            now: Time in seconds.
+        """
+        reader = placement.prefill
+        tokens = placement.fresh_tokens
+        work_s = self._round_trip_s(reader) + tokens / self._speed(reader)
+        self._learn(reader, placement.lane, tokens, taken_s, work_s, now)
 
     def started(self, placement, taken_s, now):
-        """Learns from the first token of a prompt.
+        """Learns from the first token of an answer.
 
         Args:
             placement: Where it was placed.
-            taken_s: Seconds until its first token, with distance.
+            taken_s: Seconds until it came from the engine that makes it.
             now: Time in seconds.
         """
-        reader = placement.reader
-        excess_s = taken_s - placement.work_s
-        if placement.lane is Lane.BACKGROUND:
+        decode = placement.decode
+        if placement.prefill is not None:
+            work_s = HANDOVER_S + self._round_trip_s(decode)
+            decode.succeeded(taken_s - work_s, now)
+            return
+        self._learn(
+            decode,
+            placement.lane,
+            placement.fresh_tokens,
+            taken_s,
+            placement.work_s,
+            now,
+        )
+
+    def _learn(self, reader, lane, tokens, taken_s, work_s, now):
+        excess_s = taken_s - work_s
+        if lane is Lane.BACKGROUND:
             reader.succeeded(reader.excess_s, now)
             return
         reader.succeeded(excess_s, now)
-        if placement.lane is Lane.ANSWER:
+        if lane is Lane.ANSWER:
             return
-        self._learn_speed(reader, placement.fresh_tokens, taken_s)
+        self._learn_speed(reader, tokens, taken_s)
         self._pace(reader, now).observe(
             excess_s, self._speed(reader), self.instances, now
         )
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -77,6 +77,7 @@
         'first_event_s',
         'longest_gap_s',
         'outcome',
+        'prefill_s',
         'upstream_id',
     )
 
@@ -102,6 +103,7 @@
         self._streaming = False
         self.first_event_s = 0.0
         self.longest_gap_s = 0.0
+        self.prefill_s = 0.0
         self.outcome = ''
         self.upstream_id = ''
 
@@ -402,6 +404,9 @@
             source = ''
             if placement.prefill is not None:
                 source = await self._prefill(placement)
+                began, now = now, self._loop.time()
+                self.prefill_s = now - began
+                self._gateway.placer.prefilled(placement, now - began, now)
             await self._decode(placement, source, now)
         finally:
             self._gateway.placer.ended(placement)
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -152,6 +152,7 @@
             outcome=exchange.outcome,
             reason=reason,
             attempts=exchange.attempts,
+            prefill_ms=round(exchange.prefill_s * 1e3, 1),
             first_ms=round(exchange.first_event_s * 1e3, 1),
             gap_ms=round(exchange.longest_gap_s * 1e3, 1),
             taken_ms=round(taken_s * 1e3, 1),
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -182,6 +182,7 @@
                 'upstream.changed',
                 upstream=name,
                 service=entry.service,
+                data_centre=entry.data_centre,
                 ready=entry.ready,
                 role=entry.role.value,
                 born=entry.born,
