--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -15,6 +15,7 @@
 TAKE_TIMEOUT_S = 0.5
 FRESH_ONCE_S = 1.0
 FIRST_SILENCE_FACTOR = 4.0
+PREFILL_SILENCE_FACTOR = 3.0
 LEAST_SILENCE_S = 0.8
 MAX_BUFFERED_BYTES = 1 << 20
 RETRY_AFTER_S = 0.2
@@ -442,12 +443,10 @@
             raise AttemptFailed(attempts.Fate.NOT_SENT, str(exc)) from exc
         belief.active += 1
         try:
-            answer = await self._ask_prefill(conn, sending)
+            answer = await self._ask_prefill(conn, sending, placement.lane)
         except AttemptFailed as exc:
             pool.discard(conn)
             self._judge(belief, exc)
-            if exc.fate is attempts.Fate.UNKNOWN:
-                belief.eject(self._loop.time())
             self._attempt += 1
             raise AttemptFailed(
                 attempts.Fate.NOT_EXECUTED, f'prefill: {exc}'
@@ -460,9 +459,11 @@
         pool.give(conn)
         return f'{belief.entry.address}/{answer}'
 
-    async def _ask_prefill(self, conn, sending):
+    async def _ask_prefill(self, conn, sending, lane):
         self._send(conn, sending)
-        patience_s = max(LEAST_SILENCE_S / 2, 2 * self._route.objective_s)
+        patience_s = self._left_s()
+        if lane is not dispatch.Lane.BACKGROUND:
+            patience_s = PREFILL_SILENCE_FACTOR * self._route.objective_s
         head = await self._head(conn, patience_s)
         body = await self._body(conn, patience_s)
         reply = self._gateway.dialect.reply(head)
