--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -7,6 +7,8 @@
 from dandelionwinch.dispatch._engines import Prompt
 from dandelionwinch.dispatch._pace import Pace
 from dandelionwinch.dispatch._plain import choose_plain
+from dandelionwinch.dispatch._roles import plan_role
+from dandelionwinch.dispatch._roles import RoleOrder
 
 __all__ = [
     'Distances',
@@ -15,5 +17,7 @@
     'Pace',
     'Placement',
     'Prompt',
+    'RoleOrder',
     'choose_plain',
+    'plan_role',
 ]
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -35,6 +36,7 @@
 BACKGROUND_SLOTS = 54
 PAUSE_SHARE = 0.7
 ANSWER_SLOT_SHARE = 0.6
+PEAK_KEEP_S = 6.0
 
 
 class Lane(enum.Enum):
@@ -101,6 +103,8 @@
         '_cached',
         '_distances',
         '_paces',
+        '_peak',
+        '_peak_at',
         '_rng',
         '_speeds',
         'instances',
@@ -113,6 +117,8 @@
         self._speeds = {}
         self._paces = {}
         self._answers = {}
+        self._peak = 0.0
+        self._peak_at = 0.0
         self._background = {}
         self.instances = 1
 
@@ -131,7 +137,8 @@
             A Placement, or None if no engine has room for it.
         """
         fresh = [b for b in beliefs if b.entry.id not in exclude]
-        usable = upstreams.available(fresh, now)
+        settled = [b for b in fresh if b.changing_until <= now]
+        usable = upstreams.available(settled or fresh, now)
         layout = _layout.lay_out(usable)
         if layout is None:
             return None
@@ -163,6 +170,12 @@
                 return min(room, key=self._answer_cost_s)
         return min(layout.decoders, key=self._answer_cost_s)
 
+    def answers(self, now):
+        """Returns the recent peak of answers that all instances make."""
+        faded = self._peak * math.exp((self._peak_at - now) / PEAK_KEEP_S)
+        own = max(sum(self._answers.values()), faded)
+        return own * self.instances
+
     def _has_slot(self, belief):
         slots = ANSWER_SLOT_SHARE * belief.entry.slots / self.instances
         return self._answers.get(belief.entry.id, 0) < max(1.0, slots)
@@ -259,6 +272,8 @@
             self._background[upstream_id] = waiting + 1
         elif placement.lane is Lane.ANSWER:
             self._answers[upstream_id] = self._answers.get(upstream_id, 0) + 1
+            self._peak = self.answers(now) / self.instances
+            self._peak_at = now
 
     def ended(self, placement):
         """Notes that an engine no longer has a prompt."""
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -115,6 +115,18 @@
         self.fleet.instances = count
         self.placer.instances = count
 
+    def changing(self, upstream_id, span_s):
+        """Keeps requests away from an engine that changes its role."""
+        belief = self.fleet.beliefs.get(upstream_id)
+        if belief is not None:
+            belief.changing_until = self.loop.time() + span_s
+
+    def changed(self, upstream_id):
+        """Lets an engine that has its new role take requests."""
+        belief = self.fleet.beliefs.get(upstream_id)
+        if belief is not None:
+            belief.changing_until = 0.0
+
     def spend_retry(self, service):
         """Takes a retry out of the shared budget."""
         return self.budget.spend(
--- /dev/null
+++ b/dandelionwinch/leadership/__init__.py
@@ -0,0 +1,8 @@
+"""The right of one instance to act alone, by a lease in the store."""
+
+from dandelionwinch.leadership._lease import Leadership
+from dandelionwinch.leadership._lease import LEASE_S
+from dandelionwinch.leadership._lease import RELY_S
+from dandelionwinch.leadership._lease import RENEW_S
+
+__all__ = ['LEASE_S', 'Leadership', 'RELY_S', 'RENEW_S']
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -27,6 +27,7 @@
         directory: Address for questions where to connect, or ''.
         store: Address of the platform's store.
         grace_s: Seconds between SIGTERM and SIGKILL.
+        turn_s: Least time between orders of two instances.
         drain_s: Longest time until a leaving upstream gets no requests.
     """
 
@@ -45,6 +46,7 @@
     retry_slack: float
     retry_window_s: float
     least_lease_s: float
+    turn_s: float
     max_ttl_s: float
     findings: tuple[str, ...] = ()
 
@@ -110,6 +112,7 @@
         get('bounds.retrySlack', float, 0.0),
         get('bounds.budgetWindowS', float, 10.0),
         get('platform.minTtlMs', float, 1000.0) / 1e3,
+        get('bounds.leaseMs', float, 3000.0) / 1e3,
         get('bounds.ttl_max_s', float, 5.0),
         tuple(reader.findings),
     )
--- a/dandelionwinch/platform/_dialect.py
+++ b/dandelionwinch/platform/_dialect.py
@@ -103,6 +103,42 @@
         """Returns method and path that free a prefilled prompt."""
         return 'DELETE', f'/-/kv-handle/{handle}'
 
+    def order(self, role_order, holder, token, sequence):
+        """Returns method, path, headers and body of an order."""
+        body = {
+            'op': 'phase',
+            'phase': role_order.role.value,
+            'holder': holder,
+            'fencingToken': token,
+            'precondition': sequence,
+        }
+        headers = [
+            ('Host', 'engine'),
+            ('Content-Type', 'application/json'),
+            (TARGET, role_order.upstream_id),
+        ]
+        return 'POST', '/-/order', headers, json.dumps(body).encode()
+
+    def report(self, upstream_id):
+        """Returns method, path and headers of a question for a report."""
+        headers = [('Host', 'engine'), (TARGET, upstream_id)]
+        return 'GET', '/-/report', headers
+
+    def accepted_orders(self, body):
+        """Returns the number of orders a report counts, None if busy.
+
+        The `sequence` of an entry in the store counts heartbeats; only
+        that of a report counts orders.
+        """
+        try:
+            value = json.loads(body)
+        except ValueError:
+            return None
+        if not isinstance(value, dict) or value.get('busy') is not False:
+            return None
+        count = value.get('sequence')
+        return count if type(count) is int else None
+
     def come_back(self, wait_s):
         """Returns the headers that say when to come back."""
         return [('Retry-After', f'{wait_s:.2f}')]
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -16,6 +16,7 @@
 from dandelionwinch import gateway
 from dandelionwinch.platform import _boot
 from dandelionwinch.platform import _dialect
+from dandelionwinch.platform import _steward
 from dandelionwinch.platform import _store
 from dandelionwinch.platform import _sync
 from dandelionwinch import routes
@@ -58,6 +59,9 @@
             self._presence,
             max(LEASE_S, boot.least_lease_s),
         )
+        self._steward = _steward.Steward(
+            loop, self._store, self._sync, self._gateway, self._log, rng, boot
+        )
         limits = routes.Limits()
         self._callers = gateway.Server(
             loop, self._gateway.handle, limits, self._gateway.refused_early
@@ -113,6 +117,7 @@
         if not self._registered and not self._stopping:
             self._registered = True
             self._registration.start()
+            self._steward.start()
 
     @property
     def _ready(self):
@@ -166,6 +171,7 @@
         """Ends a planned stop once nothing is left, or time is over."""
         began = self._loop.time()
         self._loop.create_task(self._registration.withdraw())
+        self._loop.create_task(self._steward.resign())
         self._callers.drain()
         limit = began + self._boot.grace_s - STOP_MARGIN_S
         while self._loop.time() < limit:
@@ -185,6 +191,7 @@
         """Stops all tasks and closes all sockets."""
         self._sync.close()
         self._registration.close()
+        self._steward.close()
         self._gateway.close()
         if self._flusher is not None:
             self._flusher.cancel()
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -5,6 +5,7 @@
 
 from dandelionwinch import addresses
 from dandelionwinch.platform import _catalogue
+from dandelionwinch.platform import _steward
 from dandelionwinch.platform import _store
 from dandelionwinch import upstreams
 
@@ -25,6 +26,7 @@
         '_gateway',
         '_log',
         '_loop',
+        '_reached_at',
         '_recent',
         '_revision',
         '_rng',
@@ -32,6 +34,7 @@
         '_synced',
         '_task',
         'on_config',
+        'holder',
         'present',
     )
 
@@ -45,7 +48,9 @@
         self._revision = 0
         self._task = None
         self._synced = False
+        self._reached_at = float('-inf')
         self._recent = {}
+        self.holder = ''
         self.present = {}
         self.on_config = on_config
 
@@ -58,6 +63,10 @@
         if self._task is not None:
             self._task.cancel()
 
+    def age_s(self):
+        """Returns the seconds since the store last answered."""
+        return self._loop.time() - self._reached_at
+
     @property
     def ready(self):
         """Tells whether routes are known."""
@@ -91,6 +100,7 @@
         if not self._synced:
             self._log.event('store.reached', revision=self._revision)
         self._synced = True
+        self._reached_at = self._loop.time()
 
     async def _list(self):
         listing = await self._store.list(EVERYTHING)
@@ -98,6 +108,8 @@
         self._revision = listing.revision
         self._reached()
         keys = {item.key for item in listing.items}
+        if _steward.HOLDER_KEY not in keys:
+            self.holder = ''
         for item in listing.items:
             self._apply(item, now)
         self._vanish(
@@ -141,6 +153,16 @@
             self._apply_upstream(item, now)
         elif item.key.startswith(INSTANCE_PREFIX):
             self._apply_instance(item, now)
+        elif item.key == _steward.HOLDER_KEY:
+            self.holder = (item.value or b'').decode(errors='replace')
+        elif item.key.startswith(_steward.CHANGE_PREFIX):
+            self._apply_change(item)
+
+    def _apply_change(self, item):
+        name = item.key.removeprefix(_steward.CHANGE_PREFIX)
+        if item.value is not None:
+            self._gateway.changing(name, _steward.CHANGE_S)
+            self._log.event('upstream.changing', upstream=name)
 
     def _apply_config(self, item):
         if item.value is None:
@@ -173,6 +195,8 @@
         self._absence.returned(name)
         if beliefs.apply(entry):
             self._gateway.placer.forget(name)
+        if before is not None and before.role is not entry.role:
+            self._gateway.changed(name)
         if before is None or (before.ready, before.role, before.born) != (
             entry.ready,
             entry.role,
--- a/dandelionwinch/tests/test_platform.py
+++ b/dandelionwinch/tests/test_platform.py
@@ -40,6 +40,7 @@
 directory = "10.1.0.35:8143"
 [bounds]
 graceS = 8
+leaseMs = 3000
 drainMs = 2500
 retryBudgetRatio = 0.2
 retrySlack = 58
--- a/dandelionwinch/upstreams/_beliefs.py
+++ b/dandelionwinch/upstreams/_beliefs.py
@@ -49,6 +49,7 @@
         failures: Recent share of failed attempts, 0 to 1.
         excess_s: Recent latency above what its work should take.
         active: Requests of this instance that it has now.
+        changing_until: Time up to which it may be changing its role.
         ejected_until: Time up to which it gets no requests.
     """
 
@@ -57,6 +58,7 @@
     failures: float = 0.0
     excess_s: float = 0.0
     active: int = 0
+    changing_until: float = 0.0
     ejected_until: float = 0.0
     ejections: int = 0
     observed_at: float = 0.0
