--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -31,10 +31,12 @@
 DISTANCE_SHARE = 0.1
 PREFILL_WEIGHT = 2.0
 DECODE_WEIGHT = 0.65
+ORPHAN_WEIGHT = 0.5
 FAILURE_S = 0.2
 HOMES = 3
 BACKGROUND_SLOTS = 54
 PAUSE_SHARE = 0.7
+TRANSFER_S = 0.08
 ANSWER_SLOT_SHARE = 0.6
 PEAK_KEEP_S = 6.0
 
@@ -146,7 +148,7 @@
             chosen = self._answer_host(layout)
             return self._placement(prompt, chosen, layout, Lane.ANSWER, now)
         takers = layout.decoders if direct else layout.readers
-        ranked = self._ranked(prompt, takers)
+        ranked = self._ranked(prompt, takers, layout)
         if not late:
             for belief in ranked[:HOMES]:
                 tokens = prompt.tokens - self._hit(prompt, belief, now)
@@ -188,12 +190,14 @@
             + self._rng.random() * RUNNING_S
         )
 
-    def _ranked(self, prompt, takers):
+    def _ranked(self, prompt, takers, layout):
         key = prompt.shared[-1][0] if prompt.shared else self._rng.random()
 
         def score(belief):
-            prefill = belief.entry.role is upstreams.Role.PREFILL
-            weight = PREFILL_WEIGHT if prefill else DECODE_WEIGHT
+            weight = DECODE_WEIGHT
+            if belief.entry.role is upstreams.Role.PREFILL:
+                near = layout.has_partner(belief)
+                weight = PREFILL_WEIGHT if near else ORPHAN_WEIGHT
             return utils.rendezvous_score(weight, key, belief.entry.id)
 
         return sorted(takers, key=score, reverse=True)
@@ -306,7 +310,9 @@
         decode = placement.decode
         if placement.prefill is not None:
             work_s = HANDOVER_S + self._round_trip_s(decode)
-            decode.succeeded(taken_s - work_s, now)
+            excess_s = taken_s - work_s
+            decode.succeeded(excess_s, now)
+            self._learn_transfer(placement, excess_s, now)
             return
         self._learn(
             decode,
@@ -317,6 +323,13 @@
             now,
         )
 
+    def _learn_transfer(self, placement, excess_s, now):
+        """Slows an engine down whose KV caches go too far to follow."""
+        reader = placement.prefill
+        far = reader.entry.data_centre != placement.decode.entry.data_centre
+        if far and excess_s > TRANSFER_S:
+            self._pace(reader, now).slow_down(now)
+
     def _learn(self, reader, lane, tokens, taken_s, work_s, now):
         excess_s = taken_s - work_s
         if lane is Lane.BACKGROUND:
--- a/dandelionwinch/dispatch/_layout.py
+++ b/dandelionwinch/dispatch/_layout.py
@@ -34,6 +34,11 @@
         """Returns all engines that make answers."""
         return self.reserved + self.mixed
 
+    def has_partner(self, reader):
+        """Tells whether an engine in the same data centre can answer."""
+        centre = reader.entry.data_centre
+        return any(b.entry.data_centre == centre for b in self.decoders)
+
     def partners(self, reader):
         """Returns engines that may answer what another engine has read."""
         centre = reader.entry.data_centre
@@ -72,7 +77,5 @@
             reserved.append(belief)
         else:
             mixed.append(belief)
-    centres = {b.entry.data_centre for b in decode}
-    near = [b for b in prefill if b.entry.data_centre in centres]
-    readers = near + mixed or decode
+    readers = prefill + mixed or decode
     return Layout(tuple(readers), tuple(reserved), tuple(mixed))
