--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -7,6 +7,7 @@
 answers read a smaller share of the prompts than those that only read.
 """
 
+import bisect
 import enum
 import math
 
@@ -34,7 +35,8 @@
 ORPHAN_WEIGHT = 0.5
 FAILURE_S = 0.2
 HOMES = 3
-BACKGROUND_SLOTS = 54
+BACKGROUND_PER_SLOT = 2.2
+RETURNED_ROOM = 1.3
 PAUSE_SHARE = 0.7
 TRANSFER_S = 0.08
 ANSWER_SLOT_SHARE = 0.6
@@ -49,6 +51,11 @@
     BACKGROUND = 'background'
 
 
+URGENCY = {Lane.ANSWER: 2, Lane.URGENT: 5}
+RETURNED_URGENCY = 6
+BACKGROUND_SIZES = (1500, 4000)
+
+
 @attrs.frozen
 class Prompt:
     """What a generation asks of an engine.
@@ -78,6 +85,7 @@
 
     Attributes:
         prefill: Belief of the engine for the prompt, None for `decode`.
+        late: Whether its latency objective cannot be met any more.
         fresh_tokens: Prompt tokens not believed to be cached.
         work_s: Time that the prompt alone should take, with distance.
         terms: The terms that decided, for the log.
@@ -86,10 +94,26 @@
     prefill: object
     decode: object
     lane: Lane
+    late: bool
     fresh_tokens: int
     work_s: float
     terms: str
 
+    @property
+    def urgency(self):
+        """Returns the urgency at the engine, 0 (first) to 9.
+
+        In the background small prompts go first, as many of them are
+        served for one large one; those that come back go before all,
+        as they will not come a third time.
+        """
+        if self.lane is not Lane.BACKGROUND:
+            return URGENCY[self.lane]
+        if self.late:
+            return RETURNED_URGENCY
+        sizes = bisect.bisect(BACKGROUND_SIZES, self.fresh_tokens)
+        return RETURNED_URGENCY + 1 + sizes
+
     @property
     def reader(self):
         """Returns the belief of the engine that reads the prompt."""
@@ -146,7 +170,9 @@
             return None
         if prompt.short:
             chosen = self._answer_host(layout)
-            return self._placement(prompt, chosen, layout, Lane.ANSWER, now)
+            return self._placement(
+                prompt, chosen, layout, Lane.ANSWER, late, now
+            )
         takers = layout.decoders if direct else layout.readers
         ranked = self._ranked(prompt, takers, layout)
         if not late:
@@ -154,13 +180,12 @@
                 tokens = prompt.tokens - self._hit(prompt, belief, now)
                 if self._pace(belief, now).admit(tokens, now):
                     return self._placement(
-                        prompt, belief, layout, Lane.URGENT, now
+                        prompt, belief, layout, Lane.URGENT, late, now
                     )
         for belief in ranked[:HOMES]:
-            waiting = self._background.get(belief.entry.id, 0)
-            if waiting < max(1, BACKGROUND_SLOTS // self.instances):
+            if self._has_background_room(belief, late):
                 return self._placement(
-                    prompt, belief, layout, Lane.BACKGROUND, now
+                    prompt, belief, layout, Lane.BACKGROUND, late, now
                 )
         return None
 
@@ -190,6 +215,12 @@
             + self._rng.random() * RUNNING_S
         )
 
+    def _has_background_room(self, belief, late):
+        room = BACKGROUND_PER_SLOT * belief.entry.slots / self.instances
+        if late:
+            room *= RETURNED_ROOM
+        return self._background.get(belief.entry.id, 0) < max(1.0, room)
+
     def _ranked(self, prompt, takers, layout):
         key = prompt.shared[-1][0] if prompt.shared else self._rng.random()
 
@@ -209,7 +240,7 @@
             self._paces[belief.entry.id] = pace
         return pace
 
-    def _placement(self, prompt, chosen, layout, lane, now):
+    def _placement(self, prompt, chosen, layout, lane, late, now):
         tokens = prompt.tokens - self._hit(prompt, chosen, now)
         work_s = self._round_trip_s(chosen) + tokens / self._speed(chosen)
         terms = (
@@ -225,7 +256,7 @@
                 key=lambda b: self._decode_cost_s(b, chosen),
             )
             work_s += HANDOVER_S + self._round_trip_s(decode)
-        return Placement(prefill, decode, lane, tokens, work_s, terms)
+        return Placement(prefill, decode, lane, late, tokens, work_s, terms)
 
     def _decode_cost_s(self, belief, prefill):
         near = belief.entry.data_centre == prefill.entry.data_centre
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -21,11 +21,6 @@
 RETRY_AFTER_S = 0.2
 RETRY_SPREAD_S = 0.4
 SERVER_ERROR = 500
-URGENCY = {
-    dispatch.Lane.ANSWER: 2,
-    dispatch.Lane.URGENT: 5,
-    dispatch.Lane.BACKGROUND: 8,
-}
 RETURNED_SHARE = 0.85
 
 
@@ -429,7 +424,7 @@
     async def _prefill(self, placement):
         belief = placement.prefill
         sending = self._sending(
-            belief, prefill_only=True, urgency=URGENCY[placement.lane]
+            belief, prefill_only=True, urgency=placement.urgency
         )
         pool = self._fleet.pool(belief)
         self.upstream_id = belief.entry.id
@@ -479,7 +474,7 @@
         belief = placement.decode
         pool, conn = await self._connect(belief)
         sending = self._sending(
-            belief, source=source, urgency=URGENCY[placement.lane]
+            belief, source=source, urgency=placement.urgency
         )
         belief.active += 1
         try:
