--- a/dandelionwinch/dispatch/_pace.py
+++ b/dandelionwinch/dispatch/_pace.py
@@ -6,6 +6,8 @@
 are early, so that the rates of all come to share the engine.
 """
 
+import math
+
 HIGH_S = 0.06
 LOW_S = 0.03
 DECREASE = 0.85
@@ -15,6 +17,11 @@
 MOST_SHARE = 1.0
 FIRST_SHARE = 1.5
 BURST_S = 0.05
+MEAN_SHARE = 0.05
+FIRST_MEAN = 3000.0
+SMALL_OCTAVES = 2.0
+LARGE_OCTAVES = 0.8
+OCTAVE_S = 0.03
 
 
 class Pace:
@@ -29,6 +36,7 @@
         '_changed_at',
         '_instances',
         '_limited',
+        '_mean',
         '_rate',
         '_read_at',
         '_speed',
@@ -42,16 +50,29 @@
         self._read_at = now
         self._changed_at = now
         self._limited = False
+        self._mean = FIRST_MEAN
 
     def admit(self, tokens, now):
         """Takes a prompt's tokens; tells whether there was balance."""
         self._refill(now)
-        if self._balance <= 0:
+        if self._balance <= self._threshold(tokens):
             self._limited = True
             return False
         self._balance -= tokens
         return True
 
+    def _threshold(self, tokens):
+        """Returns the balance that a prompt needs, by its size.
+
+        Small prompts may overdraw the balance: many of them are served
+        in the time of one large one, which waits for some balance.
+        """
+        tokens = max(1, tokens)
+        octaves = math.log2(tokens / self._mean)
+        self._mean += MEAN_SHARE * (tokens - self._mean)
+        bounded = max(-SMALL_OCTAVES, min(LARGE_OCTAVES, octaves))
+        return bounded * OCTAVE_S * self._rate
+
     def _refill(self, now):
         earned = (now - self._read_at) * self._rate
         most = self._rate * BURST_S
