--- a/dandelionwinch/adapters/endpointslices.py
+++ b/dandelionwinch/adapters/endpointslices.py
@@ -6,7 +6,7 @@
 from dandelionwinch.adapters import connections
 
 _PATH = '/apis/discovery.k8s.io/v1/namespaces/{}/endpointslices'
-_CLERK_PORT = 'clerk'
+_CLIENT_PORT = 'client'
 _PEER_PORT = 'peer'
 _OPERATOR_PORT = 'operator'
 
@@ -21,8 +21,8 @@
     """
 
     name: str
-    place: str
-    clerk_address: str
+    data_centre: str
+    client_address: str
     peer_address: str
     operator_address: str
     ready: bool
@@ -71,8 +71,8 @@
     conditions = endpoint.get('conditions', {})
     return ListedInstance(
         name=part['metadata']['name'],
-        place=endpoint.get('zone', ''),
-        clerk_address=f'{host}:{ports[_CLERK_PORT]}',
+        data_centre=endpoint.get('zone', ''),
+        client_address=f'{host}:{ports[_CLIENT_PORT]}',
         peer_address=f'{host}:{ports[_PEER_PORT]}',
         operator_address=f'{host}:{ports[_OPERATOR_PORT]}',
         ready=bool(conditions.get('ready', True)),
--- a/dandelionwinch/adapters/runner.py
+++ b/dandelionwinch/adapters/upstream.py
@@ -19,12 +19,12 @@
 )
 
 
-class RunnerUnreachable(Exception):
-    """No connection to the runner; nothing was sent."""
+class UpstreamUnreachable(Exception):
+    """No connection to the upstream; nothing was sent."""
 
 
-class RunnerRefused(Exception):
-    """The runner answered that it does not take the job.
+class UpstreamRefused(Exception):
+    """The upstream answered that it does not take the job.
 
     Attributes:
         status: HTTP status of the answer.
@@ -32,12 +32,12 @@
     """
 
     def __init__(self, status, body):
-        super().__init__(f'runner refused with status {status}')
+        super().__init__(f'upstream refused with status {status}')
         self.status = status
         self.body = body
 
 
-class RunnerBroke(Exception):
+class UpstreamBroke(Exception):
     """The connection ended or fell silent before the answer's end."""
 
 
@@ -48,7 +48,7 @@
     Attributes:
         offset: Index of the piece in the whole answer.
         text: New text; empty for pieces without text.
-        choices: The piece as the runner sent it.
+        choices: The piece as the upstream sent it.
     """
 
     offset: int
@@ -63,10 +63,10 @@
 
 @attrs.frozen
 class Load:
-    """A runner's own report.
+    """An upstream's own report.
 
     Attributes:
-        boot: Changes when the runner was restarted.
+        boot: Changes when the upstream was restarted.
         order_id: Identifier of the last order that it took.
         away: Whether it is carrying out an order.
     """
@@ -84,7 +84,7 @@
 
 @attrs.frozen
 class Call:
-    """One attempt at a job on one runner.
+    """One attempt at a job on one upstream.
 
     Attributes:
         path: Interface path, such as ``/v1/completions``.
@@ -104,13 +104,13 @@
 
 @attrs.frozen
 class OrderAnswer:
-    """What a runner said to an order."""
+    """What an upstream said to an order."""
 
     taken: bool
     fenced: bool
 
 
-class RunnerAdapter:
+class UpstreamAdapter:
     """Speaks to model engines."""
 
     __slots__ = ('_conns', '_connect_s')
@@ -126,9 +126,9 @@
             Piece for each part and one End.
 
         Raises:
-            RunnerUnreachable: Before anything was sent.
-            RunnerRefused: If the runner does not take the job.
-            RunnerBroke: If the stream ends early or falls silent.
+            UpstreamUnreachable: Before anything was sent.
+            UpstreamRefused: If the upstream does not take the job.
+            UpstreamBroke: If the stream ends early or falls silent.
         """
         body = {**call.body, 'stream': True}
         reply = self._open(address, call, body)
@@ -137,7 +137,7 @@
                 yield item
                 _set_timeout(reply, call.silence_s)
         except (exceptions.HTTPError, OSError, ValueError) as exc:
-            raise RunnerBroke(str(exc)) from exc
+            raise UpstreamBroke(str(exc)) from exc
         finally:
             reply.close()
 
@@ -148,7 +148,7 @@
         try:
             return json.loads(reply.read())
         except (exceptions.HTTPError, OSError, ValueError) as exc:
-            raise RunnerBroke(str(exc)) from exc
+            raise UpstreamBroke(str(exc)) from exc
         finally:
             reply.close()
 
@@ -156,7 +156,7 @@
         """Prefills a prompt and exports its KV cache.
 
         Returns:
-            Parameters with which another runner imports the cache.
+            Parameters with which another upstream imports the cache.
         """
         body = {
             **call.body,
@@ -191,22 +191,22 @@
             )
         except _NEVER_SENT as exc:
             self._conns.forget(address)
-            raise RunnerUnreachable(str(exc)) from exc
+            raise UpstreamUnreachable(str(exc)) from exc
         except exceptions.HTTPError as exc:
             self._conns.forget(address)
-            raise RunnerBroke(str(exc)) from exc
+            raise UpstreamBroke(str(exc)) from exc
         if reply.status != 200:
             text = _read_refusal(reply)
-            raise RunnerRefused(reply.status, text)
+            raise UpstreamRefused(reply.status, text)
         return reply
 
     def cancel(self, address, job_id):
-        """Tells a runner that nobody wants a job's answer."""
+        """Tells an upstream that nobody wants a job's answer."""
         body = {'request_id': job_id}
         self._ask(address, 'POST', '/v1/cancel', body, _CANCEL_TIMEOUT_S)
 
     def load(self, address):
-        """Returns a runner's Load, or None if it does not answer."""
+        """Returns an upstream's Load, or None if it does not answer."""
         answer = self._ask(address, 'GET', '/load', None, _LOAD_TIMEOUT_S)
         if answer is None or answer.status != 200:
             return None
@@ -296,7 +296,7 @@
         elif name == 'data':
             choices = json.loads(value).get('choices', [])
             yield Piece(offset, _text_of(choices), choices)
-    raise RunnerBroke('the stream has no end mark')
+    raise UpstreamBroke('the stream has no end mark')
 
 
 def _lines(reply):
--- a/dandelionwinch/addresses/__init__.py
+++ b/dandelionwinch/addresses/__init__.py
@@ -1,4 +1,4 @@
-"""Which instance a clerk should use."""
+"""Which instance a client should use."""
 
 from dandelionwinch.addresses._answers import Answer
 from dandelionwinch.addresses._answers import answer
--- a/dandelionwinch/addresses/_answers.py
+++ b/dandelionwinch/addresses/_answers.py
@@ -1,4 +1,4 @@
-"""Answers clerks by weighted rendezvous hashing with bounded load."""
+"""Answers clients by weighted rendezvous hashing with bounded load."""
 
 import attrs
 
@@ -24,8 +24,8 @@
     valid_s: float
 
 
-def answer(usable, place, team, valid_s):
-    """Chooses an instance for a team's clerk.
+def answer(usable, data_centre, team, valid_s):
+    """Chooses an instance for a team's client.
 
     A team keeps its instance while the membership stays, so that its
     prompts meet the same beliefs about caches. An instance with more
@@ -33,7 +33,7 @@
 
     Args:
         usable: Known instances that take new work.
-        place: Place of the clerk, or an empty string.
+        data_centre: Data centre of the client, or an empty string.
         team: Name of the team.
         valid_s: How long the answer may hold.
 
@@ -42,13 +42,13 @@
     """
     if not usable:
         return None
-    near = [known for known in usable if known.place == place]
+    near = [known for known in usable if known.data_centre == data_centre]
     ranked = _ranked(near, team)
     far = [known for known in usable if known not in near]
     ranked += _ranked(far, team)
     first = ranked[0]
-    second = ranked[1].member.clerk_address if len(ranked) > 1 else ''
-    return Answer(first.member.clerk_address, first.name, second, valid_s)
+    second = ranked[1].member.client_address if len(ranked) > 1 else ''
+    return Answer(first.member.client_address, first.name, second, valid_s)
 
 
 def _ranked(candidates, team):
--- a/dandelionwinch/bench/_engine.py
+++ b/dandelionwinch/bench/_engine.py
@@ -1,4 +1,4 @@
-"""A fluid model of one runner with continuous batching."""
+"""A fluid model of one upstream with continuous batching."""
 
 import collections
 import heapq
@@ -31,8 +31,8 @@
     ended_at: float | None = None
     extra_s: float = 0.0
     attempts: int = 0
-    prefill_runner: int = -1
-    decode_runner: int = -1
+    prefill_upstream: int = -1
+    decode_upstream: int = -1
 
     @property
     def kv_tokens(self):
@@ -83,9 +83,9 @@
     tells when each is complete.
     """
 
-    def __init__(self, number, place, role, figures, gap_s):
+    def __init__(self, number, data_centre, role, figures, gap_s):
         self.number = number
-        self.place = place
+        self.data_centre = data_centre
         self.role = role
         self.figures = figures
         self.gap_s = gap_s
--- a/dandelionwinch/bench/_herding.py
+++ b/dandelionwinch/bench/_herding.py
@@ -1,4 +1,4 @@
-"""Whether many deciding instances meet on one runner."""
+"""Whether many deciding instances meet on one upstream."""
 
 import attrs
 
@@ -16,8 +16,8 @@
 TRACE = _trace.Trace(
     duration_s=120.0,
     pools=[
-        _trace.PoolSize(place='Nanyuki', prefill=3, decode=3),
-        _trace.PoolSize(place='Naromoru', prefill=3, decode=3),
+        _trace.PoolSize(data_centre='Nanyuki', prefill=3, decode=3),
+        _trace.PoolSize(data_centre='Naromoru', prefill=3, decode=3),
     ],
     phases=[_PHASE],
 )
@@ -26,7 +26,7 @@
 def measure(seed):
     """Returns a row for each number of instances.
 
-    The ratio compares the busiest runner's longest queue with the one
+    The ratio compares the busiest upstream's longest queue with the one
     that a single instance, which knows all that was sent, lets grow.
     """
     rows = []
--- a/dandelionwinch/calls.py
+++ b/dandelionwinch/calls.py
@@ -40,10 +40,10 @@
         """Serves one call.
 
         Args:
-            request: The clerk's Request.
+            request: The client's Request.
             name: Name of the service.
             path: Path at the service, with a slash before it.
-            team: Name of the clerk's team.
+            team: Name of the client's team.
 
         Returns:
             A Response with the service's answer.
@@ -69,8 +69,8 @@
         return _response(answer, headers, finish)
 
     def _call(self, request, name, path):
-        places = self._core.ask(messages.PlaceService(request.id, name))
-        service = places.service
+        data_centres = self._core.ask(messages.PlaceService(request.id, name))
+        service = data_centres.service
         once = service.repeat is settings.Repeat.ONCE
         key = request.header('idempotency-key')
         if key and not _KEY.fullmatch(key):
@@ -87,19 +87,19 @@
             request.id,
         )
         if not once or request.method in _SAFE_METHODS:
-            return self._idempotent(call, places), {}
+            return self._idempotent(call, data_centres), {}
         if not key:
             raise errors.KeyMissing(
                 f'service "{name}" needs the header "Idempotency-Key"'
             )
-        return _Once(self._core, call, places).run()
+        return _Once(self._core, call, data_centres).run()
 
-    def _idempotent(self, call, places):
+    def _idempotent(self, call, data_centres):
         """Retries within the budget and never after the deadline."""
-        service = places.service
+        service = data_centres.service
         deadline = time.monotonic() + service.deadline_s
-        reason = 'no runner was tried'
-        for turn, runner in enumerate(places.runners * 2):
+        reason = 'no upstream was tried'
+        for turn, upstream in enumerate(data_centres.upstreams * 2):
             left_s = deadline - time.monotonic()
             if left_s <= 0:
                 break
@@ -107,12 +107,12 @@
                 messages.Retry(call.request_id, service.name)
             ):
                 break
-            answer = self._try(call, places, turn, runner, left_s)
+            answer = self._try(call, data_centres, turn, upstream, left_s)
             if _is_good(answer):
                 return answer
             reason = _reason(answer)
             self._core.ask(
-                messages.RunnerFailed(call.request_id, runner.name, reason)
+                messages.UpstreamFailed(call.request_id, upstream.name, reason)
             )
         exc = errors.UpstreamFailed(
             f'service "{service.name}" gave no answer: {reason}',
@@ -121,17 +121,17 @@
         exc.truth = errors.Truth.UNKNOWN
         raise exc
 
-    def _try(self, call, places, turn, runner, left_s):
+    def _try(self, call, data_centres, turn, upstream, left_s):
         services = self._core.services
-        others = [r for r in places.runners if r is not runner]
-        if not places.service.hedge or turn or not others:
-            return services.call(runner.address, call, left_s)
-        return self._hedged(call, runner, others[0], left_s)
+        others = [r for r in data_centres.upstreams if r is not upstream]
+        if not data_centres.service.hedge or turn or not others:
+            return services.call(upstream.address, call, left_s)
+        return self._hedged(call, upstream, others[0], left_s)
 
-    def _hedged(self, call, runner, other, left_s):
+    def _hedged(self, call, upstream, other, left_s):
         services = self._core.services
         first = self._hedges.submit(
-            services.call, runner.address, call, left_s
+            services.call, upstream.address, call, left_s
         )
         done, _rest = concurrent.futures.wait([first], HEDGE_DELAY_S)
         if done:
@@ -167,13 +167,13 @@
 class _Once:
     """Runs the program of one call that may run at most once."""
 
-    def __init__(self, core, call, places):
+    def __init__(self, core, call, data_centres):
         self._core = core
         self._call = call
-        self._service = places.service
-        self._runners = list(places.runners)
-        self._runner = None
-        key = f'{places.service.name}/{call.key}'
+        self._service = data_centres.service
+        self._upstreams = list(data_centres.upstreams)
+        self._upstream = None
+        key = f'{data_centres.service.name}/{call.key}'
         token = f'{core.name}#{core.incarnation}#{call.request_id}'
         parts = f'{call.method} {call.path}\n'.encode() + call.body
         self._opening = claims.Open(key, token, utils.digest_of(parts))
@@ -200,7 +200,7 @@
             case claims.Known(result=held):
                 return self._known(held)
             case claims.NotRun(reason=reason):
-                raise errors.NoRunner(
+                raise errors.NoUpstream(
                     f'service "{self._service.name}": {reason}',
                     retry_after_s=1.0,
                 )
@@ -223,26 +223,26 @@
         raise TypeError(f'"{request!r}" is not a request of a call')
 
     def _send(self):
-        runner = self._runners.pop(0)
-        self._runner = runner
+        upstream = self._upstreams.pop(0)
+        self._upstream = upstream
         answer = self._core.services.call(
-            runner.address, self._call, self._service.deadline_s
+            upstream.address, self._call, self._service.deadline_s
         )
         if _is_good(answer):
             return claims.Sent(True, answer)
         self._core.ask(
-            messages.RunnerFailed(
-                self._call.request_id, runner.name, _reason(answer)
+            messages.UpstreamFailed(
+                self._call.request_id, upstream.name, _reason(answer)
             )
         )
         reached = not isinstance(answer, service_adapter.NotSent)
-        return claims.Sent(reached, None, bool(self._runners))
+        return claims.Sent(reached, None, bool(self._upstreams))
 
     def _ask_outcome(self):
         if not self._service.asks_by_key:
             return claims.Outcome(claims.Proof.CANNOT_SAY)
         found = self._core.services.outcome(
-            self._runner.address, self._call.key
+            self._upstream.address, self._call.key
         )
         if not isinstance(found, service_adapter.Ran):
             return claims.Outcome(claims.Proof.CANNOT_SAY)
--- a/dandelionwinch/catalog.py
+++ b/dandelionwinch/catalog.py
@@ -6,13 +6,13 @@
 from dandelionwinch import settings
 
 KIND_OF_PLURAL = {
-    'places': 'place',
+    'data_centres': 'data_centre',
     'links': 'link',
     'models': 'model',
     'services': 'service',
     'pools': 'pool',
     'fleets': 'fleet',
-    'runners': 'runner',
+    'upstreams': 'upstream',
     'policies': 'policy',
     'teams': 'team',
     'instances': 'instance',
@@ -23,7 +23,7 @@
 
 
 def split_path(path):
-    """Splits ``runner/lm-1`` into its kind and name."""
+    """Splits ``upstream/lm-1`` into its kind and name."""
     kind, _, name = path.partition('/')
     return kind, name
 
@@ -35,15 +35,15 @@
         docs: Bare documents by path, as they stand in the store.
     """
 
-    __slots__ = ('_by_kind', '_runners_of_pool', 'docs')
+    __slots__ = ('_by_kind', '_upstreams_of_pool', 'docs')
 
     def __init__(self, docs, by_kind):
         self.docs = docs
         self._by_kind = by_kind
-        self._runners_of_pool = {}
-        for runner in self.all('runner'):
-            members = self._runners_of_pool.setdefault(runner.pool, [])
-            members.append(runner)
+        self._upstreams_of_pool = {}
+        for upstream in self.all('upstream'):
+            members = self._upstreams_of_pool.setdefault(upstream.pool, [])
+            members.append(upstream)
 
     def all(self, kind):
         """Returns the documents of a kind in order of their names."""
@@ -53,9 +53,9 @@
         """Returns a document, or None if it does not exist."""
         return self._by_kind.get(kind, {}).get(name)
 
-    def runners_of(self, pool):
-        """Returns the runners of a pool."""
-        return self._runners_of_pool.get(pool, [])
+    def upstreams_of(self, pool):
+        """Returns the upstreams of a pool."""
+        return self._upstreams_of_pool.get(pool, [])
 
     def pools_of_model(self, model):
         """Returns the pools that serve a model."""
@@ -65,13 +65,13 @@
         """Returns the pools that serve a plain service."""
         return [p for p in self.all('pool') if service in p.services]
 
-    def place_of(self, runner):
-        """Returns the name of the place that a runner stands in."""
-        return self.get('pool', runner.pool).place
+    def data_centre_of(self, upstream):
+        """Returns the name of the data centre that an upstream stands in."""
+        return self.get('pool', upstream.pool).data_centre
 
-    def region_of(self, place):
-        """Returns the name of the region of a place."""
-        found = self.get('place', place)
+    def region_of(self, data_centre):
+        """Returns the name of the region of a data centre."""
+        found = self.get('data_centre', data_centre)
         return found.region if found else ''
 
     def policy_of(self, pool):
@@ -143,18 +143,18 @@
 
 
 def _wrong_roles(built):
-    for runner in built.all('runner'):
-        pool = built.get('pool', runner.pool)
+    for upstream in built.all('upstream'):
+        pool = built.get('pool', upstream.pool)
         if pool is None:
             continue
-        is_service = runner.role is settings.Role.SERVICE
+        is_service = upstream.role is settings.Role.SERVICE
         if is_service != bool(pool.services):
             yield errors.Finding(
-                f'runner/{runner.name}',
+                f'upstream/{upstream.name}',
                 0,
                 '$.role',
-                f'role "{runner.role}" of runner "{runner.name}" does not '
-                f'fit pool "{pool.name}"',
+                f'role "{upstream.role}" of upstream "{upstream.name}" does '
+                f'not fit pool "{pool.name}"',
             )
 
 
@@ -169,7 +169,9 @@
 def _references(built):
     for pool in built.all('pool'):
         source = f'pool/{pool.name}'
-        yield _Reference(source, 'place', 'place', pool.place)
+        yield _Reference(
+            source, 'data_centre', 'data_centre', pool.data_centre
+        )
         if pool.model:
             yield _Reference(source, 'model', 'model', pool.model)
         for name in pool.services:
@@ -179,6 +181,6 @@
     for fleet in built.all('fleet'):
         for name in fleet.pools:
             yield _Reference(f'fleet/{fleet.name}', 'pools', 'pool', name)
-    for runner in built.all('runner'):
-        source = f'runner/{runner.name}'
-        yield _Reference(source, 'pool', 'pool', runner.pool)
+    for upstream in built.all('upstream'):
+        source = f'upstream/{upstream.name}'
+        yield _Reference(source, 'pool', 'pool', upstream.pool)
--- a/dandelionwinch/daemon/_beats.py
+++ b/dandelionwinch/daemon/_beats.py
@@ -62,29 +62,31 @@
     async def _exchange(self, address):
         core = self._core
         asked_at = core.now()
-        place = core.members.place_at(address)
-        reply = await core.peers.beat(address, self.digest(address, place))
+        data_centre = core.members.data_centre_at(address)
+        reply = await core.peers.beat(
+            address, self.digest(address, data_centre)
+        )
         if reply is None:
             return
         await self.take(address, reply)
         if reply.revision <= core.documents.revision:
-            core.freshness.heard(reply.sender.place, asked_at, reply)
+            core.freshness.heard(reply.sender.data_centre, asked_at, reply)
 
-    def digest(self, peer, place):
+    def digest(self, peer, data_centre):
         """Makes the digest for a peer.
 
         Args:
             peer: Key under which identifiers that the peer should
                 introduce are remembered.
-            place: Place of the peer, or None if unknown.
+            data_centre: Data centre of the peer, or None if unknown.
         """
         core = self._core
         now = core.now()
-        digest = core.members.digest(now, place)
+        digest = core.members.digest(now, data_centre)
         digest.asked.extend(self._unknown.pop(peer, ()))
         digest.revision = core.documents.revision
         core.freshness.tell(digest, now)
-        near = place in (None, core.place)
+        near = data_centre in (None, core.data_centre)
         digest.loads.extend(
             core.loads.known(now, None if near else LOADS_ACROSS_PLACES)
         )
@@ -139,7 +141,9 @@
     async def answer(self, digest):
         """Answers a peer's digest with the own one."""
         await self.take(digest.sender.peer_address, digest)
-        return self.digest(digest.sender.peer_address, digest.sender.place)
+        return self.digest(
+            digest.sender.peer_address, digest.sender.data_centre
+        )
 
 
 def _rates_of(digest):
--- a/dandelionwinch/daemon/_claims.py
+++ b/dandelionwinch/daemon/_claims.py
@@ -217,14 +217,14 @@
         service = core.catalog.get('service', name)
         if service is None or not service.asks_by_key:
             return service_adapter.CannotSay()
-        runners = [
-            runner
+        upstreams = [
+            upstream
             for pool in core.catalog.pools_of_service(name)
-            for runner in core.catalog.runners_of(pool.name)
+            for upstream in core.catalog.upstreams_of(pool.name)
         ]
         answers = [
-            await core.call(core.services.outcome, runner.address, key)
-            for runner in runners
+            await core.call(core.services.outcome, upstream.address, key)
+            for upstream in upstreams
         ]
         for answer in answers:
             if isinstance(answer, service_adapter.Ran):
--- a/dandelionwinch/daemon/_core.py
+++ b/dandelionwinch/daemon/_core.py
@@ -9,8 +9,8 @@
 import loguru
 
 from dandelionwinch import adapters
-from dandelionwinch.adapters import runner as runner_adapter
 from dandelionwinch.adapters import service as service_adapter
+from dandelionwinch.adapters import upstream as upstream_adapter
 from dandelionwinch import addresses
 from dandelionwinch import catalog
 from dandelionwinch.daemon import _beats
@@ -56,7 +56,7 @@
         self.live_list = adapters.open_live_list(
             cfg.live_list, cfg.relay.idle_connection_s
         )
-        self.runners = runner_adapter.RunnerAdapter(
+        self.upstreams = upstream_adapter.UpstreamAdapter(
             cfg.relay.connect_timeout_s, cfg.relay.idle_connection_s
         )
         self.services = service_adapter.ServiceAdapter(
@@ -67,7 +67,7 @@
         )
         self.departures = membership.Departures(cfg.timing.gone_margin_s)
         self.freshness = membership.Freshness(
-            cfg.instance.place, cfg.timing.cut_off_s
+            cfg.instance.data_centre, cfg.timing.cut_off_s
         )
         self.documents = revisions.Documents()
         self.catalog = catalog.EMPTY
@@ -99,10 +99,10 @@
         me = self.cfg.instance
         return peer_pb2.Member(
             name=me.name,
-            place=me.place,
+            data_centre=me.data_centre,
             region=me.region,
             incarnation=self.incarnation,
-            clerk_address=me.clerk_address,
+            client_address=me.client_address,
             peer_address=me.peer_address,
             operator_address=me.operator_address,
             weight=me.weight,
@@ -114,9 +114,9 @@
         return self.cfg.instance.name
 
     @property
-    def place(self):
-        """Place of this instance."""
-        return self.cfg.instance.place
+    def data_centre(self):
+        """Data centre of this instance."""
+        return self.cfg.instance.data_centre
 
     def start(self):
         """Starts the loop, the peers' listener and all tasks."""
@@ -181,12 +181,12 @@
         match message:
             case messages.Admit():
                 return self.work.admit(message)
-            case messages.Place():
+            case messages.DataCentre():
                 return self.work.place(message)
             case messages.PlaceService():
                 return self.work.place_service(message)
-            case messages.RunnerFailed():
-                return self.work.runner_failed(message)
+            case messages.UpstreamFailed():
+                return self.work.upstream_failed(message)
             case messages.Retry():
                 return self.work.retry(message)
             case messages.Finish():
@@ -195,8 +195,8 @@
                 return self.claims.open(opening)
             case messages.CloseClaim(close=close):
                 return self.claims.close_claim(close)
-            case messages.FindAddress(place=place, team=team):
-                return self.find_address(place, team)
+            case messages.FindAddress(data_centre=data_centre, team=team):
+                return self.find_address(data_centre, team)
             case messages.Ask(text=text):
                 return self.operators.ask(text)
             case messages.Health():
@@ -246,12 +246,12 @@
         """Runs a blocking function in a thread of the core's own."""
         return await self._loop.run_in_executor(self.executor, function, *args)
 
-    def find_address(self, place, team):
-        """Answers which instance a clerk should use."""
+    def find_address(self, data_centre, team):
+        """Answers which instance a client should use."""
         now = self.now()
         usable = self.members.usable(now)
         found = addresses.answer(
-            usable, place, team, self.cfg.timing.answer_valid_s
+            usable, data_centre, team, self.cfg.timing.answer_valid_s
         )
         if found is None:
             raise errors.Unready('no instance takes new work')
@@ -278,8 +278,8 @@
         """Tells whether new work is refused for lack of contact."""
         if self.cfg.when_cut_off == 'serve':
             return False
-        places = membership.staffed_places(self.not_gone())
-        return self.freshness.is_cut_off(places, self.now())
+        data_centres = membership.staffed_data_centres(self.not_gone())
+        return self.freshness.is_cut_off(data_centres, self.now())
 
     def leave(self):
         """Announces that this instance is leaving; it still serves."""
@@ -291,7 +291,7 @@
         await self.beats.announce()
 
     def drain(self):
-        """Serves on until no clerk is sent here and all jobs ended."""
+        """Serves on until no client is sent here and all jobs ended."""
         timing = self.cfg.timing
         grace_s = timing.answer_valid_s + 2 * timing.beat_s
         time.sleep(grace_s)
@@ -311,7 +311,7 @@
         for adapter in (
             self.store,
             self.live_list,
-            self.runners,
+            self.upstreams,
             self.services,
         ):
             adapter.close()
--- a/dandelionwinch/daemon/_earnings.py
+++ b/dandelionwinch/daemon/_earnings.py
@@ -20,7 +20,7 @@
         yield _periodic.every(period_s, self._write_if_due, self._core.rng)
 
     def book(self, record, tokens):
-        """Books a job whose whole answer reached its clerk."""
+        """Books a job whose whole answer reached its client."""
         self.ledger.book(record.id, record.team, tokens)
 
     async def _write_if_due(self):
--- a/dandelionwinch/daemon/_loads.py
+++ b/dandelionwinch/daemon/_loads.py
@@ -1,4 +1,4 @@
-"""Load reports of runners, and holds on runners that are to change."""
+"""Load reports of upstreams, and holds on upstreams that are to change."""
 
 import asyncio
 
@@ -17,10 +17,10 @@
 
 @attrs.define
 class _Seen:
-    """The newest report of a runner, as it came from whoever polled."""
+    """The newest report of an upstream, as it came from whoever polled."""
 
     made_at: float
-    message: peer_pb2.RunnerLoad
+    message: peer_pb2.UpstreamLoad
 
 
 @attrs.define
@@ -30,10 +30,10 @@
 
 
 class Loads:
-    """Polls some runners and learns of the others from peers.
+    """Polls some upstreams and learns of the others from peers.
 
-    Each runner is polled by one instance of its place, chosen by
-    rendezvous hashing, so that polling grows with runners only.
+    Each upstream is polled by one instance of its data centre, chosen by
+    rendezvous hashing, so that polling grows with upstreams only.
     """
 
     def __init__(self, core):
@@ -52,34 +52,36 @@
         now = core.now()
         self._end_holds(now)
         mine = [
-            runner
-            for runner in core.catalog.all('runner')
-            if runner.role is not settings.Role.SERVICE
-            and runner.state is not settings.RunnerState.RETIRED
-            and self._poller_of(runner, now) == core.name
+            upstream
+            for upstream in core.catalog.all('upstream')
+            if upstream.role is not settings.Role.SERVICE
+            and upstream.state is not settings.UpstreamState.RETIRED
+            and self._poller_of(upstream, now) == core.name
         ]
-        await asyncio.gather(*(self.poll(runner) for runner in mine))
+        await asyncio.gather(*(self.poll(upstream) for upstream in mine))
 
-    def _poller_of(self, runner, now):
+    def _poller_of(self, upstream, now):
         core = self._core
-        place = core.catalog.place_of(runner)
+        data_centre = core.catalog.data_centre_of(upstream)
         live = core.members.live(now)
-        near = [k for k in live if k.place == place] or live
+        near = [k for k in live if k.data_centre == data_centre] or live
         if not near:
             return core.name
-        best = max(near, key=lambda k: utils.stable_hash(runner.name, k.name))
+        best = max(
+            near, key=lambda k: utils.stable_hash(upstream.name, k.name)
+        )
         return best.name
 
-    async def poll(self, runner):
-        """Asks a runner for its load and notes the report.
+    async def poll(self, upstream):
+        """Asks an upstream for its load and notes the report.
 
         Returns:
             The Load, or None if it did not answer.
         """
         core = self._core
         asked_at = core.now()
-        load = await core.call(core.runners.load, runner.address)
-        message = peer_pb2.RunnerLoad(runner=runner.name)
+        load = await core.call(core.upstreams.load, upstream.address)
+        message = peer_pb2.UpstreamLoad(upstream=upstream.name)
         if load is None:
             message.failed = True
         else:
@@ -100,20 +102,20 @@
             self._take(message, now - message.age_s)
 
     def _take(self, message, made_at):
-        held = self._seen.get(message.runner)
+        held = self._seen.get(message.upstream)
         if held is not None and made_at <= held.made_at + 0.001:
             return
-        if self._core.catalog.get('runner', message.runner) is None:
+        if self._core.catalog.get('upstream', message.upstream) is None:
             return
-        self._seen[message.runner] = _Seen(made_at, message)
+        self._seen[message.upstream] = _Seen(made_at, message)
         beliefs = self._core.work.beliefs
         if message.failed:
-            beliefs.failed(message.runner, self._core.now())
+            beliefs.failed(message.upstream, self._core.now())
             return
         if message.role not in set(settings.Role):
             return
         beliefs.report(
-            message.runner,
+            message.upstream,
             placement.Report(
                 made_at,
                 message.running,
@@ -137,53 +139,53 @@
             seen.message.age_s = now - seen.made_at
             yield seen.message
 
-    def latest(self, runner):
-        """Returns the newest report of a runner and its time, or None."""
-        return self._seen.get(runner)
+    def latest(self, upstream):
+        """Returns the newest report of an upstream and its time, or None."""
+        return self._seen.get(upstream)
 
     def hold(self, request):
-        """Places nothing new on a runner for a time, as a peer asks."""
+        """Places nothing new on an upstream for a time."""
         core = self._core
-        key = (request.runner, request.order_id)
+        key = (request.upstream, request.order_id)
         if request.release:
             self._holds.pop(key, None)
         else:
             if key not in self._holds:
-                core.event('runner.held', request.runner, request.order_id)
+                core.event('upstream.held', request.upstream, request.order_id)
             self._holds[key] = core.now() + request.ttl_s
-        self._mark_held(request.runner)
-        jobs = core.work.book.on_runner(request.runner)
+        self._mark_held(request.upstream)
+        jobs = core.work.book.on_upstream(request.upstream)
         return peer_pb2.HoldReply(jobs=jobs, instance=core.name)
 
-    def is_held(self, runner):
-        """Tells whether a runner is held."""
-        return any(name == runner for name, _order in self._holds)
+    def is_held(self, upstream):
+        """Tells whether an upstream is held."""
+        return any(name == upstream for name, _order in self._holds)
 
-    def _mark_held(self, runner):
-        belief = self._core.work.beliefs.get(runner)
+    def _mark_held(self, upstream):
+        belief = self._core.work.beliefs.get(upstream)
         if belief is not None:
-            belief.held = self.is_held(runner)
+            belief.held = self.is_held(upstream)
 
     def _end_holds(self, now):
         over = [key for key, until in self._holds.items() if until < now]
         for key in over:
             del self._holds[key]
             self._mark_held(key[0])
-            self._core.event('runner.hold_ended', key[0], key[1])
+            self._core.event('upstream.hold_ended', key[0], key[1])
 
-    def rest(self, runner, now):
-        """Leaves a service's runner alone for a while."""
-        rest = self._rests.setdefault(runner, _Rest())
+    def rest(self, upstream, now):
+        """Leaves a service's upstream alone for a while."""
+        rest = self._rests.setdefault(upstream, _Rest())
         wait_s = min(LONGEST_REST_S, FIRST_REST_S * 2**rest.failures)
         rest.failures = min(rest.failures + 1, 10)
         rest.until = now + wait_s
 
-    def rested(self, runner):
-        """Notes that a service's runner answered well."""
-        self._rests.pop(runner, None)
+    def rested(self, upstream):
+        """Notes that a service's upstream answered well."""
+        self._rests.pop(upstream, None)
 
-    def is_resting(self, runner, now):
-        """Tells whether a runner takes no new work at present."""
-        rest = self._rests.get(runner)
+    def is_resting(self, upstream, now):
+        """Tells whether an upstream takes no new work at present."""
+        rest = self._rests.get(upstream)
         resting = rest is not None and now < rest.until
-        return resting or self.is_held(runner)
+        return resting or self.is_held(upstream)
--- a/dandelionwinch/daemon/_metrics.py
+++ b/dandelionwinch/daemon/_metrics.py
@@ -26,7 +26,7 @@
         self.ready = self._gauge('ready', '1 while new work is taken', [])
         self.shards = self._gauge('shards_held', 'Shards held', [])
         self.frozen = self._gauge(
-            'runners_frozen', 'Runners that take no orders at present', []
+            'upstreams_frozen', 'Upstreams that take no orders at present', []
         )
         self.claims_open = self._gauge(
             'claims_unresolved', 'Claims without a known outcome', []
--- a/dandelionwinch/daemon/_operators.py
+++ b/dandelionwinch/daemon/_operators.py
@@ -38,7 +38,7 @@
             case language.Explain(kind='job'):
                 return await self._explain_job(statement.name)
             case language.Explain():
-                return self._explain_runner(statement.name)
+                return self._explain_upstream(statement.name)
         return await self._command(statement)
 
     async def _show(self, show):
@@ -55,8 +55,8 @@
     async def _rows(self, table):
         core = self._core
         match table:
-            case 'runners':
-                return _tables.runner_rows(core), []
+            case 'upstreams':
+                return _tables.upstream_rows(core), []
             case 'instances':
                 return _tables.instance_rows(core), []
             case 'settings':
@@ -134,12 +134,12 @@
         for order in shard.orders.values():
             yield {
                 'id': order.id,
-                'runner': order.runner,
+                'upstream': order.upstream,
                 'role': order.role,
                 'state': str(order.state),
                 'epoch': order.epoch,
                 'shard': name,
-                'reason': self._core.shards.frozen_reason(order.runner),
+                'reason': self._core.shards.frozen_reason(order.upstream),
             }
 
     async def _claim_rows(self):
@@ -183,16 +183,16 @@
             )
         return {'columns': list(rows[0]), 'rows': rows}
 
-    def _explain_runner(self, name):
+    def _explain_upstream(self, name):
         core = self._core
-        runner = core.catalog.get('runner', name)
-        if runner is None:
-            raise errors.NotFound(f'runner "{name}" does not exist')
-        row = next(r for r in _tables.runner_rows(core) if r['name'] == name)
+        upstream = core.catalog.get('upstream', name)
+        if upstream is None:
+            raise errors.NotFound(f'upstream "{name}" does not exist')
+        row = next(r for r in _tables.upstream_rows(core) if r['name'] == name)
         belief = core.work.beliefs.get(name)
         if belief is not None:
             now = core.now()
-            model = core.catalog.get('pool', runner.pool).model
+            model = core.catalog.get('pool', upstream.pool).model
             gap_s = core.catalog.get('model', model).token_gap_s
             speed = belief.prefill_speed(gap_s)
             row['believed_decoding'] = belief.decoding()
@@ -237,20 +237,20 @@
 
     async def _hold_first(self, statement):
         match statement:
-            case language.Drain(kind='runner') | language.Retire():
+            case language.Drain(kind='upstream') | language.Retire():
                 pass
             case _:
                 return None
         name = statement.name
-        if self._core.catalog.get('runner', name) is None:
-            raise errors.NotFound(f'runner "{name}" does not exist')
+        if self._core.catalog.get('upstream', name) is None:
+            raise errors.NotFound(f'upstream "{name}" does not exist')
         if statement.revision is not None:
             return None
         return await self._core.shards.hold_for_drain(name)
 
     def _held_only(self, statement, unheld, exc):
         text = (
-            f'runner "{statement.name}" gets no new work from the live '
+            f'upstream "{statement.name}" gets no new work from the live '
             'instances, but this is not stored: repeat the command when '
             'the store is back'
         )
@@ -263,9 +263,9 @@
 
     async def _await_acceptance(self, revision, asked_at):
         core = self._core
-        places = membership.staffed_places(core.not_gone())
+        data_centres = membership.staffed_data_centres(core.not_gone())
         watch = revisions.AcceptanceWatch(
-            revision, places, core.cfg.timing.cut_off_s
+            revision, data_centres, core.cfg.timing.cut_off_s
         )
         while True:
             now = core.now()
--- a/dandelionwinch/daemon/_settings.py
+++ b/dandelionwinch/daemon/_settings.py
@@ -21,7 +21,7 @@
 class SettingsTask:
     """Adopts higher revisions only, wherever they come from.
 
-    The speakers of a place poll the store each second; the others get
+    The speakers of a data centre poll the store each second; the others get
     revisions from their peers and poll slowly as a safety net.
     """
 
@@ -67,7 +67,9 @@
     async def _poll(self):
         core = self._core
         now = core.now()
-        speaks = core.members.me in core.members.speakers(core.place, now)
+        speaks = core.members.me in core.members.speakers(
+            core.data_centre, now
+        )
         if speaks or now - self._polled_at >= core.cfg.store.poll_s:
             await self._poll_store()
 
@@ -141,7 +143,7 @@
         wanted = core.catalog.get('instance', core.name)
         if wanted is None:
             return
-        if wanted.state is settings.RunnerState.ACTIVE:
+        if wanted.state is settings.UpstreamState.ACTIVE:
             core.members.stay()
         else:
             core.members.leave()
--- a/dandelionwinch/daemon/_shards.py
+++ b/dandelionwinch/daemon/_shards.py
@@ -1,4 +1,4 @@
-"""Leads shards of runners: leases, orders and role changes."""
+"""Leads shards of upstreams: leases, orders and role changes."""
 
 import asyncio
 import time
@@ -40,9 +40,9 @@
         """Returns the Authority over a shard, if there is one."""
         return self._authorities.get(shard_name)
 
-    def frozen_reason(self, runner_name):
-        """Returns why a runner takes no orders now, or an empty text."""
-        return self._reasons.get(runner_name, '')
+    def frozen_reason(self, upstream_name):
+        """Returns why an upstream takes no orders now, or an empty text."""
+        return self._reasons.get(upstream_name, '')
 
     async def _lead(self):
         core = self._core
@@ -65,7 +65,9 @@
         if core.members.me.leaving or core.unready_reason():
             return False
         usable = core.members.usable(now)
-        near = [k for k in usable if k.place == pool.place] or usable
+        near = [
+            k for k in usable if k.data_centre == pool.data_centre
+        ] or usable
         if not near:
             return False
         best = max(near, key=lambda k: utils.stable_hash(name, k.name))
@@ -87,8 +89,8 @@
             )
             self._authorities[name] = authority
         held = authority.shard is not None
-        runners = core.catalog.runners_of(pool.name)
-        fenced = all(runner.checks_fencing for runner in runners)
+        upstreams = core.catalog.upstreams_of(pool.name)
+        fenced = all(upstream.checks_fencing for upstream in upstreams)
         result = await core.run(
             authority.acquire(fenced, core.departures.is_gone)
         )
@@ -98,8 +100,8 @@
             case orders.Lost(reason=reason):
                 core.event('shard.lost', name, reason)
         reason = '' if authority.shard else authority.wait_reason
-        for runner in runners:
-            self._reasons[runner.name] = reason
+        for upstream in upstreams:
+            self._reasons[upstream.name] = reason
 
     async def _carry_out_all(self):
         core = self._core
@@ -107,25 +109,30 @@
             authority = self._authorities.get(orders.shard_of(pool))
             if authority is None or not authority.holds(core.now()):
                 continue
-            runners = core.catalog.runners_of(pool.name)
+            upstreams = core.catalog.upstreams_of(pool.name)
             await asyncio.gather(
-                *(self._carry_out(authority, runner) for runner in runners)
+                *(
+                    self._carry_out(authority, upstream)
+                    for upstream in upstreams
+                )
             )
-            if not any(authority.shard.open_order(r.name) for r in runners):
-                await self._plan(authority, pool, runners)
+            if not any(authority.shard.open_order(r.name) for r in upstreams):
+                await self._plan(authority, pool, upstreams)
 
-    async def _carry_out(self, authority, runner):
+    async def _carry_out(self, authority, upstream):
         if authority.shard is None:
             return
-        wish = self._wish_of_operators(authority.shard, runner)
-        await self._step(authority, runner, wish)
+        wish = self._wish_of_operators(authority.shard, upstream)
+        await self._step(authority, upstream, wish)
 
-    async def _step(self, authority, runner, wish):
+    async def _step(self, authority, upstream, wish):
         progress = await self._run(
-            self._conductor(authority).step(runner, wish), authority, runner
+            self._conductor(authority).step(upstream, wish),
+            authority,
+            upstream,
         )
         closed = progress.event == 'order.closed'
-        self._reasons[runner.name] = '' if closed else progress.reason
+        self._reasons[upstream.name] = '' if closed else progress.reason
         if progress.event:
             self._core.event(
                 progress.event, progress.order_id, progress.reason
@@ -139,48 +146,48 @@
             self._conductors[authority] = conductor
         return conductor
 
-    async def _run(self, program, authority, runner):
+    async def _run(self, program, authority, upstream):
         core = self._core
 
         async def handle(request):
             match request:
-                case orders.PollRunner():
-                    return _status_of(await core.loads.poll(runner))
-                case orders.HoldRunner(order_id=order_id):
-                    return await self._hold(runner.name, order_id)
+                case orders.PollUpstream():
+                    return _status_of(await core.loads.poll(upstream))
+                case orders.HoldUpstream(order_id=order_id):
+                    return await self._hold(upstream.name, order_id)
                 case orders.ReleaseHold(order_id=order_id):
-                    return await self._release_hold(runner.name, order_id)
+                    return await self._release_hold(upstream.name, order_id)
                 case orders.SendOrder(order=order):
-                    return await self._send(authority, runner, order)
+                    return await self._send(authority, upstream, order)
             return await core.run_request(request)
 
         return await core.run(program, handle)
 
-    def _wish_of_operators(self, shard, runner):
+    def _wish_of_operators(self, shard, upstream):
         core = self._core
-        last = shard.orders.get(runner.name)
-        source = core.documents.revision_of(f'runner/{runner.name}')
-        if runner.state is settings.RunnerState.RETIRED:
+        last = shard.orders.get(upstream.name)
+        source = core.documents.revision_of(f'upstream/{upstream.name}')
+        if upstream.state is settings.UpstreamState.RETIRED:
             return None
         if last is not None and last.source >= source:
             return None
-        seen = core.loads.latest(runner.name)
+        seen = core.loads.latest(upstream.name)
         if seen is None or seen.message.failed or not seen.message.role:
             return None
-        if seen.message.role == runner.role:
+        if seen.message.role == upstream.role:
             return None
-        return self._wish(shard, runner, runner.role)
+        return self._wish(shard, upstream, upstream.role)
 
-    def _wish(self, shard, runner, role):
-        source = self._core.documents.revision_of(f'runner/{runner.name}')
-        order_id = f'{runner.name}-{shard.epoch + 1}'
+    def _wish(self, shard, upstream, role):
+        source = self._core.documents.revision_of(f'upstream/{upstream.name}')
+        order_id = f'{upstream.name}-{shard.epoch + 1}'
         return orders.Wish(str(role), source, order_id)
 
-    async def _hold(self, runner_name, order_id):
+    async def _hold(self, upstream_name, order_id):
         core = self._core
         asked_at = core.now()
         request = peer_pb2.HoldRequest(
-            runner=runner_name, order_id=order_id, ttl_s=HOLD_TTL_S
+            upstream=upstream_name, order_id=order_id, ttl_s=HOLD_TTL_S
         )
         own = core.loads.hold(request)
         replies = await core.peers.all('Hold', request)
@@ -193,14 +200,14 @@
         names = [k.name for k in core.members.may_live(core.now())]
         return orders.Hold(tuple(names), reports)
 
-    async def _send(self, authority, runner, order):
+    async def _send(self, authority, upstream, order):
         core = self._core
 
         def send():
             # The lease is checked last, right before the send.
             if time.monotonic() >= authority.until:
                 return None
-            return core.runners.order(runner.address, order)
+            return core.upstreams.order(upstream.address, order)
 
         if not authority.begin_send():
             return None
@@ -210,19 +217,19 @@
             authority.end_send()
         return None if answer is None else answer.taken
 
-    async def _release_hold(self, runner_name, order_id):
+    async def _release_hold(self, upstream_name, order_id):
         request = peer_pb2.HoldRequest(
-            runner=runner_name, order_id=order_id, release=True
+            upstream=upstream_name, order_id=order_id, release=True
         )
         self._core.loads.hold(request)
         await self._core.peers.all('Hold', request)
 
-    async def _plan(self, authority, pool, runners):
+    async def _plan(self, authority, pool, upstreams):
         core = self._core
         now = core.now()
-        beliefs = [core.work.beliefs.get(r.name) for r in runners]
+        beliefs = [core.work.beliefs.get(r.name) for r in upstreams]
         beliefs = [b for b in beliefs if b is not None and b.report]
-        if len(beliefs) < len(runners) or len(beliefs) < 2:
+        if len(beliefs) < len(upstreams) or len(beliefs) < 2:
             return
         change = placement.plan_roles(
             beliefs,
@@ -233,10 +240,10 @@
         )
         if change is None:
             return
-        runner = core.catalog.get('runner', change.runner)
-        core.event('role.planned', runner.name, change.terms)
-        wish = self._wish(authority.shard, runner, change.role)
-        await self._step(authority, runner, wish)
+        upstream = core.catalog.get('upstream', change.upstream)
+        core.event('role.planned', upstream.name, change.terms)
+        wish = self._wish(authority.shard, upstream, change.role)
+        await self._step(authority, upstream, wish)
 
     def _rates(self, pool, now):
         own = self._core.work.demands(now).get(pool.name)
@@ -249,28 +256,28 @@
             for view in (0, 1)
         ]
 
-    async def hold_for_drain(self, runner_name):
-        """Holds a runner everywhere at once, also without the store.
+    async def hold_for_drain(self, upstream_name):
+        """Holds an upstream everywhere at once, also without the store.
 
         Returns:
             Names of the live instances that did not confirm it.
         """
-        self._drains[runner_name] = self._core.now()
-        held = await self._hold(runner_name, f'drain:{runner_name}')
+        self._drains[upstream_name] = self._core.now()
+        held = await self._hold(upstream_name, f'drain:{upstream_name}')
         live = self._core.members.live(self._core.now())
         return [k.name for k in live if k.name not in held.reports]
 
-    async def end_drain(self, runner_name):
+    async def end_drain(self, upstream_name):
         """Takes the hold of a drain back."""
-        self._drains.pop(runner_name, None)
-        await self._release_hold(runner_name, f'drain:{runner_name}')
+        self._drains.pop(upstream_name, None)
+        await self._release_hold(upstream_name, f'drain:{upstream_name}')
 
     async def _renew_drains(self):
         for name in list(self._drains):
-            runner = self._core.catalog.get('runner', name)
+            upstream = self._core.catalog.get('upstream', name)
             stored = (
-                runner is None
-                or runner.state is not settings.RunnerState.ACTIVE
+                upstream is None
+                or upstream.state is not settings.UpstreamState.ACTIVE
             )
             if stored:
                 # Every instance follows the stored state from now on.
--- a/dandelionwinch/daemon/_tables.py
+++ b/dandelionwinch/daemon/_tables.py
@@ -6,17 +6,17 @@
 from dandelionwinch import settings
 
 COLUMNS = {
-    'runners': (
-        'name place pool role wanted_role state health running waiting '
+    'upstreams': (
+        'name data_centre pool role wanted_role state health running waiting '
         'kv_tokens age_s checks_fencing frozen epoch address revision'
     ).split(),
     'instances': (
-        'name place state jobs revision silent_s listed address'
+        'name data_centre state jobs revision silent_s listed address'
     ).split(),
     'jobs': (
-        'id team target state code runner attempts tokens seconds instance'
+        'id team target state code upstream attempts tokens seconds instance'
     ).split(),
-    'orders': 'id runner role state epoch shard reason'.split(),
+    'orders': 'id upstream role state epoch shard reason'.split(),
     'shards': 'name holder epoch released'.split(),
     'claims': 'key state holder opened changed status'.split(),
     'settings': 'path revision value'.split(),
@@ -46,41 +46,41 @@
     return rows
 
 
-def runner_rows(core):
-    """Returns the configured runners with what is known of them."""
+def upstream_rows(core):
+    """Returns the configured upstreams with what is known of them."""
     now = core.now()
-    return [_runner_row(core, r, now) for r in core.catalog.all('runner')]
+    return [_upstream_row(core, r, now) for r in core.catalog.all('upstream')]
 
 
-def _runner_row(core, runner, now):
-    seen = core.loads.latest(runner.name)
+def _upstream_row(core, upstream, now):
+    seen = core.loads.latest(upstream.name)
     load = seen.message if seen is not None else None
-    belief = core.work.beliefs.get(runner.name)
+    belief = core.work.beliefs.get(upstream.name)
     return {
-        'name': runner.name,
-        'place': core.catalog.place_of(runner),
-        'pool': runner.pool,
-        'role': load.role if load and load.role else str(runner.role),
-        'wanted_role': str(runner.role),
-        'state': str(runner.state),
-        'health': _health(core, runner, load, belief, now),
+        'name': upstream.name,
+        'data_centre': core.catalog.data_centre_of(upstream),
+        'pool': upstream.pool,
+        'role': load.role if load and load.role else str(upstream.role),
+        'wanted_role': str(upstream.role),
+        'state': str(upstream.state),
+        'health': _health(core, upstream, load, belief, now),
         'running': load.running if load else 0,
         'waiting': load.waiting if load else 0,
         'kv_tokens': load.kv_tokens if load else 0,
         'age_s': round(now - seen.made_at, 2) if seen else None,
-        'checks_fencing': runner.checks_fencing,
-        'frozen': core.shards.frozen_reason(runner.name),
+        'checks_fencing': upstream.checks_fencing,
+        'frozen': core.shards.frozen_reason(upstream.name),
         'epoch': load.epoch if load else 0,
-        'address': runner.address,
-        'revision': core.documents.revision_of(f'runner/{runner.name}'),
+        'address': upstream.address,
+        'revision': core.documents.revision_of(f'upstream/{upstream.name}'),
     }
 
 
-def _health(core, runner, load, belief, now):
-    if core.loads.is_held(runner.name):
+def _health(core, upstream, load, belief, now):
+    if core.loads.is_held(upstream.name):
         return 'held'
-    if runner.role is settings.Role.SERVICE:
-        resting = core.loads.is_resting(runner.name, now)
+    if upstream.role is settings.Role.SERVICE:
+        resting = core.loads.is_resting(upstream.name, now)
         return 'resting' if resting else 'ok'
     if load is None:
         return 'unknown'
@@ -100,13 +100,13 @@
     return [
         {
             'name': known.name,
-            'place': known.place,
+            'data_centre': known.data_centre,
             'state': _instance_state(known, live),
             'jobs': known.jobs,
             'revision': known.revision,
             'silent_s': round(max(0.0, now - known.heard_at), 2),
             'listed': known.listed,
-            'address': known.member.clerk_address,
+            'address': known.member.client_address,
         }
         for known in core.members.everyone()
     ]
@@ -128,7 +128,7 @@
             'target': record.target,
             'state': record.state,
             'code': record.code,
-            'runner': record.runner,
+            'upstream': record.upstream,
             'attempts': record.attempts,
             'tokens': record.tokens,
             'seconds': round((record.ended or now) - record.started, 3),
--- a/dandelionwinch/daemon/_work.py
+++ b/dandelionwinch/daemon/_work.py
@@ -33,11 +33,11 @@
         return self.admission.jobs
 
     def adopt(self, catalog):
-        """Takes over the runners of a new configuration."""
-        self.beliefs.set_runners(
-            _belief(runner, catalog.place_of(runner))
-            for runner in catalog.all('runner')
-            if runner.role is not settings.Role.SERVICE
+        """Takes over the upstreams of a new configuration."""
+        self.beliefs.set_upstreams(
+            _belief(upstream, catalog.data_centre_of(upstream))
+            for upstream in catalog.all('upstream')
+            if upstream.role is not settings.Role.SERVICE
         )
 
     def admit(self, message):
@@ -71,7 +71,7 @@
         return sum(self._team(name).weight for name in names)
 
     def place(self, message):
-        """Chooses the runners of a completion."""
+        """Chooses the upstreams of a completion."""
         core = self._core
         now = core.now()
         job = message.job
@@ -80,7 +80,7 @@
             raise errors.NotFound(f'model "{job.model}" does not exist')
         pools = core.catalog.pools_of_model(job.model)
         demand = placement.Demand(
-            place=core.place,
+            data_centre=core.data_centre,
             prompt_tokens=job.prompt_tokens,
             output_tokens=job.max_tokens,
             prefix=job.prefix,
@@ -93,7 +93,7 @@
         choice = self.placer.place(demand, self._sites(pools, job), now)
         if isinstance(choice, placement.Refusal):
             self._add_demand(pools, job, now)
-            raise errors.NoRunner(
+            raise errors.NoUpstream(
                 choice.reason, retry_after_s=choice.retry_after_s
             )
         self._note(message, choice, now)
@@ -101,20 +101,20 @@
 
     def _sites(self, pools, job):
         catalog = self._core.catalog
-        here = self._core.place
+        here = self._core.data_centre
         region = catalog.region_of(here)
         link = catalog.link()
         sites = []
         for pool in pools:
             extra_s = 0.0
-            if pool.place != here:
+            if pool.data_centre != here:
                 extra_s = link.latency_s
-            if catalog.region_of(pool.place) != region:
+            if catalog.region_of(pool.data_centre) != region:
                 extra_s += 2 * link.latency_s + _link_s(link, job)
             names = tuple(
-                runner.name
-                for runner in catalog.runners_of(pool.name)
-                if runner.state is settings.RunnerState.ACTIVE
+                upstream.name
+                for upstream in catalog.upstreams_of(pool.name)
+                if upstream.state is settings.UpstreamState.ACTIVE
             )
             sites.append(placement.Site(pool.name, names, extra_s))
         sites.sort(key=lambda site: (site.extra_s, site.name))
@@ -124,15 +124,15 @@
         record = self.book.get(message.job_id)
         job = message.job
         if record is not None:
-            record.runner = choice.decode or choice.prefill
-            record.prefill_runner = choice.prefill
+            record.upstream = choice.decode or choice.prefill
+            record.prefill_upstream = choice.prefill
             record.attempts += 1
             record.terms.append(
                 f'prefill on "{choice.prefill}", decode on '
                 f'"{choice.decode}": {choice.terms}'
             )
-        runner = self._core.catalog.get('runner', choice.prefill)
-        pool = self._core.catalog.get('pool', runner.pool)
+        upstream = self._core.catalog.get('upstream', choice.prefill)
+        pool = self._core.catalog.get('pool', upstream.pool)
         tokens = job.prompt_tokens - choice.hit_tokens
         self._trend(pool).add(tokens, job.max_tokens, now)
         self._core.event('job.placed', message.job_id, choice.decode)
@@ -146,26 +146,28 @@
 
     def _add_demand(self, pools, job, now):
         """Counts a refused job where it would have run."""
-        near = [p for p in pools if p.place == self._core.place] or pools
+        near = [
+            p for p in pools if p.data_centre == self._core.data_centre
+        ] or pools
         if near:
             self._trend(near[0]).add(job.prompt_tokens, job.max_tokens, now)
 
     def _placed(self, choice, model):
         catalog = self._core.catalog
-        decode = catalog.get('runner', choice.decode or choice.prefill)
-        prefill = catalog.get('runner', choice.prefill)
+        decode = catalog.get('upstream', choice.decode or choice.prefill)
+        prefill = catalog.get('upstream', choice.prefill)
         apart = choice.prefill != decode.name
         return messages.Placed(
-            runner=decode.name,
+            upstream=decode.name,
             address=decode.address,
-            prefill_runner=prefill.name if apart else '',
+            prefill_upstream=prefill.name if apart else '',
             prefill_address=prefill.address if apart else '',
             token_gap_s=model.token_gap_s,
             first_token_s=max(choice.first_token_s, model.first_token_s),
         )
 
     def place_service(self, message):
-        """Lists the runners of a plain service, best first."""
+        """Lists the upstreams of a plain service, best first."""
         core = self._core
         service = core.catalog.get('service', message.service)
         if service is None:
@@ -175,41 +177,43 @@
         now = core.now()
         found = []
         for pool in core.catalog.pools_of_service(service.name):
-            for runner in core.catalog.runners_of(pool.name):
-                if runner.state is not settings.RunnerState.ACTIVE:
+            for upstream in core.catalog.upstreams_of(pool.name):
+                if upstream.state is not settings.UpstreamState.ACTIVE:
                     continue
-                if core.loads.is_held(runner.name):
+                if core.loads.is_held(upstream.name):
                     continue
                 # One that failed of late is a last resort, not ruled out.
-                resting = core.loads.is_resting(runner.name, now)
-                spread = zlib.crc32(f'{message.job_id}{runner.name}'.encode())
-                rank = (resting, pool.place != core.place, spread)
-                found.append((rank, runner))
+                resting = core.loads.is_resting(upstream.name, now)
+                spread = zlib.crc32(
+                    f'{message.job_id}{upstream.name}'.encode()
+                )
+                rank = (resting, pool.data_centre != core.data_centre, spread)
+                found.append((rank, upstream))
         if not found:
-            raise errors.NoRunner(
-                f'no runner of service "{service.name}" takes work',
+            raise errors.NoUpstream(
+                f'no upstream of service "{service.name}" takes work',
                 retry_after_s=1.0,
             )
         found.sort(key=lambda pair: pair[0])
-        runners = tuple(runner for _rank, runner in found)
+        upstreams = tuple(upstream for _rank, upstream in found)
         record = self.book.get(message.job_id)
         if record is not None:
-            record.runner = runners[0].name
+            record.upstream = upstreams[0].name
             record.attempts += 1
-        return messages.ServicePlaces(service, runners)
+        return messages.ServicePlaces(service, upstreams)
 
-    def runner_failed(self, message):
-        """Leaves a runner alone for a while after a failure."""
+    def upstream_failed(self, message):
+        """Leaves an upstream alone for a while after a failure."""
         core = self._core
         now = core.now()
-        self.beliefs.failed(message.runner, now)
-        core.loads.rest(message.runner, now)
+        self.beliefs.failed(message.upstream, now)
+        core.loads.rest(message.upstream, now)
         record = self.book.get(message.job_id)
         if record is not None:
             record.terms.append(
-                f'runner "{message.runner}" failed: {message.reason}'
+                f'upstream "{message.upstream}" failed: {message.reason}'
             )
-        core.event('runner.failed', message.runner, message.reason)
+        core.event('upstream.failed', message.upstream, message.reason)
 
     def _budget(self, target):
         budget = self._budgets.get(target)
@@ -245,7 +249,7 @@
         core.metrics.jobs.labels(message.state, message.code).inc()
         if message.state == 'done':
             self._budget(record.target).succeeded()
-            core.loads.rested(record.runner)
+            core.loads.rested(record.upstream)
             core.metrics.tokens.inc(message.tokens)
             core.earnings.book(record, message.tokens)
         core.event(f'job.{message.state}', record.id, message.code)
@@ -262,13 +266,13 @@
     return size / link.bytes_per_s + link.price * size / GIGABYTE
 
 
-def _belief(runner, place):
+def _belief(upstream, data_centre):
     return placement.Belief(
-        name=runner.name,
-        place=place,
-        role=runner.role,
-        prefill_rate=runner.prefill_tokens_per_s,
-        decode_rate=runner.decode_tokens_per_s,
-        kv_capacity=runner.kv_tokens,
-        max_batch=runner.max_batch,
+        name=upstream.name,
+        data_centre=data_centre,
+        role=upstream.role,
+        prefill_rate=upstream.prefill_tokens_per_s,
+        decode_rate=upstream.decode_tokens_per_s,
+        kv_capacity=upstream.kv_tokens,
+        max_batch=upstream.max_batch,
     )
--- a/dandelionwinch/daemon/messages.py
+++ b/dandelionwinch/daemon/messages.py
@@ -13,11 +13,11 @@
 
 
 @attrs.frozen
-class Place:
+class DataCentre:
     """Asks where a completion runs.
 
     Attributes:
-        exclude: Runners that failed this job before.
+        exclude: Upstreams that failed this job before.
     """
 
     job_id: str
@@ -30,13 +30,13 @@
     """Reply: where a completion runs.
 
     Attributes:
-        prefill_address: Runner that prefills, or empty if the decoding
-            runner does so itself.
+        prefill_address: Upstream that prefills, or empty if the decoding
+            upstream does so itself.
     """
 
-    runner: str
+    upstream: str
     address: str
-    prefill_runner: str
+    prefill_upstream: str
     prefill_address: str
     token_gap_s: float
     first_token_s: float
@@ -44,7 +44,7 @@
 
 @attrs.frozen
 class PlaceService:
-    """Asks which runners can take a call of a plain service."""
+    """Asks which upstreams can take a call of a plain service."""
 
     job_id: str
     service: str
@@ -52,18 +52,18 @@
 
 @attrs.frozen
 class ServicePlaces:
-    """Reply: the service's rules and its runners, best first."""
+    """Reply: the service's rules and its upstreams, best first."""
 
     service: object
-    runners: tuple
+    upstreams: tuple
 
 
 @attrs.frozen
-class RunnerFailed:
-    """Tells that a runner failed a job."""
+class UpstreamFailed:
+    """Tells that an upstream failed a job."""
 
     job_id: str
-    runner: str
+    upstream: str
     reason: str
 
 
@@ -106,9 +106,9 @@
 
 @attrs.frozen
 class FindAddress:
-    """Asks which instance a clerk should use."""
+    """Asks which instance a client should use."""
 
-    place: str
+    data_centre: str
     team: str
 
 
--- a/dandelionwinch/delivery.py
+++ b/dandelionwinch/delivery.py
@@ -1,13 +1,13 @@
-"""The way of an answer to its clerk, with exactly one ending."""
+"""The way of an answer to its client, with exactly one ending."""
 
 from dandelionwinch import errors
 
 
 class Delivery:
-    """Chunks on their way to a clerk, with exactly one ending.
+    """Chunks on their way to a client, with exactly one ending.
 
     Iterating to the end means that every chunk was written to the
-    clerk's connection; closing before means that the clerk went away.
+    client's connection; closing before means that the client went away.
 
     Args:
         chunks: Generator of bytes.
@@ -36,9 +36,9 @@
             raise StopIteration from None
 
     def close(self):
-        """Ends the delivery; the clerk may be gone."""
+        """Ends the delivery; the client may be gone."""
         self._chunks.close()
-        self._end('abandoned', 'clerk_left', 0)
+        self._end('abandoned', 'client_left', 0)
 
     def _end(self, state, code, tokens):
         if self._finish is not None:
--- a/dandelionwinch/earnings/_ledger.py
+++ b/dandelionwinch/earnings/_ledger.py
@@ -20,7 +20,7 @@
     """What one process earned for one team.
 
     Attributes:
-        jobs: Jobs whose whole answer reached its clerk.
+        jobs: Jobs whose whole answer reached its client.
         tokens: Output tokens or, for services, calls of those jobs.
     """
 
--- a/dandelionwinch/entry.py
+++ b/dandelionwinch/entry.py
@@ -32,9 +32,9 @@
         self._core = daemon.Core(cfg)
         self._relay = relay.Relay(self._core)
         self._calls = calls.Calls(self._core)
-        self._clerks = listeners.Listener(
-            cfg.instance.clerk_address,
-            self._serve_clerk,
+        self._clients = listeners.Listener(
+            cfg.instance.client_address,
+            self._serve_client,
             cfg.relay.threads,
             cfg,
         )
@@ -52,11 +52,11 @@
         return self._core
 
     def start(self):
-        """Starts the core first and the clerks' listener last."""
+        """Starts the core first and the clients' listener last."""
         self._core.start()
         self._operators.start()
-        self._clerks.start()
-        logger.info('serving clerks on {}', self._cfg.instance.clerk_address)
+        self._clients.start()
+        logger.info('serving clients on {}', self._cfg.instance.client_address)
 
     def stop(self):
         """Stops as planned: nothing in flight is cut."""
@@ -69,16 +69,16 @@
 
     def close(self):
         """Closes listeners and the core at once."""
-        self._clerks.close()
+        self._clients.close()
         self._operators.close()
         self._calls.close()
         self._core.close()
         logger.info('stopped')
 
-    def _serve_clerk(self, request):
+    def _serve_client(self, request):
         if request.path in _HEALTH:
             return self._health(request)
-        listeners.check_token(request, self._cfg.security.clerk_token)
+        listeners.check_token(request, self._cfg.security.client_token)
         team = request.header('x-team', DEFAULT_TEAM)
         match (request.method, request.path):
             case ('GET', '/v1/address'):
@@ -109,9 +109,9 @@
         return listeners.json_response({'alive': True})
 
     def _address(self, request, team):
-        place = request.query.get('place', self._core.place)
+        data_centre = request.query.get('data_centre', self._core.data_centre)
         team = request.query.get('team', team)
-        found = self._core.ask(messages.FindAddress(place, team))
+        found = self._core.ask(messages.FindAddress(data_centre, team))
         return listeners.json_response(
             {
                 'address': found.address,
--- a/dandelionwinch/errors.py
+++ b/dandelionwinch/errors.py
@@ -68,10 +68,10 @@
     status = 503
 
 
-class NoRunner(DandelionwinchError):
-    """No runner can take the job at present."""
+class NoUpstream(DandelionwinchError):
+    """No upstream can take the job at present."""
 
-    code = 'no_runner'
+    code = 'no_upstream'
     status = 503
 
 
@@ -111,7 +111,7 @@
 
 
 class UpstreamFailed(DandelionwinchError):
-    """The runner failed before an answer was complete."""
+    """The upstream failed before an answer was complete."""
 
     code = 'upstream_failed'
     status = 502
@@ -158,7 +158,7 @@
     Attributes:
         file: Name of the file, or of the document's source.
         line: Line number from 1, or 0 if the place has no line.
-        path: Path of the value, such as ``runners[2].role``.
+        path: Path of the value, such as ``upstreams[2].role``.
         message: What is wrong, naming the value.
     """
 
--- a/dandelionwinch/jobs/__init__.py
+++ b/dandelionwinch/jobs/__init__.py
@@ -1,4 +1,4 @@
-"""Jobs: requests of clerks, their attempts and whole answers."""
+"""Jobs: requests of clients, their attempts and whole answers."""
 
 from dandelionwinch.jobs._assembly import Assembly
 from dandelionwinch.jobs._assembly import StreamGap
--- a/dandelionwinch/jobs/_assembly.py
+++ b/dandelionwinch/jobs/_assembly.py
@@ -11,7 +11,7 @@
     Each attempt has a number. Pieces of a superseded attempt are
     dropped, as are pieces that arrive twice. An attempt either resumes
     the generation of the one before it, with the same offsets, or
-    continues the text on another runner with offsets from zero.
+    continues the text on another upstream with offsets from zero.
 
     Attributes:
         tokens: Pieces with text; the last piece often has none.
@@ -64,7 +64,7 @@
         Args:
             attempt: Number of the attempt that it belongs to.
             offset: Its index within the generation; below 0 if the
-                runner gives none.
+                upstream gives none.
             text: Its text.
 
         Returns:
--- a/dandelionwinch/jobs/_book.py
+++ b/dandelionwinch/jobs/_book.py
@@ -22,8 +22,8 @@
     started: float
     state: str = 'running'
     code: str = ''
-    runner: str = ''
-    prefill_runner: str = ''
+    upstream: str = ''
+    prefill_upstream: str = ''
     attempts: int = 0
     tokens: int = 0
     ended: float = 0.0
@@ -68,10 +68,10 @@
         """Returns all records, ended ones first."""
         return [*self._ended.values(), *self._running.values()]
 
-    def on_runner(self, runner):
-        """Returns the number of running jobs on a runner."""
+    def on_upstream(self, upstream):
+        """Returns the number of running jobs on an upstream."""
         return sum(
             1
             for record in self._running.values()
-            if runner in (record.runner, record.prefill_runner)
+            if upstream in (record.upstream, record.prefill_upstream)
         )
--- a/dandelionwinch/jobs/_requests.py
+++ b/dandelionwinch/jobs/_requests.py
@@ -20,11 +20,11 @@
     """A checked request.
 
     Attributes:
-        path: Interface path at the runner.
-        body: The request as the clerk sent it.
+        path: Interface path at the upstream.
+        body: The request as the client sent it.
         prompt_tokens: Estimated size of the prompt.
         prefix: Hash of the prompt's beginning, for cache beliefs.
-        continuable: Whether another runner can continue a part of the
+        continuable: Whether another upstream can continue a part of the
             answer, because it is one plain text.
     """
 
@@ -45,7 +45,7 @@
 
 
 def parse_completion(path, raw):
-    """Checks a clerk's request.
+    """Checks a client's request.
 
     Raises:
         BadRequest: If the body is malformed; names the field.
--- a/dandelionwinch/language/_edits.py
+++ b/dandelionwinch/language/_edits.py
@@ -46,7 +46,7 @@
 
 
 def _path_of(statement):
-    kind = getattr(statement, 'kind', 'runner')
+    kind = getattr(statement, 'kind', 'upstream')
     return f'{kind}/{statement.name}'
 
 
@@ -76,9 +76,11 @@
 
 def _replaced(statement, path, values):
     old = _existing(path, values)
-    new_path = f'runner/{statement.new_name}'
+    new_path = f'upstream/{statement.new_name}'
     if new_path in values:
-        raise errors.Conflict(f'runner "{statement.new_name}" exists already')
+        raise errors.Conflict(
+            f'upstream "{statement.new_name}" exists already'
+        )
     new = {
         **old,
         'name': statement.new_name,
--- a/dandelionwinch/language/_statements.py
+++ b/dandelionwinch/language/_statements.py
@@ -46,7 +46,7 @@
 
 @attrs.frozen
 class Explain:
-    """Asks why a job or a runner stands as it does."""
+    """Asks why a job or an upstream stands as it does."""
 
     kind: str
     name: str
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class Drain:
-    """Gives a runner or an instance no new work."""
+    """Gives an upstream or an instance no new work."""
 
     kind: str
     name: str
@@ -72,7 +72,7 @@
 
 @attrs.frozen
 class Retire:
-    """Takes a runner out of service for good."""
+    """Takes an upstream out of service for good."""
 
     name: str
     revision: int | None = None
@@ -80,7 +80,7 @@
 
 @attrs.frozen
 class Replace:
-    """Drains a runner and adds another in its place."""
+    """Drains an upstream and adds another in its place."""
 
     name: str
     new_name: str
@@ -90,7 +90,7 @@
 
 @attrs.frozen
 class ChangeRole:
-    """Orders a runner to another role."""
+    """Orders an upstream to another role."""
 
     name: str
     role: str
--- a/dandelionwinch/listeners.py
+++ b/dandelionwinch/listeners.py
@@ -1,4 +1,4 @@
-"""HTTP listeners for clerks and for operators, by cheroot."""
+"""HTTP listeners for clients and for operators, by cheroot."""
 
 import hmac
 import http
@@ -24,7 +24,7 @@
 
 @attrs.frozen
 class Request:
-    """One request of a clerk or an operator."""
+    """One request of a client or an operator."""
 
     id: str
     method: str
@@ -124,7 +124,7 @@
             self._application,
             numthreads=threads,
             request_queue_size=BACKLOG,
-            timeout=cfg.relay.clerk_timeout_s,
+            timeout=cfg.relay.client_timeout_s,
             shutdown_timeout=SHUTDOWN_S,
         )
         self._server.max_request_header_size = cfg.relay.max_header_bytes
--- a/dandelionwinch/membership/_members.py
+++ b/dandelionwinch/membership/_members.py
@@ -25,7 +25,7 @@
     """What is known of one instance.
 
     Attributes:
-        member: Name, place and addresses.
+        member: Name, data centre and addresses.
         heard_at: Time at which its heartbeat last advanced.
         leaves: Odd while it says that it is leaving; each change of
             mind raises the number.
@@ -56,17 +56,17 @@
         return self.member.name
 
     @property
-    def place(self):
-        """Name of its place."""
-        return self.member.place
+    def data_centre(self):
+        """Name of its data centre."""
+        return self.member.data_centre
 
 
 class Membership:
     """The aggregate of all known instances, without clock or socket.
 
     Each instance advances its own heartbeat and exchanges digests with
-    a few peers of its place; two speakers of a place also exchange
-    with other places. A higher incarnation replaces a lower one.
+    a few peers of its data centre; two speakers of a data centre also exchange
+    with other data centres. A higher incarnation replaces a lower one.
     """
 
     __slots__ = (
@@ -117,13 +117,15 @@
         return self._targets(now)
 
     def _pace(self):
-        """Returns how much slower a large place beats, from 1 up.
+        """Returns how much slower a large data centre beats, from 1 up.
 
-        A digest grows with the place, so its rate falls, and what an
+        A digest grows with the data centre, so its rate falls, and what an
         instance sends in a second stays within bounds.
         """
-        place = self.me.place
-        size = sum(1 for k in self._by_id.values() if k.place == place)
+        data_centre = self.me.data_centre
+        size = sum(
+            1 for k in self._by_id.values() if k.data_centre == data_centre
+        )
         return max(1.0, size / LARGE_PLACE)
 
     def _note_pause(self, now):
@@ -153,13 +155,13 @@
 
     def _targets(self, now):
         others = [k for k in self._by_id.values() if k is not self.me]
-        near = [k for k in others if k.place == self.me.place]
+        near = [k for k in others if k.data_centre == self.me.data_centre]
         large = self._pace() > 1
         fanout = FANOUT_IN_LARGE_PLACES if large else FANOUT
         chosen = self._sample(near, fanout)
         if not near or self._speaks(now):
             if self._beats % CROSS_EVERY_BEATS == 1 or not near:
-                chosen += self._one_of_each_place(others)
+                chosen += self._one_of_each_data_centre(others)
         addresses = [known.member.peer_address for known in chosen]
         if not addresses:
             addresses = self._sample(self._seeds, FANOUT)
@@ -168,44 +170,47 @@
     def _sample(self, items, most):
         return self._rng.sample(items, min(most, len(items)))
 
-    def _one_of_each_place(self, others):
-        by_place = {}
+    def _one_of_each_data_centre(self, others):
+        by_data_centre = {}
         for known in others:
-            if known.place != self.me.place:
-                by_place.setdefault(known.place, []).append(known)
-        places = self._sample(sorted(by_place), FANOUT)
-        return [self._rng.choice(by_place[place]) for place in places]
+            if known.data_centre != self.me.data_centre:
+                by_data_centre.setdefault(known.data_centre, []).append(known)
+        data_centres = self._sample(sorted(by_data_centre), FANOUT)
+        return [
+            self._rng.choice(by_data_centre[data_centre])
+            for data_centre in data_centres
+        ]
 
     def _speaks(self, now):
-        return self.me in self.speakers(self.me.place, now)
+        return self.me in self.speakers(self.me.data_centre, now)
 
-    def speakers(self, place, now):
-        """Returns the instances that act for a place.
+    def speakers(self, data_centre, now):
+        """Returns the instances that act for a data centre.
 
-        They watch the store's configuration and talk to other places.
+        They watch the store's configuration and talk to other data centres.
         """
         ranked = sorted(
-            (k for k in self.live(now) if k.place == place),
+            (k for k in self.live(now) if k.data_centre == data_centre),
             key=lambda k: utils.stable_hash('speaker', k.name),
         )
         return ranked[:SPEAKERS_PER_PLACE]
 
-    def digest(self, now, to_place=None):
+    def digest(self, now, to_data_centre=None):
         """Makes the part of a digest that this aggregate owns.
 
-        Members of the own and the peer's place are told of each time.
-        Of others a few are drawn, so that a digest grows with a place
+        Members of the own and the peer's data centre are told of each time.
+        Of others a few are drawn, so that a digest grows with a data centre
         and not with all instances.
         """
         digest = peer_pb2.Digest(sender=self.me.member)
-        near_places = (self.me.place, to_place)
+        near_data_centres = (self.me.data_centre, to_data_centre)
         far = []
         for key, known in self._by_id.items():
             if key in self._asked:
                 digest.introduced.append(known.member)
             if now - known.heard_at > self._forget_s:
                 continue
-            if known.place in near_places:
+            if known.data_centre in near_data_centres:
                 digest.pulses.append(_pulse(key, known))
             else:
                 far.append((key, known))
@@ -287,7 +292,7 @@
     def _is_live(self, known, now, pace):
         """Tells whether a member was heard of; far ones take longer."""
         patience_s = self._suspect_s
-        if known.place != self.me.place:
+        if known.data_centre != self.me.data_centre:
             patience_s *= FAR_PATIENCE
         return now - known.heard_at <= patience_s * pace
 
@@ -304,11 +309,11 @@
             if known.listed or self._is_live(known, now, pace)
         ]
 
-    def place_at(self, peer_address):
-        """Returns the place of the instance at an address, or None."""
+    def data_centre_at(self, peer_address):
+        """Returns the data centre of the instance at an address, or None."""
         for known in self._by_id.values():
             if known.member.peer_address == peer_address:
-                return known.place
+                return known.data_centre
         return None
 
     def usable(self, now):
@@ -346,8 +351,8 @@
 def _member_of(line):
     return peer_pb2.Member(
         name=line.name,
-        place=line.place,
-        clerk_address=line.clerk_address,
+        data_centre=line.data_centre,
+        client_address=line.client_address,
         peer_address=line.peer_address,
         operator_address=line.operator_address,
         weight=1.0,
--- a/dandelionwinch/orders/__init__.py
+++ b/dandelionwinch/orders/__init__.py
@@ -1,4 +1,4 @@
-"""Authority over runners, and orders that outlive their sender."""
+"""Authority over upstreams, and orders that outlive their sender."""
 
 from dandelionwinch.orders._authority import Authority
 from dandelionwinch.orders._authority import Lost
@@ -7,8 +7,8 @@
 from dandelionwinch.orders._authority import Waiting
 from dandelionwinch.orders._conduct import Conductor
 from dandelionwinch.orders._conduct import Hold
-from dandelionwinch.orders._conduct import HoldRunner
-from dandelionwinch.orders._conduct import PollRunner
+from dandelionwinch.orders._conduct import HoldUpstream
+from dandelionwinch.orders._conduct import PollUpstream
 from dandelionwinch.orders._conduct import Progress
 from dandelionwinch.orders._conduct import ReleaseHold
 from dandelionwinch.orders._conduct import SendOrder
@@ -27,12 +27,12 @@
     'Conductor',
     'DrainReport',
     'Hold',
-    'HoldRunner',
+    'HoldUpstream',
     'Lost',
     'Order',
     'OrderState',
     'Owned',
-    'PollRunner',
+    'PollUpstream',
     'Progress',
     'ReleaseHold',
     'STEPS_PER_LEASE',
--- a/dandelionwinch/orders/_authority.py
+++ b/dandelionwinch/orders/_authority.py
@@ -37,7 +37,7 @@
     The deadline is counted on the own monotonic clock from before the
     write was sent, less a margin for drift. Another instance takes a
     lapsed lease only after it saw the record unchanged for a whole
-    lease and margin. Where a runner does not check fencing numbers, a
+    lease and margin. Where an upstream does not check fencing numbers, a
     lapsed lease is not enough: the holder must have released it, or
     its process must be gone for certain.
     """
@@ -99,7 +99,7 @@
         """Tries to take the shard, or renews it if it is held.
 
         Args:
-            all_check_fencing: Whether each runner of the shard refuses
+            all_check_fencing: Whether each upstream of the shard refuses
                 orders of an older epoch.
             is_gone: Function of name, incarnation and time that tells
                 whether a process has certainly ended.
@@ -183,7 +183,7 @@
         if not all_check_fencing:
             return (
                 f'holder "{shard.holder}" has neither released the shard '
-                'nor left the platform, and a runner ignores fencing'
+                'nor left the platform, and an upstream ignores fencing'
             )
         unchanged_s = now - self._seen_at
         if unchanged_s <= self._cfg.lease_s + self._cfg.drift_s:
--- a/dandelionwinch/orders/_conduct.py
+++ b/dandelionwinch/orders/_conduct.py
@@ -10,17 +10,17 @@
 
 
 @attrs.frozen
-class PollRunner:
-    """Asks a runner for its Status; the reply is None if it is silent."""
+class PollUpstream:
+    """Asks an upstream for its Status; the reply is None if it is silent."""
 
-    runner: str
+    upstream: str
 
 
 @attrs.frozen
-class HoldRunner:
+class HoldUpstream:
     """Asks all instances to place nothing new; the reply is a Hold."""
 
-    runner: str
+    upstream: str
     order_id: str
 
 
@@ -28,7 +28,7 @@
 class ReleaseHold:
     """Takes a hold back; there is no reply."""
 
-    runner: str
+    upstream: str
     order_id: str
 
 
@@ -44,7 +44,7 @@
 
 @attrs.frozen
 class Status:
-    """A runner's own word.
+    """An upstream's own word.
 
     Attributes:
         order_id: The last order that it took.
@@ -74,7 +74,7 @@
 
 @attrs.frozen
 class Wish:
-    """What is wanted of a runner.
+    """What is wanted of an upstream.
 
     Attributes:
         source: Catalog revision that asked for it.
@@ -104,10 +104,10 @@
 class Conductor:
     """Carries out the orders of one shard's holder.
 
-    An order is in the store before it is sent, a runner has at most
-    one open order, and an order is closed only on the runner's own
+    An order is in the store before it is sent, an upstream has at most
+    one open order, and an order is closed only on the upstream's own
     word. Each order has a fencing number of its own, so that a delayed
-    copy of a closed order is refused. Where a runner ignores fencing
+    copy of a closed order is refused. Where an upstream ignores fencing
     numbers, the next order waits until no copy can be under way.
     """
 
@@ -118,11 +118,11 @@
         self._settle_s = settle_s
         self._closed_seen = {}
 
-    def step(self, runner, wish):
-        """Goes on with a runner's order, or writes a wished one.
+    def step(self, upstream, wish):
+        """Goes on with an upstream's order, or writes a wished one.
 
         Args:
-            runner: The runner's settings.
+            upstream: The upstream's settings.
             wish: A Wish, or None.
 
         Returns:
@@ -131,25 +131,25 @@
         shard = self._authority.shard
         if shard is None:
             return Progress()
-        order = shard.open_order(runner.name)
+        order = shard.open_order(upstream.name)
         if order is not None:
-            return (yield from self._go_on(runner, order))
+            return (yield from self._go_on(upstream, order))
         if wish is None:
             return Progress()
-        return (yield from self._write(shard, runner, wish))
+        return (yield from self._write(shard, upstream, wish))
 
-    def _write(self, shard, runner, wish):
+    def _write(self, shard, upstream, wish):
         clock = yield effects.Clock()
-        reason = self._unsettled(shard, runner, clock.now)
+        reason = self._unsettled(shard, upstream, clock.now)
         if reason:
             return Progress(reason=reason)
 
         def add(held):
-            if held.open_order(runner.name) is not None:
+            if held.open_order(upstream.name) is not None:
                 return None
             epoch = held.epoch + 1
             order = _shard.Order(
-                wish.order_id, epoch, runner.name, wish.role, wish.source
+                wish.order_id, epoch, upstream.name, wish.role, wish.source
             )
             return attrs.evolve(held.with_order(order), epoch=epoch)
 
@@ -158,26 +158,26 @@
             return Progress(reason='the order was not written')
         return Progress('order.written', order_id=wish.order_id)
 
-    def _unsettled(self, shard, runner, now):
-        last = shard.orders.get(runner.name)
-        if runner.checks_fencing or last is None:
+    def _unsettled(self, shard, upstream, now):
+        last = shard.orders.get(upstream.name)
+        if upstream.checks_fencing or last is None:
             return ''
         since = self._closed_seen.setdefault(last.id, now)
         if now - since >= self._settle_s:
             return ''
         return (
-            'a copy of the last order may be under way, and the runner '
+            'a copy of the last order may be under way, and the upstream '
             'ignores fencing'
         )
 
-    def _go_on(self, runner, order):
-        status = yield PollRunner(runner.name)
+    def _go_on(self, upstream, order):
+        status = yield PollUpstream(upstream.name)
         if status is not None and status.order_id == order.id:
             if status.away:
                 return Progress(reason='being carried out', order_id=order.id)
             state = _shard.OrderState.DONE
             return (yield from self._close(order, state, order.epoch))
-        hold = yield HoldRunner(runner.name, order.id)
+        hold = yield HoldUpstream(upstream.name, order.id)
         clock = yield effects.Clock()
         reason = _drain.may_send(
             hold.may_live,
@@ -199,7 +199,7 @@
 
     def _close(self, order, state, epoch):
         def close(held):
-            last = held.orders.get(order.runner)
+            last = held.orders.get(order.upstream)
             if last is None or last.id != order.id:
                 return None
             closed = held.with_order(attrs.evolve(last, state=state))
@@ -208,5 +208,5 @@
         written = yield from self._authority.update(close)
         if written is None:
             return Progress(reason='not recorded yet', order_id=order.id)
-        yield ReleaseHold(order.runner, order.id)
+        yield ReleaseHold(order.upstream, order.id)
         return Progress('order.closed', str(state), order.id)
--- a/dandelionwinch/orders/_drain.py
+++ b/dandelionwinch/orders/_drain.py
@@ -5,10 +5,10 @@
 
 @attrs.frozen
 class DrainReport:
-    """One instance's answer to a hold on a runner.
+    """One instance's answer to a hold on an upstream.
 
     Attributes:
-        jobs: Jobs that the instance still has on the runner.
+        jobs: Jobs that the instance still has on the upstream.
         held_from: Time before the hold was asked for.
         ttl_s: How long the instance keeps the hold.
     """
@@ -22,13 +22,13 @@
 def may_send(instances, reports, running, now, margin_s):
     """Decides whether a role change cuts nothing.
 
-    Each instance that may live must keep a hold on the runner for long
-    enough, and neither they nor the runner may have a job on it.
+    Each instance that may live must keep a hold on the upstream for long
+    enough, and neither they nor the upstream may have a job on it.
 
     Args:
         instances: Names of the instances that may live.
         reports: DrainReport by instance.
-        running: Jobs that the runner reports, or None if unknown.
+        running: Jobs that the upstream reports, or None if unknown.
         now: Time in seconds.
         margin_s: Least time that each hold must still last.
 
@@ -44,7 +44,7 @@
         if report.jobs:
             return f'instance "{name}" has {report.jobs} jobs on it'
     if running is None:
-        return 'the runner has not reported its load'
+        return 'the upstream has not reported its load'
     if running:
-        return f'the runner reports {running} jobs'
+        return f'the upstream reports {running} jobs'
     return ''
--- a/dandelionwinch/orders/_shard.py
+++ b/dandelionwinch/orders/_shard.py
@@ -17,18 +17,18 @@
 
 @attrs.frozen
 class Order:
-    """An order to a runner.
+    """An order to an upstream.
 
     Attributes:
-        id: Identifier that the runner reports back.
+        id: Identifier that the upstream reports back.
         epoch: Fencing number of this order alone.
-        role: Role that the runner shall take.
+        role: Role that the upstream shall take.
         source: Catalog revision that asked for it, or 0 for a policy.
     """
 
     id: str
     epoch: int
-    runner: str
+    upstream: str
     role: str
     source: int = 0
     state: OrderState = OrderState.OPEN
@@ -44,7 +44,7 @@
         incarnation: Which process of that name.
         renewals: Changes with each renewal, so that watchers see life.
         released: Whether the holder gave the lease up.
-        orders: The last order of each runner.
+        orders: The last order of each upstream.
     """
 
     epoch: int = 0
@@ -66,22 +66,24 @@
         raw = cattrs.unstructure(self)
         return json.dumps(raw, separators=(',', ':')).encode()
 
-    def open_order(self, runner):
-        """Returns the runner's open order, or None."""
-        order = self.orders.get(runner)
+    def open_order(self, upstream):
+        """Returns the upstream's open order, or None."""
+        order = self.orders.get(upstream)
         if order is not None and order.state is OrderState.OPEN:
             return order
         return None
 
     def with_order(self, order):
-        """Returns the shard with a runner's order replaced."""
-        return attrs.evolve(self, orders={**self.orders, order.runner: order})
+        """Returns the shard with an upstream's order replaced."""
+        return attrs.evolve(
+            self, orders={**self.orders, order.upstream: order}
+        )
 
 
 def shard_of(pool):
-    """Returns the name of a pool's shard: its place and service."""
+    """Returns the name of a pool's shard: its data centre and service."""
     service = pool.model or '+'.join(sorted(pool.services))
-    return f'{pool.place}/{service}'
+    return f'{pool.data_centre}/{service}'
 
 
 def shard_key(name):
--- a/dandelionwinch/placement/__init__.py
+++ b/dandelionwinch/placement/__init__.py
@@ -1,4 +1,4 @@
-"""Where a job runs, and which roles the runners of a pool have."""
+"""Where a job runs, and which roles the upstreams of a pool have."""
 
 from dandelionwinch.placement._beliefs import Belief
 from dandelionwinch.placement._beliefs import Beliefs
--- a/dandelionwinch/placement/_beliefs.py
+++ b/dandelionwinch/placement/_beliefs.py
@@ -1,4 +1,4 @@
-"""What an instance believes of each runner's load."""
+"""What an instance believes of each upstream's load."""
 
 import collections
 
@@ -17,10 +17,10 @@
 
 @attrs.frozen
 class Report:
-    """A runner's own report of its load.
+    """An upstream's own report of its load.
 
     Attributes:
-        made_at: Time at which the runner made it.
+        made_at: Time at which the upstream made it.
         running: Jobs that decode.
         waiting_tokens: Prompt tokens not prefilled yet.
         kv_tokens: Tokens held in the KV cache.
@@ -44,10 +44,10 @@
 
 @attrs.define
 class Belief:
-    """One runner: its figures, its last report and what was sent since."""
+    """One upstream: its figures, its last report and what was sent since."""
 
     name: str
-    place: str
+    data_centre: str
     role: settings.Role
     prefill_rate: float
     decode_rate: float
@@ -96,7 +96,7 @@
 
         Args:
             now: Time in seconds.
-            rate: Tokens per second that the runner takes off.
+            rate: Tokens per second that the upstream takes off.
             inflow: Tokens per second that others have sent since the
                 last report.
         """
@@ -129,7 +129,7 @@
     def chunk_share(self, gap_s):
         """Returns the share of time that it should give to prompts.
 
-        A batch that fills up needs its runner's time for itself, and a
+        A batch that fills up needs its upstream's time for itself, and a
         prompt taken in then would slow more answers than it starts.
 
         Args:
@@ -152,34 +152,34 @@
 
 
 class Beliefs:
-    """The beliefs of one instance about all runners it may use."""
+    """The beliefs of one instance about all upstreams it may use."""
 
     __slots__ = ('_by_name',)
 
     def __init__(self):
         self._by_name = {}
 
-    def set_runners(self, runners):
-        """Takes over the runners of a new configuration.
+    def set_upstreams(self, upstreams):
+        """Takes over the upstreams of a new configuration.
 
         Args:
-            runners: Iterable of Belief with the configured figures;
-                what is already known of a runner is kept.
+            upstreams: Iterable of Belief with the configured figures;
+                what is already known of an upstream is kept.
         """
         fresh = {}
-        for runner in runners:
-            held = self._by_name.get(runner.name)
+        for upstream in upstreams:
+            held = self._by_name.get(upstream.name)
             if held is not None:
-                runner.report = held.report
-                runner.sent = held.sent
-                runner.sent_decodes = held.sent_decodes
-                runner.sent_kv_tokens = held.sent_kv_tokens
-                runner.quarantined_until = held.quarantined_until
-                runner.failures = held.failures
-                runner.held = held.held
+                upstream.report = held.report
+                upstream.sent = held.sent
+                upstream.sent_decodes = held.sent_decodes
+                upstream.sent_kv_tokens = held.sent_kv_tokens
+                upstream.quarantined_until = held.quarantined_until
+                upstream.failures = held.failures
+                upstream.held = held.held
                 if held.report is not None:
-                    runner.role = held.role
-            fresh[runner.name] = runner
+                    upstream.role = held.role
+            fresh[upstream.name] = upstream
         self._by_name = fresh
 
     def get(self, name):
@@ -191,7 +191,7 @@
         return list(self._by_name.values())
 
     def report(self, name, report):
-        """Takes in a runner's report.
+        """Takes in an upstream's report.
 
         A report that is older than the one held is dropped, as is one
         that cannot be true.
@@ -208,13 +208,13 @@
         return True
 
     def sent(self, name, now, prefill_tokens, kv_tokens, decodes):
-        """Notes work that was sent to a runner."""
+        """Notes work that was sent to an upstream."""
         belief = self._by_name.get(name)
         if belief is not None:
             belief.note_sent(_Sent(now, prefill_tokens, kv_tokens, decodes))
 
     def failed(self, name, now):
-        """Notes a failure; the runner is left alone for a while."""
+        """Notes a failure; the upstream is left alone for a while."""
         belief = self._by_name.get(name)
         if belief is None:
             return
--- a/dandelionwinch/placement/_filling.py
+++ b/dandelionwinch/placement/_filling.py
@@ -5,7 +5,7 @@
     """Chooses a candidate so that many choosers level the load.
 
     Between two reports many instances decide on the same picture. If
-    each took the lowest level, all would meet on one runner. Instead
+    each took the lowest level, all would meet on one upstream. Instead
     the work expected from everybody is poured over the candidates
     until they stand equally high, and one is drawn in proportion to
     what was poured on it. Without such work the lowest is taken.
--- a/dandelionwinch/placement/_placer.py
+++ b/dandelionwinch/placement/_placer.py
@@ -1,4 +1,4 @@
-"""Chooses the runners of a job from beliefs about their load."""
+"""Chooses the upstreams of a job from beliefs about their load."""
 
 import attrs
 
@@ -22,14 +22,14 @@
     """What a job asks for.
 
     Attributes:
-        place: Place of the clerk.
+        data_centre: Data centre of the client.
         prefix: Hash of the prompt's beginning.
         prefix_tokens: Tokens that a cache could spare at most.
         patience_s: Longest useful wait for the first token.
         gap_s: Longest allowed time between tokens.
     """
 
-    place: str
+    data_centre: str
     prompt_tokens: int
     output_tokens: int
     prefix: int
@@ -41,15 +41,15 @@
 
 @attrs.frozen
 class Site:
-    """The runners of one pool, and how far away they are.
+    """The upstreams of one pool, and how far away they are.
 
     Attributes:
-        runners: Names of the pool's runners.
+        upstreams: Names of the pool's upstreams.
         extra_s: Seconds that its distance adds, with the link's price.
     """
 
     name: str
-    runners: tuple[str, ...]
+    upstreams: tuple[str, ...]
     extra_s: float
 
 
@@ -58,10 +58,10 @@
     """Where a job runs.
 
     Attributes:
-        prefill: Runner that takes the prompt.
-        decode: Runner that makes the answer; may be the same.
+        prefill: Upstream that takes the prompt.
+        decode: Upstream that makes the answer; may be the same.
         first_token_s: Expected wait for the first token.
-        hit_tokens: Prompt tokens expected in the runner's cache.
+        hit_tokens: Prompt tokens expected in the upstream's cache.
         terms: The terms that were weighed, for operators.
     """
 
@@ -74,7 +74,7 @@
 
 @attrs.frozen
 class Refusal:
-    """No runner can start the job in time.
+    """No upstream can start the job in time.
 
     Attributes:
         retry_after_s: When to come back.
@@ -133,7 +133,7 @@
         return {name: rate.read(now) for name, rate in self._own.items()}
 
     def place(self, demand, sites, now):
-        """Chooses the runners of a job.
+        """Chooses the upstreams of a job.
 
         The nearest site is asked first; another one only if the nearest
         cannot start the job within its patience, or is far more loaded.
@@ -157,7 +157,7 @@
             if best.total_s <= demand.patience_s / 2:
                 break
         if best is None:
-            return Refusal('no runner takes this work at present', 1.0)
+            return Refusal('no upstream takes this work at present', 1.0)
         if best.total_s > demand.patience_s:
             return Refusal(
                 f'the first token would take {best.total_s:.2f} s',
@@ -194,7 +194,7 @@
         return self._draw(options, arriving, now)
 
     def _usable(self, site, demand, now):
-        names = site.runners
+        names = site.upstreams
         if len(names) > MAX_CANDIDATES:
             names = self._rng.sample(names, MAX_CANDIDATES)
         found = [self._beliefs.get(name) for name in names]
@@ -205,7 +205,7 @@
             and belief.name not in demand.exclude
             and belief.allowed()
         ]
-        # Runners that failed of late are a last resort.
+        # Upstreams that failed of late are a last resort.
         usable = [b for b in allowed if now >= b.quarantined_until]
         return usable or allowed
 
@@ -231,7 +231,7 @@
     def _has_room(self, belief, demand, share, now):
         """Tells whether this instance may add a job to a batch.
 
-        All instances see the same free places. Each takes its share of
+        All instances see the same free data centres. Each takes its share of
         them, and of those that answers leave until the next report.
         """
         if belief.role is settings.Role.PREFILL:
@@ -288,7 +288,7 @@
         decode = belief.name
         first_s = option.total_s
         if not stays:
-            site = next(s for s in sites if belief.name in s.runners)
+            site = next(s for s in sites if belief.name in s.upstreams)
             decode = self.choose_decode(demand, site, now, first_s) or ''
             first_s += HANDOVER_S
         terms = (
@@ -301,7 +301,7 @@
 
     def _note_own(self, option, demand, sites, tokens, now):
         name = option.belief.name
-        site = next(site for site in sites if name in site.runners)
+        site = next(site for site in sites if name in site.upstreams)
         rate = self._own.get(site.name)
         if rate is None:
             rate = self._own[site.name] = _trend.Average(RATE_SPAN_S)
@@ -312,7 +312,7 @@
         self._mean_tokens = max(1.0, self._mean_tokens)
 
     def choose_decode(self, demand, site, now, delay_s=0.0):
-        """Chooses the runner that imports a prefilled prompt.
+        """Chooses the upstream that imports a prefilled prompt.
 
         Args:
             demand: What the job asks for.
@@ -321,7 +321,7 @@
             delay_s: Seconds until the prompt is ready.
 
         Returns:
-            Name of the runner, or None if none has room.
+            Name of the upstream, or None if none has room.
         """
         share = self._share(site, now)
         room = [
--- a/dandelionwinch/placement/_prefixes.py
+++ b/dandelionwinch/placement/_prefixes.py
@@ -6,12 +6,12 @@
 
 BELIEF_LIFE_S = 120.0
 PREFIXES_KEPT = 8192
-RUNNERS_PER_PREFIX = 4
+UPSTREAMS_PER_PREFIX = 4
 
 
 @attrs.frozen
 class _Hit:
-    runner: str
+    upstream: str
     tokens: float
     at: float
 
@@ -28,26 +28,26 @@
     def __init__(self):
         self._hits = collections.OrderedDict()
 
-    def learn(self, prefix, runner, tokens, now):
-        """Notes that a runner holds a prefix of some tokens."""
+    def learn(self, prefix, upstream, tokens, now):
+        """Notes that an upstream holds a prefix of some tokens."""
         hits = self._hits.pop(prefix, ())
-        kept = [hit for hit in hits if hit.runner != runner]
-        kept.insert(0, _Hit(runner, tokens, now))
-        self._hits[prefix] = tuple(kept[:RUNNERS_PER_PREFIX])
+        kept = [hit for hit in hits if hit.upstream != upstream]
+        kept.insert(0, _Hit(upstream, tokens, now))
+        self._hits[prefix] = tuple(kept[:UPSTREAMS_PER_PREFIX])
         while len(self._hits) > PREFIXES_KEPT:
             self._hits.popitem(last=False)
 
-    def forget(self, prefix, runner):
-        """Notes that a runner no longer holds a prefix."""
+    def forget(self, prefix, upstream):
+        """Notes that an upstream no longer holds a prefix."""
         hits = self._hits.get(prefix, ())
-        kept = tuple(hit for hit in hits if hit.runner != runner)
+        kept = tuple(hit for hit in hits if hit.upstream != upstream)
         self._hits[prefix] = kept
 
     def lookup(self, prefix, now):
-        """Returns expected cached tokens by runner."""
+        """Returns expected cached tokens by upstream."""
         expected = {}
         for hit in self._hits.get(prefix, ()):
             trust = 1 - (now - hit.at) / BELIEF_LIFE_S
             if trust > 0:
-                expected[hit.runner] = hit.tokens * min(1.0, 0.5 + trust)
+                expected[hit.upstream] = hit.tokens * min(1.0, 0.5 + trust)
         return expected
--- a/dandelionwinch/placement/_roles.py
+++ b/dandelionwinch/placement/_roles.py
@@ -1,4 +1,4 @@
-"""Which roles the runners of a pool should have."""
+"""Which roles the upstreams of a pool should have."""
 
 import attrs
 
@@ -12,11 +12,11 @@
 
 @attrs.frozen
 class Capacity:
-    """Usable runners of a pool by role.
+    """Usable upstreams of a pool by role.
 
     Attributes:
-        prefill: Runners that only prefill.
-        decode: Runners that decode, and prefill in chunks.
+        prefill: Upstreams that only prefill.
+        decode: Upstreams that decode, and prefill in chunks.
     """
 
     prefill: int
@@ -32,7 +32,7 @@
             horizon, after its costs.
     """
 
-    runner: str
+    upstream: str
     role: settings.Role
     gain: float
     terms: str
@@ -42,9 +42,9 @@
     """Returns the share of a demand that some roles can serve.
 
     Args:
-        capacity: Runners by role.
-        prefill_load: Prompt work in busy runners.
-        decode_load: Output work in busy runners.
+        capacity: Upstreams by role.
+        prefill_load: Prompt work in busy upstreams.
+        decode_load: Output work in busy upstreams.
     """
     prefill = capacity.prefill * TARGET_USE
     decode = capacity.decode * TARGET_USE
@@ -69,10 +69,10 @@
     short and under the long view of the demand.
 
     Args:
-        beliefs: Belief of each runner of the pool.
+        beliefs: Belief of each upstream of the pool.
         rates: Pairs of prompt and output tokens per second.
         policy: The pool's policy.
-        away: Number of runners that are away by a change.
+        away: Number of upstreams that are away by a change.
         now: Time in seconds.
 
     Returns:
@@ -109,12 +109,12 @@
     ]
     if min(gains) <= 0:
         return None
-    runner = min(movable, key=lambda b: (b.decoding(), b.kv_used(), b.name))
+    upstream = min(movable, key=lambda b: (b.decoding(), b.kv_used(), b.name))
     terms = (
         f'prefill {present.prefill} to {after.prefill}, expected gain '
         f'{min(gains):.3f} of the demand over {policy.horizon_s:g} s'
     )
-    return RoleChange(runner.name, wanted, min(gains), terms)
+    return RoleChange(upstream.name, wanted, min(gains), terms)
 
 
 def _takes(role):
--- a/dandelionwinch/readers.py
+++ b/dandelionwinch/readers.py
@@ -1,4 +1,4 @@
-"""Reads YAML settings and reports all findings with their places."""
+"""Reads YAML settings and reports all findings with their data centres."""
 
 import functools
 import operator
@@ -197,33 +197,34 @@
     """Reads a catalog file into a checked catalog.
 
     The file holds one list for each kind of document, named in the
-    plural: ``runners``, ``pools``, ``policies`` and so on.
+    plural: ``upstreams``, ``pools``, ``policies`` and so on.
 
     Raises:
         SettingsInvalid: With every finding of the whole file.
     """
     document = read_document(path)
-    docs, places, findings = _split(document)
+    docs, data_centres, findings = _split(document)
     if not findings:
         try:
             return catalog.build(docs, structure)
         except errors.SettingsInvalid as exc:
             findings = [
-                _relocate(document, places, item) for item in exc.findings
+                _relocate(document, data_centres, item)
+                for item in exc.findings
             ]
     raise errors.SettingsInvalid(findings)
 
 
-def _relocate(document, places, finding):
+def _relocate(document, data_centres, finding):
     name, _, rest = finding.path.partition('$')
-    base = places.get(finding.file or name, '$')
+    base = data_centres.get(finding.file or name, '$')
     path = base + rest
     line = _line_of(path, document.lines)
     return errors.Finding(document.file, line, path, finding.message)
 
 
 def _split(document):
-    docs, places, findings = {}, {}, []
+    docs, data_centres, findings = {}, {}, []
 
     def find(path, message):
         line = _line_of(path, document.lines)
@@ -250,5 +251,5 @@
             if key in docs:
                 find(path, f'{kind} "{name}" stands twice')
             docs[key] = item
-            places[key] = path
-    return docs, places, findings
+            data_centres[key] = path
+    return docs, data_centres, findings
--- a/dandelionwinch/relay.py
+++ b/dandelionwinch/relay.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from dandelionwinch.adapters import runner as runner_adapter
+from dandelionwinch.adapters import upstream as upstream_adapter
 from dandelionwinch.daemon import messages
 from dandelionwinch import delivery
 from dandelionwinch import errors
@@ -83,7 +83,7 @@
 
 @attrs.define
 class _Target:
-    """The runner of the present attempt."""
+    """The upstream of the present attempt."""
 
     placed: messages.Placed
     generation: int
@@ -132,16 +132,16 @@
         try:
             call = self._call()
             self._sent = True
-            stream = self._core.runners.stream(
+            stream = self._core.upstreams.stream(
                 self._target.placed.address, call
             )
             for item in stream:
                 yield from self._accept(attempt, item)
-        except runner_adapter.RunnerRefused as exc:
+        except upstream_adapter.UpstreamRefused as exc:
             self._refused(exc)
-        except runner_adapter.RunnerUnreachable as exc:
+        except upstream_adapter.UpstreamUnreachable as exc:
             self._move_on(str(exc))
-        except (runner_adapter.RunnerBroke, jobs.StreamGap) as exc:
+        except (upstream_adapter.UpstreamBroke, jobs.StreamGap) as exc:
             self._broken(str(exc))
 
     def _begin(self):
@@ -149,7 +149,9 @@
             return self._assembly.resume()
         self._generation += 1
         placed = self._core.ask(
-            messages.Place(self._job_id, self.job, frozenset(self._exclude))
+            messages.DataCentre(
+                self._job_id, self.job, frozenset(self._exclude)
+            )
         )
         self._target = _Target(placed, self._generation)
         self._resumes = 0
@@ -164,7 +166,7 @@
             self._cfg.least_silence_s,
             self._cfg.silence_factor * placed.token_gap_s,
         )
-        call = runner_adapter.Call(
+        call = upstream_adapter.Call(
             job_id=f'{self._job_id}-{self._target.generation}',
             path=self.job.path,
             body=body,
@@ -185,19 +187,19 @@
 
     def _prefill(self, placed, call):
         try:
-            return self._core.runners.prefill(placed.prefill_address, call)
-        except runner_adapter.RunnerRefused as exc:
-            self._blame(placed.prefill_runner, str(exc))
-            raise runner_adapter.RunnerUnreachable(str(exc)) from exc
-        except runner_adapter.RunnerBroke as exc:
-            self._blame(placed.prefill_runner, str(exc))
-            raise runner_adapter.RunnerUnreachable(str(exc)) from exc
+            return self._core.upstreams.prefill(placed.prefill_address, call)
+        except upstream_adapter.UpstreamRefused as exc:
+            self._blame(placed.prefill_upstream, str(exc))
+            raise upstream_adapter.UpstreamUnreachable(str(exc)) from exc
+        except upstream_adapter.UpstreamBroke as exc:
+            self._blame(placed.prefill_upstream, str(exc))
+            raise upstream_adapter.UpstreamUnreachable(str(exc)) from exc
 
     def _accept(self, attempt, item):
         match item:
-            case runner_adapter.End():
+            case upstream_adapter.End():
                 self._assembly.end(attempt)
-            case runner_adapter.Piece(offset=offset, text=text):
+            case upstream_adapter.Piece(offset=offset, text=text):
                 if not self._assembly.accept(attempt, offset, text):
                     return
                 self._bytes += len(text)
@@ -231,12 +233,12 @@
     def _refused(self, exc):
         status = exc.status
         if status == GONE:
-            self._move_on('the runner no longer has the answer')
+            self._move_on('the upstream no longer has the answer')
             return
         retried = (REQUEST_TIMEOUT, TOO_MANY_REQUESTS)
         if BAD_REQUEST <= status < SERVER_ERROR and status not in retried:
             refusal = errors.BadRequest(
-                f'the runner refused the request: {exc.body[:500]}'
+                f'the upstream refused the request: {exc.body[:500]}'
             )
             raise refusal
         self._move_on(str(exc))
@@ -251,7 +253,7 @@
         self._move_on(reason)
 
     def _move_on(self, reason):
-        self._blame(self._target.placed.runner, reason)
+        self._blame(self._target.placed.upstream, reason)
         self._cancel()
         self._target = None
         if self._assembly.next_offset and not self.job.continuable:
@@ -260,9 +262,9 @@
             )
         self._spend_retry(reason)
 
-    def _blame(self, runner, reason):
-        self._exclude.add(runner)
-        self._core.ask(messages.RunnerFailed(self._job_id, runner, reason))
+    def _blame(self, upstream, reason):
+        self._exclude.add(upstream)
+        self._core.ask(messages.UpstreamFailed(self._job_id, upstream, reason))
 
     def _spend_retry(self, reason):
         if not self._core.ask(messages.Retry(self._job_id, self.job.model)):
@@ -272,7 +274,7 @@
         target = self._target
         if target is None or not self._sent:
             return
-        self._core.runners.cancel(
+        self._core.upstreams.cancel(
             target.placed.address, f'{self._job_id}-{target.generation}'
         )
 
@@ -296,18 +298,18 @@
                 call = self._call()
                 call = attrs.evolve(call, first_s=self._left_s())
                 self._sent = True
-                body = self._core.runners.whole(
+                body = self._core.upstreams.whole(
                     self._target.placed.address, call
                 )
                 usage = body.get('usage') or {}
                 self._usage = int(usage.get('completion_tokens') or 0)
                 self._assembly.ended = True
                 return json.dumps(body).encode()
-            except runner_adapter.RunnerRefused as exc:
+            except upstream_adapter.UpstreamRefused as exc:
                 self._refused(exc)
             except (
-                runner_adapter.RunnerUnreachable,
-                runner_adapter.RunnerBroke,
+                upstream_adapter.UpstreamUnreachable,
+                upstream_adapter.UpstreamBroke,
             ) as exc:
                 self._move_on(str(exc))
 
--- a/dandelionwinch/revisions/_acceptance.py
+++ b/dandelionwinch/revisions/_acceptance.py
@@ -23,7 +23,7 @@
 class AcceptanceWatch:
     """Watches one committed revision until it is accepted.
 
-    It is accepted once a majority of places hold it as a whole for
+    It is accepted once a majority of data centres hold it as a whole for
     longer than an instance may go without contact. From then on an
     instance with an older revision has either met one of them, and so
     fetched the revision, or refuses new work by itself. This covers
@@ -31,16 +31,16 @@
 
     Args:
         revision: The committed revision.
-        places: Names of all places.
+        data_centres: Names of all data centres.
         cut_off_s: Seconds after which an instance without contact
             refuses new work.
     """
 
-    __slots__ = ('_cut_off_s', '_places', '_revision', '_whole_since')
+    __slots__ = ('_cut_off_s', '_data_centres', '_revision', '_whole_since')
 
-    def __init__(self, revision, places, cut_off_s):
+    def __init__(self, revision, data_centres, cut_off_s):
         self._revision = revision
-        self._places = tuple(places)
+        self._data_centres = tuple(data_centres)
         self._cut_off_s = cut_off_s
         self._whole_since = None
 
@@ -56,12 +56,18 @@
         """
         missing = [k for k in members if k.revision < self._revision]
         names = tuple(known.name for known in missing)
-        lacking = {known.place for known in missing}
-        met = {known.place for known in members} - lacking
-        whole = [place for place in self._places if place in met]
-        if 2 * len(whole) <= len(self._places):
+        lacking = {known.data_centre for known in missing}
+        met = {known.data_centre for known in members} - lacking
+        whole = [
+            data_centre
+            for data_centre in self._data_centres
+            if data_centre in met
+        ]
+        if 2 * len(whole) <= len(self._data_centres):
             self._whole_since = None
-            return Acceptance(False, names, 'no majority of places holds it')
+            return Acceptance(
+                False, names, 'no majority of data_centres holds it'
+            )
         if self._whole_since is None:
             self._whole_since = now
         waited_s = now - self._whole_since
--- a/dandelionwinch/revisions/_documents.py
+++ b/dandelionwinch/revisions/_documents.py
@@ -8,7 +8,7 @@
     """One document.
 
     Attributes:
-        path: Kind and name, such as ``runner/lm-1``.
+        path: Kind and name, such as ``upstream/lm-1``.
         revision: Configuration revision that wrote it.
         value: Bare value, or None if it was removed.
     """
--- a/dandelionwinch/search/_claims.py
+++ b/dandelionwinch/search/_claims.py
@@ -75,7 +75,7 @@
         self.process.soon(1.0, self._settle)
 
     def serve(self, key, told):
-        """Serves a clerk's request; calls ``told`` with the result."""
+        """Serves a client's request; calls ``told`` with the result."""
         self._sequence += 1
         token = f'{self.process.name}#1#{self._sequence}'
         opening = claims.Open(key, token, 'request')
@@ -210,7 +210,7 @@
 
 
 class _Search(_world.Scene):
-    """One seeded run of clerks that repeat their calls."""
+    """One seeded run of clients that repeat their calls."""
 
     def __init__(self, seed):
         super().__init__(seed, FAULTS_UNTIL_S, LIST_LAG_S, 0.1)
@@ -219,7 +219,7 @@
         self._told_done = set()
 
     def run(self):
-        """Runs to the end, then checks what the clerks were told."""
+        """Runs to the end, then checks what the clients were told."""
         for _number in range(INSTANCES):
             self.start_instance(_Instance)
         for number in range(KEYS):
@@ -231,7 +231,7 @@
         return self.world.faults
 
     def _ask(self, key):
-        """A clerk asks some instances, again and again."""
+        """A client asks some instances, again and again."""
         world = self.world
         if world.now > RUN_S - 20:
             return
@@ -317,7 +317,7 @@
         for token, key in self._not_run.items():
             if token in ran:
                 raise _world.Broken(
-                    f'call "{token}" of key "{key}" ran although its clerk '
+                    f'call "{token}" of key "{key}" ran although its client '
                     'was told "not run"'
                 )
         if not self.back_end.asks_by_key:
--- a/dandelionwinch/search/_orders.py
+++ b/dandelionwinch/search/_orders.py
@@ -1,4 +1,4 @@
-"""Searches for conflicting or stale orders to runners."""
+"""Searches for conflicting or stale orders to upstreams."""
 
 import attrs
 
@@ -19,10 +19,10 @@
 
 
 @attrs.define
-class _Runner:
-    """A runner that carries orders out, and what it saw."""
+class _Upstream:
+    """An upstream that carries orders out, and what it saw."""
 
-    cfg: settings.Runner
+    cfg: settings.Upstream
     order_id: str = ''
     epoch: int = 0
     role: str = 'mixed'
@@ -37,13 +37,13 @@
             return True
         if now < self.busy_until:
             raise _world.Broken(
-                f'{now:.2f} s: runner "{self.cfg.name}" got order '
+                f'{now:.2f} s: upstream "{self.cfg.name}" got order '
                 f'"{order.id}" while it carries out "{self.order_id}"'
             )
         if self.applied and order.epoch < max(e for e, _id in self.applied):
             raise _world.Broken(
                 f'{now:.2f} s: stale order "{order.id}" of epoch '
-                f'{order.epoch} changed runner "{self.cfg.name}"'
+                f'{order.epoch} changed upstream "{self.cfg.name}"'
             )
         self.order_id = order.id
         self.epoch = order.epoch
@@ -53,7 +53,7 @@
         return True
 
     def status(self, now):
-        """Returns the runner's own word."""
+        """Returns the upstream's own word."""
         away = now < self.busy_until
         return orders.Status(self.order_id, away, 0, self.epoch)
 
@@ -86,7 +86,7 @@
         if self.leaving:
             process.run(self.authority.release())
         else:
-            fenced = all(r.cfg.checks_fencing for r in self.search.runners)
+            fenced = all(r.cfg.checks_fencing for r in self.search.upstreams)
             process.run(
                 self.authority.acquire(fenced, self.departures.is_gone)
             )
@@ -95,13 +95,13 @@
         self.process.soon(STEP_S, self._conduct)
         if not self.authority.holds(self.process.now()):
             return
-        for runner in self.search.runners:
-            if self._steps.get(runner.cfg.name):
+        for upstream in self.search.upstreams:
+            if self._steps.get(upstream.cfg.name):
                 continue
-            self._steps[runner.cfg.name] = True
-            wish = self._wish(runner)
-            program = self.conductor.step(runner.cfg, wish)
-            self.process.run(program, self._stepped(runner.cfg.name))
+            self._steps[upstream.cfg.name] = True
+            wish = self._wish(upstream)
+            program = self.conductor.step(upstream.cfg, wish)
+            self.process.run(program, self._stepped(upstream.cfg.name))
 
     def _stepped(self, name):
         def done(_progress):
@@ -109,21 +109,21 @@
 
         return done
 
-    def _wish(self, runner):
+    def _wish(self, upstream):
         shard = self.authority.shard
-        wanted, source = self.search.wanted[runner.cfg.name]
-        last = shard.orders.get(runner.cfg.name)
+        wanted, source = self.search.wanted[upstream.cfg.name]
+        last = shard.orders.get(upstream.cfg.name)
         if last is not None and last.source >= source:
             return None
-        order_id = f'{runner.cfg.name}-{shard.epoch + 1}'
+        order_id = f'{upstream.cfg.name}-{shard.epoch + 1}'
         return orders.Wish(wanted, source, order_id)
 
     def handle(self, process, request, reply):
         """Serves the requests of the conductor's programs."""
         match request:
-            case orders.PollRunner(runner=name):
+            case orders.PollUpstream(upstream=name):
                 self.search.poll(name, reply)
-            case orders.HoldRunner():
+            case orders.HoldUpstream():
                 held = orders.DrainReport('all', 0, process.now(), 10.0)
                 reply(orders.Hold(('all',), {'all': held}))
             case orders.ReleaseHold():
@@ -151,14 +151,14 @@
 
 
 class _Search(_world.Scene):
-    """One seeded run over a shard and its runners."""
+    """One seeded run over a shard and its upstreams."""
 
     def __init__(self, seed):
         super().__init__(seed, FAULTS_UNTIL_S, LIST_LAG_S)
         fenced = self.world.chance(0.5)
-        self.runners = [
-            _Runner(
-                settings.Runner(
+        self.upstreams = [
+            _Upstream(
+                settings.Upstream(
                     name=f'lm-{number}',
                     pool='lm',
                     address='127.0.0.1:1',
@@ -167,7 +167,7 @@
             )
             for number in range(2)
         ]
-        self.wanted = {r.cfg.name: ('mixed', 0) for r in self.runners}
+        self.wanted = {r.cfg.name: ('mixed', 0) for r in self.upstreams}
         self._revision = 0
 
     def run(self):
@@ -204,55 +204,55 @@
         if world.now > FAULTS_UNTIL_S:
             return
         world.after(15 * world.rng.random(), self._want)
-        runner = world.rng.choice(self.runners)
+        upstream = world.rng.choice(self.upstreams)
         self._revision += 1
         role = world.rng.choice(['prefill', 'decode', 'mixed'])
-        self.wanted[runner.cfg.name] = (role, self._revision)
+        self.wanted[upstream.cfg.name] = (role, self._revision)
 
-    def _runner(self, name):
-        return next(r for r in self.runners if r.cfg.name == name)
+    def _upstream(self, name):
+        return next(r for r in self.upstreams if r.cfg.name == name)
 
     def poll(self, name, reply):
-        """Carries a load request to a runner and back."""
+        """Carries a load request to an upstream and back."""
         world = self.world
         if world.chance(0.05):
             world.after(0.5, reply, None)
             return
-        status = self._runner(name).status(world.now)
+        status = self._upstream(name).status(world.now)
         world.after(_world.LATENCY_S, reply, status)
 
     def send(self, order, process, ended):
-        """Carries an order to a runner; it may arrive late."""
+        """Carries an order to an upstream; it may arrive late."""
         world = self.world
-        runner = self._runner(order.runner)
+        upstream = self._upstream(order.upstream)
         if world.chance(0.85):
-            world.after(_world.LATENCY_S, self._arrive, runner, order, ended)
+            world.after(_world.LATENCY_S, self._arrive, upstream, order, ended)
             return
         # No answer in time; the order may still arrive.
         if world.chance(0.7):
             world.faults.late_messages += 1
             delay_s = CONNECTION_WORST_S * world.rng.random()
-            world.after(delay_s, runner.take, order, world.now + delay_s)
+            world.after(delay_s, upstream.take, order, world.now + delay_s)
         world.after(2.0, ended, None)
 
-    def _arrive(self, runner, order, ended):
-        taken = runner.take(order, self.world.now)
+    def _arrive(self, upstream, order, ended):
+        taken = upstream.take(order, self.world.now)
         self.world.after(_world.LATENCY_S, ended, taken)
 
     def _check_progress(self):
         shard = orders.Shard.load(self.store.look(orders.shard_key(SHARD)))
-        for runner in self.runners:
-            wanted, source = self.wanted[runner.cfg.name]
-            order = shard.orders.get(runner.cfg.name)
+        for upstream in self.upstreams:
+            wanted, source = self.wanted[upstream.cfg.name]
+            order = shard.orders.get(upstream.cfg.name)
             if source == 0 or (
                 order is not None
                 and order.source >= source
-                and runner.role == wanted
+                and upstream.role == wanted
             ):
                 continue
             raise _world.Broken(
-                f'{self.world.now:.2f} s: runner "{runner.cfg.name}" has '
-                f'role "{runner.role}" although "{wanted}" was ordered and '
+                f'{self.world.now:.2f} s: upstream "{upstream.cfg.name}" has '
+                f'role "{upstream.role}" although "{wanted}" was ordered and '
                 'all faults ended long ago'
             )
 
--- a/dandelionwinch/search/_peer.py
+++ b/dandelionwinch/search/_peer.py
@@ -16,7 +16,7 @@
 
     search: object
     process: _world.Process
-    place: str
+    data_centre: str
     members: membership.Membership
     freshness: membership.Freshness
     departures: membership.Departures
@@ -38,11 +38,11 @@
     def admits(self):
         """Tells whether the instance takes new work at this moment."""
         now = self.now()
-        places = membership.staffed_places(self.remaining())
+        data_centres = membership.staffed_data_centres(self.remaining())
         return (
             self.documents.revision > 0
             and not self.members.is_suspect(now)
-            and not self.freshness.is_cut_off(places, now)
+            and not self.freshness.is_cut_off(data_centres, now)
         )
 
     def remaining(self):
@@ -62,8 +62,8 @@
     def exchange(self, address):
         """Exchanges digests with a peer."""
         asked_at = self.now()
-        place = self.members.place_at(address)
-        digest = self._digest(address, place)
+        data_centre = self.members.data_centre_at(address)
+        digest = self._digest(address, data_centre)
 
         def replied(reply):
             if reply is not None:
@@ -74,13 +74,13 @@
 
     def _note(self, asked_at, address, reply):
         if reply.revision <= self.documents.revision:
-            self.freshness.heard(reply.sender.place, asked_at, reply)
+            self.freshness.heard(reply.sender.data_centre, asked_at, reply)
         else:
             self.search.pull(self, address)
 
-    def _digest(self, key, place):
+    def _digest(self, key, data_centre):
         now = self.now()
-        digest = self.members.digest(now, place)
+        digest = self.members.digest(now, data_centre)
         digest.asked.extend(self.asked.pop(key, ()))
         digest.revision = self.documents.revision
         self.freshness.tell(digest, now)
@@ -95,12 +95,14 @@
         self._take(key, digest)
         if digest.revision > self.documents.revision:
             self.search.pull(self, key)
-        return self._digest(key, digest.sender.place)
+        return self._digest(key, digest.sender.data_centre)
 
     def _poll(self):
         self.process.soon(POLL_S, self._poll)
         now = self.now()
-        speaks = self.members.me in self.members.speakers(self.place, now)
+        speaks = self.members.me in self.members.speakers(
+            self.data_centre, now
+        )
         if speaks or now - self.polled_at > 30.0:
             self.fetch()
 
--- a/dandelionwinch/search/_settings.py
+++ b/dandelionwinch/search/_settings.py
@@ -11,7 +11,7 @@
 from dandelionwinch.search import _world
 from dandelionwinch import settings
 
-PLACES = ('Ndaragwa', 'Nanyuki', 'Naromoru')
+DATA_CENTRES = ('Ndaragwa', 'Nanyuki', 'Naromoru')
 INSTANCES_PER_PLACE = 2
 RUN_S = 300.0
 FAULTS_UNTIL_S = 200.0
@@ -40,9 +40,9 @@
 
     def run(self):
         """Runs to the end and returns the faults."""
-        for place in PLACES:
+        for data_centre in DATA_CENTRES:
             for _number in range(INSTANCES_PER_PLACE):
-                self._start(place)
+                self._start(data_centre)
         self.world.after(0.5, self._seed)
         self.world.after(5, self._command)
         self.world.after(5, self._disturb)
@@ -51,9 +51,9 @@
         self._check_end()
         return self.world.faults
 
-    def _start(self, place):
+    def _start(self, data_centre):
         self._sequence += 1
-        name = f'{place.lower()}-{self._sequence}'
+        name = f'{data_centre.lower()}-{self._sequence}'
         gate = _peer.GatedStore(self.world, self.store, self, name)
         holder = []
         process = _world.Process(
@@ -61,7 +61,7 @@
         )
         member = peer_pb2.Member(
             name=name,
-            place=place,
+            data_centre=data_centre,
             peer_address=name,
             incarnation=self._sequence,
             weight=1.0,
@@ -70,12 +70,12 @@
         members = membership.Membership(
             member, self.timing, self.world.rng, seeds
         )
-        freshness = membership.Freshness(place, self.timing.cut_off_s)
+        freshness = membership.Freshness(data_centre, self.timing.cut_off_s)
         departures = membership.Departures(self.timing.gone_margin_s)
         peer = _peer.Peer(
             self,
             process,
-            place,
+            data_centre,
             members,
             freshness,
             departures,
@@ -83,7 +83,7 @@
         )
         self.platform.add(name)
         self._lines[name] = endpointslices.ListedInstance(
-            name, place, name, name, name, True, False
+            name, data_centre, name, name, name, True, False
         )
         holder.append(peer)
         self.peers[name] = peer
@@ -91,7 +91,9 @@
 
     def _seed(self):
         effects.drive(
-            revisions.change(lambda _held: {'place/x': {'n': 0}}, 'seed'),
+            revisions.change(
+                lambda _held: {'data_centre/x': {'n': 0}}, 'seed'
+            ),
             self.store.execute,
             None,
         )
@@ -166,9 +168,9 @@
         if isinstance(result, revisions.Changed):
             self._commits[result.revision] = self.world.now
             peer.fetch()
-            places = membership.staffed_places(peer.remaining())
+            data_centres = membership.staffed_data_centres(peer.remaining())
             watch = revisions.AcceptanceWatch(
-                result.revision, places, self.timing.cut_off_s
+                result.revision, data_centres, self.timing.cut_off_s
             )
             self._await(peer, watch, result.revision, peer.now())
 
@@ -199,7 +201,7 @@
             case 2:
                 self.store.outage(20 * world.rng.random())
             case 3:
-                self._cut_place()
+                self._cut_data_centre()
             case 4:
                 self._cut_some()
             case 5:
@@ -209,14 +211,14 @@
         peer.process.kill()
         self.platform.ended(peer.process.name)
         del self.peers[peer.process.name]
-        self._start(peer.place)
+        self._start(peer.data_centre)
 
-    def _cut_place(self):
+    def _cut_data_centre(self):
         self.world.faults.partitions += 1
-        place = self.world.rng.choice(PLACES)
+        data_centre = self.world.rng.choice(DATA_CENTRES)
         storeless = self.world.chance(0.7)
         for name, peer in self.peers.items():
-            if peer.place == place:
+            if peer.data_centre == data_centre:
                 self.groups[name] = 1
                 if storeless:
                     self.storeless.add(name)
--- a/dandelionwinch/settings.py
+++ b/dandelionwinch/settings.py
@@ -37,7 +37,7 @@
 
 
 class Role(enum.StrEnum):
-    """Part of a job that a runner takes."""
+    """Part of a job that an upstream takes."""
 
     PREFILL = 'prefill'
     DECODE = 'decode'
@@ -45,8 +45,8 @@
     SERVICE = 'service'
 
 
-class RunnerState(enum.StrEnum):
-    """What operators want of a runner."""
+class UpstreamState(enum.StrEnum):
+    """What operators want of an upstream."""
 
     ACTIVE = 'active'
     DRAINING = 'draining'
@@ -72,9 +72,9 @@
     """Who this process is and where it listens."""
 
     name: str = attrs.field(validator=_name)
-    place: str = attrs.field(validator=_name)
+    data_centre: str = attrs.field(validator=_name)
     region: str = attrs.field(validator=_name)
-    clerk_address: str = attrs.field(
+    client_address: str = attrs.field(
         default='127.0.0.1:8080', validator=_address
     )
     peer_address: str = attrs.field(
@@ -115,7 +115,7 @@
 
 @attrs.frozen(kw_only=True)
 class RelaySettings:
-    """Limits of the clerks' listener and of upstream connections."""
+    """Limits of the clients' listener and of upstream connections."""
 
     threads: int = attrs.field(default=96, validator=_positive)
     max_jobs: int = attrs.field(default=64, validator=_positive)
@@ -124,7 +124,7 @@
     max_answer_bytes: int = attrs.field(
         default=8 * MEBIBYTE, validator=_positive
     )
-    clerk_timeout_s: float = attrs.field(default=10.0, validator=_positive)
+    client_timeout_s: float = attrs.field(default=10.0, validator=_positive)
     connect_timeout_s: float = attrs.field(default=1.0, validator=_positive)
     idle_connection_s: float = attrs.field(default=20.0, validator=_positive)
     silence_factor: float = attrs.field(default=40.0, validator=_positive)
@@ -169,7 +169,7 @@
 class SecuritySettings:
     """Bearer tokens by role and the files for TLS."""
 
-    clerk_token: str = ''
+    client_token: str = ''
     operator_token: str = ''
     peer_token: str = ''
     certificate_file: str = ''
@@ -206,7 +206,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Place:
+class DataCentre:
     """A data centre of a region."""
 
     name: str = attrs.field(validator=_name)
@@ -231,7 +231,7 @@
 
 @attrs.frozen(kw_only=True)
 class Model:
-    """A model that clerks can name."""
+    """A model that clients can name."""
 
     name: str = attrs.field(validator=_name)
     token_gap_s: float = attrs.field(default=0.041, validator=_positive)
@@ -259,10 +259,10 @@
 
 @attrs.frozen(kw_only=True)
 class Pool:
-    """Runners of one place that serve one model or plain services."""
+    """Upstreams of one data centre that serve one model or plain services."""
 
     name: str = attrs.field(validator=_name)
-    place: str = attrs.field(validator=_name)
+    data_centre: str = attrs.field(validator=_name)
     model: str = ''
     services: list[str] = attrs.field(factory=list)
     policy: str = 'default'
@@ -277,7 +277,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Runner:
+class Upstream:
     """A back end: a model engine or the process of a plain service.
 
     Attributes:
@@ -291,7 +291,7 @@
     pool: str = attrs.field(validator=_name)
     address: str = attrs.field(validator=_address)
     role: Role = Role.MIXED
-    state: RunnerState = RunnerState.ACTIVE
+    state: UpstreamState = UpstreamState.ACTIVE
     checks_fencing: bool = True
     accelerators: int = attrs.field(default=2, validator=_positive)
     piece_tokens: int = attrs.field(default=2000, validator=_positive)
@@ -325,7 +325,7 @@
 
 @attrs.frozen(kw_only=True)
 class Team:
-    """A group of clerks that shares an admission limit."""
+    """A group of clients that shares an admission limit."""
 
     name: str = attrs.field(validator=_name)
     weight: float = attrs.field(default=1.0, validator=_positive)
@@ -338,18 +338,18 @@
     """What operators want of an entry instance."""
 
     name: str = attrs.field(validator=_name)
-    state: RunnerState = RunnerState.ACTIVE
+    state: UpstreamState = UpstreamState.ACTIVE
 
 
 KINDS = {
     'instance': Instance,
-    'place': Place,
+    'data_centre': DataCentre,
     'link': Link,
     'model': Model,
     'service': Service,
     'pool': Pool,
     'fleet': Fleet,
-    'runner': Runner,
+    'upstream': Upstream,
     'policy': Policy,
     'team': Team,
 }
--- a/dandelionwinch/standins/engine.py
+++ b/dandelionwinch/standins/engine.py
@@ -1,4 +1,4 @@
-"""The engine model behind the runner stand-in: time, batch and text."""
+"""The engine model behind the upstream stand-in: time, batch and text."""
 
 import threading
 
@@ -52,7 +52,7 @@
 
 
 class Engine:
-    """Batches answers continuously on a model of one runner's speed.
+    """Batches answers continuously on a model of one upstream's speed.
 
     Attributes:
         alive: False while the engine is crashed.
@@ -118,7 +118,7 @@
             now: Time in seconds.
 
         Returns:
-            A Generation, or None if the runner takes no work now.
+            A Generation, or None if the upstream takes no work now.
         """
         with self._lock:
             if not self.alive or now < self.away_until:
--- a/dandelionwinch/standins/livelist.py
+++ b/dandelionwinch/standins/livelist.py
@@ -30,9 +30,9 @@
 
     def add(self, cfg, leaving=False):
         """Lists an instance by its settings."""
-        host, _, clerk_port = cfg.clerk_address.rpartition(':')
+        host, _, client_port = cfg.client_address.rpartition(':')
         ports = {
-            'clerk': clerk_port,
+            'client': client_port,
             'peer': cfg.peer_address.rpartition(':')[2],
             'operator': cfg.operator_address.rpartition(':')[2],
         }
@@ -41,7 +41,7 @@
             'endpoints': [
                 {
                     'addresses': [host],
-                    'zone': cfg.place,
+                    'zone': cfg.data_centre,
                     'conditions': {
                         'ready': not leaving,
                         'serving': True,
--- a/dandelionwinch/standins/runner.py
+++ b/dandelionwinch/standins/upstream.py
@@ -12,7 +12,7 @@
 SILENT_AFTER = 3
 
 
-class RunnerServer:
+class UpstreamServer:
     """Serves one engine.
 
     Attributes:
@@ -94,7 +94,7 @@
             job.id, job.prompt, job.tokens, job.first, job.prefill, now
         )
         if made is None:
-            return web.Reply(503, {'error': 'runner takes no work'})
+            return web.Reply(503, {'error': 'upstream takes no work'})
         if job.exports:
             self._wait_until(made, made.ready_at)
             self.engine.cancel(made.job)
