--- a/dandelionwinch/timeline/_merge.py
+++ b/dandelionwinch/timeline/_merge.py
@@ -14,7 +14,7 @@
     Attributes:
         sequence: Number within the process, without holes.
         kind: What happened, such as ``job.placed``.
-        subject: Job, runner, order or instance that it is about.
+        subject: Job, upstream, order or instance that it is about.
         detail: A short text.
     """
 
--- a/dandelionwinch/tools/bench.py
+++ b/dandelionwinch/tools/bench.py
@@ -116,7 +116,7 @@
 @bench.command()
 @_options
 def placement(seed, as_json):
-    """Measure the cost of a placement by number of runners."""
+    """Measure the cost of a placement by number of upstreams."""
     _print(_placement.measure(seed), as_json)
 
 
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -15,9 +15,9 @@
 from dandelionwinch import readers
 from dandelionwinch import settings
 from dandelionwinch.standins import livelist
-from dandelionwinch.standins import runner
 from dandelionwinch.standins import service
 from dandelionwinch.standins import store
+from dandelionwinch.standins import upstream
 from dandelionwinch.tools import bench
 from dandelionwinch.tools import console
 from dandelionwinch.tools import demo
@@ -133,8 +133,8 @@
 def ask(statement, operator, token_file, authority_file, as_json):
     """Send one statement of the operators' language.
 
-    Examples: "show runners where place = 'Nanyuki'",
-    "drain runner lm-1 if revision 4", "explain job ID".
+    Examples: "show upstreams where data centre = 'Nanyuki'",
+    "drain upstream lm-1 if revision 4", "explain job ID".
     """
     link = console.Link(operator, _token(token_file), authority_file)
     try:
@@ -154,7 +154,7 @@
 @click.option('--operator', default=DEFAULT_OPERATOR, show_default=True)
 @click.option('--token-file', type=click.Path(exists=True, dir_okay=False))
 @click.option('--authority-file', type=click.Path(exists=True, dir_okay=False))
-@click.option('--subject', default='', help='Only this job, runner, order.')
+@click.option('--subject', default='', help='Only this job, upstream, order.')
 @click.option('--instance', default='', help='Only this instance.')
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 @click.option(
@@ -226,7 +226,7 @@
     _serve(server, 'live list')
 
 
-@stand_in.command('runner')
+@stand_in.command('upstream')
 @_listen
 @click.option('--model', default='counter-lm', show_default=True)
 @click.option(
@@ -237,9 +237,11 @@
 )
 @click.option('--ignores-fencing', is_flag=True)
 @click.option('--decode-tokens-per-s', default=500.0, show_default=True)
-def stand_in_runner(listen, model, role, ignores_fencing, decode_tokens_per_s):
+def stand_in_upstream(
+    listen, model, role, ignores_fencing, decode_tokens_per_s
+):
     """Start a stand-in of a model engine."""
-    cfg = settings.Runner(
+    cfg = settings.Upstream(
         name='stand-in',
         pool='stand-in',
         address='127.0.0.1:1',
@@ -247,7 +249,7 @@
         checks_fencing=not ignores_fencing,
         decode_tokens_per_s=decode_tokens_per_s,
     )
-    _serve(runner.RunnerServer(cfg, model, listen), 'runner')
+    _serve(upstream.UpstreamServer(cfg, model, listen), 'upstream')
 
 
 @stand_in.command('service')
--- a/dandelionwinch/tools/demo.py
+++ b/dandelionwinch/tools/demo.py
@@ -14,25 +14,25 @@
 
 from dandelionwinch import errors
 from dandelionwinch.tools import console
-from dandelionwinch.tools import demo_clerks
+from dandelionwinch.tools import demo_clients
 from dandelionwinch.tools import demo_fleet
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / 'examples'
-CLERKS = 18
+CLIENTS = 18
 STORE_OUTAGE_S = 4.0
 CONFIGURATION_LIMIT_S = 6.0
 RUN_S = 34
-FIRST_MIX = demo_clerks.Mix(prompt_words=60, output_tokens=60)
-SECOND_MIX = demo_clerks.Mix(prompt_words=1200, output_tokens=12)
+FIRST_MIX = demo_clients.Mix(prompt_words=60, output_tokens=60)
+SECOND_MIX = demo_clients.Mix(prompt_words=1200, output_tokens=12)
 
 HOUSES = {
-    'hire': demo_clerks.Names(
+    'hire': demo_clients.Names(
         'counter-lm',
         'lookups',
         'deposits',
         ('fitting', 'trails', 'payments'),
     ),
-    'nominations': demo_clerks.Names(
+    'nominations': demo_clients.Names(
         'citation-lm',
         'screening',
         'lodging',
@@ -54,9 +54,9 @@
 class Script:
     """The failures and changes of the run, and what came of them."""
 
-    def __init__(self, fleet, clerks, policy):
+    def __init__(self, fleet, clients, policy):
         self._fleet = fleet
-        self._clerks = clerks
+        self._clients = clients
         self._policy = policy
         self.in_force_s = None
         self.notes = []
@@ -66,8 +66,8 @@
         return [
             Step(4, 'prompt-to-output mix shifts', self._shift),
             Step(6, 'a configuration changes', self._configure),
-            Step(9, 'a runner changes its role', self._change_role),
-            Step(13, 'a runner crashes', self._crash),
+            Step(9, 'an upstream changes its role', self._change_role),
+            Step(13, 'an upstream crashes', self._crash),
             Step(16, 'it comes back', self._restart),
             Step(17, 'a service loses two answers', self._lose_answers),
             Step(18, 'an instance is killed', self._kill),
@@ -87,10 +87,10 @@
             return {}
 
     def _shift(self):
-        self._clerks.change_mix(SECOND_MIX)
+        self._clients.change_mix(SECOND_MIX)
 
     def _shift_back(self):
-        self._clerks.change_mix(FIRST_MIX)
+        self._clients.change_mix(FIRST_MIX)
 
     def _configure(self):
         statement = f'set policy {self._policy} horizon_s = 90'
@@ -115,14 +115,14 @@
         return [revision or 0 for revision in found]
 
     def _change_role(self):
-        name = next(iter(self._fleet.runners))
-        self._ask(f'change role of runner {name} to decode')
+        name = next(iter(self._fleet.upstreams))
+        self._ask(f'change role of upstream {name} to decode')
 
     def _crash(self):
-        list(self._fleet.runners.values())[2].engine.crash()
+        list(self._fleet.upstreams.values())[2].engine.crash()
 
     def _restart(self):
-        list(self._fleet.runners.values())[2].engine.restart()
+        list(self._fleet.upstreams.values())[2].engine.restart()
 
     def _lose_answers(self):
         for server in self._fleet.services.values():
@@ -144,7 +144,7 @@
 
 @attrs.define
 class Summary:
-    """What the stand-ins and the clerks recorded."""
+    """What the stand-ins and the clients recorded."""
 
     house: str
     jobs: int = 0
@@ -188,8 +188,8 @@
 
 
 def summarize(house, fleet, outcomes, script, seconds):
-    """Counts what happened, from the records of stand-ins and clerks."""
-    engines = [server.engine for server in fleet.runners.values()]
+    """Counts what happened, from the records of stand-ins and clients."""
+    engines = [server.engine for server in fleet.upstreams.values()]
     executions = fleet.journal.executions
     run_keys = {item.key for item in executions if item.key}
     run_requests = {item.request_id for item in executions}
@@ -228,7 +228,7 @@
     return sum(1 for outcome in outcomes if outcome.state == state)
 
 
-def _play(fleet, clerks, script, quiet):
+def _play(fleet, clients, script, quiet):
     started = time.monotonic()
     steps = script.steps()
     with rich.progress.Progress(
@@ -238,14 +238,14 @@
         console=rich.console.Console(stderr=True),
         disable=quiet,
     ) as progress:
-        bar = progress.add_task('clerks at work', total=RUN_S, jobs=0)
+        bar = progress.add_task('clients at work', total=RUN_S, jobs=0)
         while (elapsed_s := time.monotonic() - started) < RUN_S:
             if steps and elapsed_s >= steps[0].at_s:
                 step = steps.pop(0)
                 progress.update(bar, description=step.text)
                 progress.console.print(f'{elapsed_s:5.1f} s  {step.text}')
                 step.action()
-            jobs = len(clerks.outcomes())
+            jobs = len(clients.outcomes())
             progress.update(bar, completed=elapsed_s, jobs=jobs)
             time.sleep(0.1)
     return started
@@ -271,21 +271,25 @@
     """Run a whole house under load, shifts and failures.
 
     Exits with 0 only if every promise held, by the records of the
-    stand-ins and of the clerks.
+    stand-ins and of the clients.
     """
     fleet = demo_fleet.Fleet(EXAMPLES / FOLDERS[house] / 'catalog.yaml')
     names = HOUSES[house]
-    places = [place.name for place in fleet.catalog.all('place')]
+    data_centres = [
+        data_centre.name for data_centre in fleet.catalog.all('data_centre')
+    ]
     policy = fleet.catalog.all('policy')[0].name
-    clerks = demo_clerks.Clerks(CLERKS, fleet, names, places, FIRST_MIX)
-    script = Script(fleet, clerks, policy)
+    clients = demo_clients.Clients(
+        CLIENTS, fleet, names, data_centres, FIRST_MIX
+    )
+    script = Script(fleet, clients, policy)
     try:
         fleet.start()
-        clerks.start()
+        clients.start()
         try:
-            started = _play(fleet, clerks, script, as_json)
+            started = _play(fleet, clients, script, as_json)
         finally:
-            clerks.stop()
+            clients.stop()
         seconds = time.monotonic() - started
         if timeline_file:
             rows = script._ask('show events').get('rows', [])
@@ -293,7 +297,7 @@
             pathlib.Path(timeline_file).write_text(page)
     finally:
         fleet.close()
-    summary = summarize(house, fleet, clerks.outcomes(), script, seconds)
+    summary = summarize(house, fleet, clients.outcomes(), script, seconds)
     _print(summary, as_json)
     if keep_logs:
         click.echo(f'settings and logs: {fleet.folder}', err=True)
--- a/dandelionwinch/tools/demo_clerks.py
+++ b/dandelionwinch/tools/demo_clients.py
@@ -1,4 +1,4 @@
-"""Clerks of the demo, who check each answer for themselves."""
+"""Clients of the demo, who check each answer for themselves."""
 
 import json
 import random
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class Mix:
-    """What clerks ask for during a phase.
+    """What clients ask for during a phase.
 
     Attributes:
         prompt_words: Length of prompts.
@@ -42,7 +42,7 @@
 
 @attrs.define
 class Outcome:
-    """What a clerk saw of one job.
+    """What a client saw of one job.
 
     Attributes:
         kind: ``chat``, ``summary``, ``lookup`` or ``charge``.
@@ -63,14 +63,14 @@
     first_s: float = 0.0
 
 
-class Clerk:
-    """One clerk, who asks for an address and keeps it for a while."""
+class Client:
+    """One client, who asks for an address and keeps it for a while."""
 
-    def __init__(self, number, fleet, names, place, mix):
+    def __init__(self, number, fleet, names, data_centre, mix):
         self._rng = random.Random(number)
         self._fleet = fleet
         self._names = names
-        self._place = place
+        self._data_centre = data_centre
         self.mix = mix
         self._team = names.teams[number % len(names.teams)]
         self._http = urllib3.PoolManager(retries=False, maxsize=2)
@@ -133,7 +133,7 @@
         if self._address and now < self._valid_until:
             return self._address
         for address in self._askable():
-            url = f'http://{address}/v1/address?place={self._place}'
+            url = f'http://{address}/v1/address?data_centre={self._place}'
             try:
                 reply = self._http.request(
                     'GET', url, headers={'X-Team': self._team}, timeout=2
@@ -149,7 +149,7 @@
         return self._fallback or self._address
 
     def _askable(self):
-        known = [i.cfg.clerk_address for i in self._fleet.instances]
+        known = [i.cfg.client_address for i in self._fleet.instances]
         self._rng.shuffle(known)
         return [a for a in (self._address, self._fallback) if a] + known
 
@@ -226,18 +226,24 @@
     return json.loads(data)['choices'][0]['message']['content']
 
 
-class Clerks:
-    """All clerks of the demo, each in a thread."""
+class Clients:
+    """All clients of the demo, each in a thread."""
 
-    def __init__(self, count, fleet, names, places, mix):
+    def __init__(self, count, fleet, names, data_centres, mix):
         self._stopped = threading.Event()
-        self._clerks = [
-            Clerk(number, fleet, names, places[number % len(places)], mix)
+        self._clients = [
+            Client(
+                number,
+                fleet,
+                names,
+                data_centres[number % len(data_centres)],
+                mix,
+            )
             for number in range(count)
         ]
         self._threads = [
-            threading.Thread(target=clerk.run, args=(self._stopped,))
-            for clerk in self._clerks
+            threading.Thread(target=client.run, args=(self._stopped,))
+            for client in self._clients
         ]
 
     def start(self):
@@ -246,16 +252,16 @@
             thread.start()
 
     def change_mix(self, mix):
-        """Changes what all clerks ask for."""
-        for clerk in self._clerks:
-            clerk.mix = mix
+        """Changes what all clients ask for."""
+        for client in self._clients:
+            client.mix = mix
 
     def stop(self):
-        """Lets each clerk finish its last job."""
+        """Lets each client finish its last job."""
         self._stopped.set()
         for thread in self._threads:
             thread.join()
 
     def outcomes(self):
         """Returns all outcomes so far."""
-        return [item for clerk in self._clerks for item in clerk.outcomes]
+        return [item for client in self._clients for item in client.outcomes]
--- a/dandelionwinch/tools/demo_fleet.py
+++ b/dandelionwinch/tools/demo_fleet.py
@@ -17,9 +17,9 @@
 from dandelionwinch import readers
 from dandelionwinch import settings
 from dandelionwinch.standins import livelist
-from dandelionwinch.standins import runner
 from dandelionwinch.standins import service
 from dandelionwinch.standins import store
+from dandelionwinch.standins import upstream
 from dandelionwinch import utils
 
 INSTANCES_PER_PLACE = 2
@@ -55,7 +55,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='dandelionwinch-'))
         self.store = store.StoreServer()
         self.live_list = livelist.LiveListServer()
-        self.runners = {}
+        self.upstreams = {}
         self.services = {}
         self.journal = service.Journal()
         self.instances = []
@@ -65,37 +65,37 @@
         """Starts stand-ins and instances, and waits until all serve."""
         self.store.start()
         self.live_list.start()
-        for item in self.catalog.all('runner'):
-            self._start_runner(item)
+        for item in self.catalog.all('upstream'):
+            self._start_upstream(item)
         path = self._write_catalog()
-        for place in self.catalog.all('place'):
+        for data_centre in self.catalog.all('data_centre'):
             for number in range(INSTANCES_PER_PLACE):
-                self.instances.append(self._prepare(place, number, path))
+                self.instances.append(self._prepare(data_centre, number, path))
         for instance in self.instances:
             self._spawn(instance)
         self._await_ready()
 
-    def _start_runner(self, item):
+    def _start_upstream(self, item):
         pool = self.catalog.get('pool', item.pool)
         if item.role is settings.Role.SERVICE:
             server = service.ServiceServer(item.pool, self.journal)
             self.services[item.name] = server
         else:
-            server = runner.RunnerServer(
+            server = upstream.UpstreamServer(
                 item, pool.model, role_change_s=ROLE_CHANGE_S
             )
-            self.runners[item.name] = server
+            self.upstreams[item.name] = server
         server.start()
 
     def _write_catalog(self):
         addresses = {
             name: server.address
-            for name, server in (self.runners | self.services).items()
+            for name, server in (self.upstreams | self.services).items()
         }
         lists = {}
         for path, bare in self.catalog.docs.items():
             kind, _, name = path.partition('/')
-            if kind == 'runner':
+            if kind == 'upstream':
                 bare = {**bare, 'address': addresses[name]}
             plural = f'{kind}s' if kind != 'policy' else 'policies'
             lists.setdefault(plural, []).append(bare)
@@ -103,13 +103,13 @@
         path.write_text(yaml.safe_dump(lists))
         return path
 
-    def _prepare(self, place, number, catalog_path):
+    def _prepare(self, data_centre, number, catalog_path):
         addresses = [f'127.0.0.1:{port}' for port in utils.free_ports(3)]
         cfg = settings.InstanceSettings(
-            name=f'{place.name.lower()}-{number + 1}',
-            place=place.name,
-            region=place.region,
-            clerk_address=addresses[0],
+            name=f'{data_centre.name.lower()}-{number + 1}',
+            data_centre=data_centre.name,
+            region=data_centre.region,
+            client_address=addresses[0],
             peer_address=addresses[1],
             operator_address=addresses[2],
         )
@@ -156,14 +156,14 @@
     def is_ready(self, instance):
         """Tells whether an instance takes new work."""
         try:
-            url = f'http://{instance.cfg.clerk_address}/readyz'
+            url = f'http://{instance.cfg.client_address}/readyz'
             return self.http.request('GET', url, timeout=1).status == 200
         except urllib3.exceptions.HTTPError:
             return False
 
     def revision_of(self, instance):
         """Returns the configuration revision in force, or None."""
-        url = f'http://{instance.cfg.clerk_address}/metrics'
+        url = f'http://{instance.cfg.client_address}/metrics'
         try:
             text = self.http.request('GET', url, timeout=1).data.decode()
         except urllib3.exceptions.HTTPError:
@@ -198,7 +198,7 @@
             except subprocess.TimeoutExpired:
                 instance.process.kill()
                 instance.process.wait()
-        servers = [*self.runners.values(), *self.services.values()]
+        servers = [*self.upstreams.values(), *self.services.values()]
         for server in (*servers, self.live_list, self.store):
             server.close()
 
