--- a/dandelionwinch/bench/_placement.py
+++ b/dandelionwinch/bench/_placement.py
@@ -17,7 +17,7 @@
 def measure(seed):
     """Returns microseconds a decision for each number of upstreams.
 
-    Upstreams are spread over 11 places and a job is placed among those
+    Upstreams are spread over 11 data centres and a job is placed among those
     of its model, near ones first, as the daemons do.
     """
     return [_measure(count, seed) for count in UPSTREAMS]
