--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -258,6 +258,24 @@
             work_s += HANDOVER_S + self._round_trip_s(decode)
         return Placement(prefill, decode, lane, late, tokens, work_s, terms)
 
+    def replace_decoder(self, placement, beliefs):
+        """Returns another engine for the answer of a prefilled prompt.
+
+        Args:
+            placement: The Placement whose engine does not serve any more.
+            beliefs: Engines that take requests, of all roles.
+
+        Returns:
+            A Belief, or None if no engine makes answers.
+        """
+        layout = _layout.lay_out(beliefs)
+        if layout is None:
+            return None
+        return min(
+            layout.partners(placement.prefill),
+            key=lambda b: self._decode_cost_s(b, placement.prefill),
+        )
+
     def _decode_cost_s(self, belief, prefill):
         near = belief.entry.data_centre == prefill.entry.data_centre
         return (
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -167,6 +167,7 @@
         return True
 
     def _log_attempt(self, exc):
+        self._gateway.metrics.attempts.labels(exc.fate.value).inc()
         self._gateway.log.event(
             'attempt.failed',
             request=self._inquiry.id,
@@ -284,6 +285,14 @@
         except _upstream.NotConnected as exc:
             self._tried_without_sending(belief)
             raise AttemptFailed(attempts.Fate.NOT_SENT, str(exc)) from exc
+        if not self._fleet.beliefs.serves(belief):
+            # It has begun to leave while this request waited.
+            pool.give_unused(conn)
+            self._full.add(belief.entry.id)
+            raise AttemptFailed(
+                attempts.Fate.NOT_SENT,
+                f'upstream "{belief.entry.id}" is leaving',
+            )
         if self._attempt and not self._gateway.spend_retry(self._service):
             pool.give_unused(conn)
             raise NoFurtherAttempt(
@@ -470,8 +479,20 @@
             raise AttemptFailed(fate, f'status {head.status}, no handle')
         return handle
 
-    async def _decode(self, placement, source, began):
+    def _decoder(self, placement):
+        """Returns the engine for the answer, another one if it leaves."""
         belief = placement.decode
+        if placement.prefill is None or self._fleet.beliefs.serves(belief):
+            return belief
+        other = self._gateway.placer.replace_decoder(
+            placement, self._fleet.beliefs.serving(self._service)
+        )
+        if other is None:
+            raise self._nowhere()
+        return other
+
+    async def _decode(self, placement, source, began):
+        belief = self._decoder(placement)
         pool, conn = await self._connect(belief)
         sending = self._sending(
             belief, source=source, urgency=placement.urgency
--- a/dandelionwinch/leadership/_lease.py
+++ b/dandelionwinch/leadership/_lease.py
@@ -11,7 +11,7 @@
 LEASE_S = 3.0
 RELY_S = 2.0
 RENEW_S = 0.9
-MARGIN_S = 3.0
+MARGIN_S = 4.0
 
 
 @attrs.define
--- a/dandelionwinch/platform/_steward.py
+++ b/dandelionwinch/platform/_steward.py
@@ -17,7 +17,7 @@
 SETTLE_S = 5.0
 PATIENCE_S = 3.0
 RETRY_S = 1.0
-MAX_VIEW_AGE_S = 3.5
+MAX_VIEW_AGE_S = 4.5
 
 
 def boot_clock():
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -11,8 +11,10 @@
 
 INSTANCE_PREFIX = 'dandelionwinch/instances/'
 EVERYTHING = ''
-WATCH_S = 2.5
+WATCH_S = 3.0
 COALESCE_S = 0.4
+INSTANCE_S = 0.01
+MAX_COALESCE_S = 1.2
 BACKOFF_S = 0.3
 MAX_BACKOFF_S = 1.5
 INSTANCE_KEEP_S = 20.0
@@ -127,7 +129,9 @@
         self._settle(now)
 
     async def _watch(self):
-        listing = await self._store.watch(EVERYTHING, self._revision, WATCH_S)
+        due_s = self._absence.next_due_s(self._loop.time())
+        wait_s = WATCH_S if due_s is None else min(WATCH_S, due_s)
+        listing = await self._store.watch(EVERYTHING, self._revision, wait_s)
         now = self._loop.time()
         self._revision = max(self._revision, listing.revision)
         self._reached()
@@ -144,7 +148,12 @@
             self._vanish(gone, now)
         self._settle(now)
         if listing.items:
-            await asyncio.sleep(COALESCE_S)
+            await asyncio.sleep(self._coalesce_s())
+
+    def _coalesce_s(self):
+        """Returns the pause before the next watch; each one is a call."""
+        instances = self._gateway.fleet.instances
+        return min(MAX_COALESCE_S, COALESCE_S + INSTANCE_S * instances)
 
     def _apply(self, item, now):
         if item.key == _catalogue.CONFIG_KEY:
--- a/dandelionwinch/tests/test_gateway.py
+++ b/dandelionwinch/tests/test_gateway.py
@@ -559,6 +559,36 @@
     assert sources.count(source) == len(first.seen)
 
 
+def test_an_engine_that_leaves_during_a_prefill_gets_nothing():
+    handle = b'{"kvHandle": "h1", "tokens": 5000, "version": 1}'
+    answer = [[STREAM_HEAD, chunk(event(1)), LAST]]
+    scripts = [[[scripted.HOLD, whole(handle)]], answer, answer]
+
+    async def scenario(house):
+        beliefs = house.gateway.fleet.beliefs
+        reader = beliefs.get('u0')
+        beliefs.apply(attrs.evolve(reader.entry, role=upstreams.Role.PREFILL))
+        beliefs.remove('u2', 0.0)
+        number = 0
+        while not house.upstreams[0].seen:
+            number += 1
+            house.generate('/stream/1', f'r{number}', tokens=5000 + number)
+            await house.until(lambda n=number: len(house.seen) >= n)
+            if not house.upstreams[0].seen:
+                await house.answer()
+        before = len(house.upstreams[1].seen)
+        leaving = beliefs.get('u1').entry
+        other = beliefs.get('u2').entry
+        beliefs.apply(attrs.evolve(leaving, ready=False))
+        beliefs.apply(other)
+        house.upstreams[0].release.set()
+        status, _headers, _body = await house.answer()
+        after = len(house.upstreams[1].seen)
+        return status, after - before, len(house.upstreams[2].seen)
+
+    assert play(scripts, scenario) == (200, 0, 1)
+
+
 def test_a_request_is_read_only_once_even_if_its_prefill_fails():
     prefill = [[refused()]]
     decode = [[STREAM_HEAD, chunk(event(1)), LAST]]
--- a/dandelionwinch/tests/test_upstreams.py
+++ b/dandelionwinch/tests/test_upstreams.py
@@ -68,6 +68,25 @@
     assert absence.due(103.5) == ['u2']
 
 
+def test_a_hold_ends_by_the_outage_not_by_its_discovery():
+    absence = upstreams.Absence()
+    absence.store_failed(100.0)
+    assert absence.vanished(['u1'], 9, 101.5) == []
+    assert absence.next_due_s(101.5) < 1.0
+    assert absence.due(102.3) == ['u1']
+
+
+def test_only_the_present_incarnation_serves():
+    beliefs = upstreams.Beliefs()
+    beliefs.apply(entry())
+    old = beliefs.get('u1')
+    assert beliefs.serves(old)
+    beliefs.apply(entry(born=2))
+    assert not beliefs.serves(old)
+    beliefs.apply(entry(born=2, ready=False))
+    assert not beliefs.serves(beliefs.get('u1'))
+
+
 def test_many_that_vanish_together_are_held_even_in_calm():
     absence = upstreams.Absence()
     names = [f'u{n}' for n in range(5)]
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -12,6 +12,7 @@
 from dandelionwinch import entry
 from dandelionwinch import errors
 from dandelionwinch import log
+from dandelionwinch import platform
 from dandelionwinch import readers
 from dandelionwinch import settings
 from dandelionwinch.standins import livelist
@@ -21,6 +22,7 @@
 from dandelionwinch.tools import bench
 from dandelionwinch.tools import console
 from dandelionwinch.tools import demo
+from dandelionwinch.tools import explain
 
 FINDINGS_EXIT = 2
 DEFAULT_OPERATOR = '127.0.0.1:8082'
@@ -72,6 +74,34 @@
     daemon.stop()
 
 
+@main.command('explain')
+@click.argument('request_id')
+@click.argument('logs', nargs=-1, required=True, type=click.File())
+def explain_request(request_id, logs):
+    """Explain one request by its id from the LOGS of instances."""
+    lines = (text for log_file in logs for text in log_file)
+    found = explain.explain(request_id, lines)
+    if not found:
+        click.echo(f'error: request "{request_id}" is in no log', err=True)
+        sys.exit(1)
+    for line in found:
+        click.echo(explain.text_of(line))
+
+
+@main.command('check-boot')
+@click.argument('path', type=click.Path(dir_okay=False))
+def check_boot(path):
+    """Check a settings file of the users' platform."""
+    try:
+        findings = platform.load_settings(path).findings
+    except (OSError, errors.DandelionwinchError) as exc:
+        click.echo(f'error: {path}: {exc}', err=True)
+        sys.exit(FINDINGS_EXIT)
+    for finding in findings:
+        click.echo(f'{path}: {finding}')
+    sys.exit(FINDINGS_EXIT if findings else 0)
+
+
 @main.command('check-settings')
 @click.argument('path', type=click.Path(dir_okay=False))
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
--- a/dandelionwinch/upstreams/_absence.py
+++ b/dandelionwinch/upstreams/_absence.py
@@ -36,13 +36,21 @@
         Returns:
             Ids of those that are gone now; the others are held.
         """
-        mass = len(upstream_ids) >= max(LEAST_MASS, MASS_SHARE * known)
-        if not mass and now - self._back_at > RETURN_S:
+        until = self._back_at + RETURN_S
+        if len(upstream_ids) >= max(LEAST_MASS, MASS_SHARE * known):
+            until = now + RETURN_S
+        if until <= now:
             return list(upstream_ids)
         for upstream_id in upstream_ids:
-            self._held.setdefault(upstream_id, now + RETURN_S)
+            self._held.setdefault(upstream_id, until)
         return []
 
+    def next_due_s(self, now):
+        """Returns the seconds until an entry is due, None without any."""
+        if not self._held:
+            return None
+        return max(0.0, min(self._held.values()) - now)
+
     def returned(self, upstream_id):
         """Notes that an entry is there."""
         self._held.pop(upstream_id, None)
--- a/dandelionwinch/upstreams/_beliefs.py
+++ b/dandelionwinch/upstreams/_beliefs.py
@@ -153,6 +153,13 @@
         """Returns a belief or None."""
         return self._by_id.get(upstream_id)
 
+    def serves(self, belief):
+        """Tells whether this very incarnation takes requests now."""
+        known = self._by_id.get(belief.entry.id)
+        return (
+            known is belief and belief.gone_at is None and belief.entry.ready
+        )
+
     def serving(self, service):
         """Returns beliefs whose entries say that they take requests."""
         return [
