--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -286,6 +286,7 @@
         '_lease',
         '_log',
         '_loop',
+        '_registered',
         '_store',
         '_task',
         '_ttl_s',
@@ -307,6 +308,7 @@
         ).encode()
         self._ttl_s = ttl_s
         self._lease = 0
+        self._registered = False
         self._task = None
 
     def start(self):
@@ -317,13 +319,13 @@
         while True:
             wait_s = self._ttl_s / 3
             try:
-                if self._lease:
+                if self._registered:
                     await self._store.keep(self._lease)
                 else:
                     await self._register()
             except _store.LeaseEnded:
                 self._log.event('registration.lapsed', lease=self._lease)
-                self._lease = 0
+                self._registered = False
                 wait_s = 0.1
             except _store.StoreFailed as exc:
                 self._log.event('registration.failed', reason=str(exc))
@@ -331,10 +333,12 @@
             await asyncio.sleep(wait_s)
 
     async def _register(self):
-        lease = await self._store.lease(self._ttl_s)
-        await self._store.put(self._key, self._value, lease)
-        self._lease = lease
-        self._log.event('registration.made', lease=lease)
+        # Known before the entry is written, so that a stop in between
+        # ends it.
+        self._lease = await self._store.lease(self._ttl_s)
+        await self._store.put(self._key, self._value, self._lease)
+        self._registered = True
+        self._log.event('registration.made', lease=self._lease)
 
     async def withdraw(self):
         """Removes the entry, as before a planned stop."""
--- a/dandelionwinch/standins/kvstore.py
+++ b/dandelionwinch/standins/kvstore.py
@@ -15,7 +15,7 @@
 
     Attributes:
         refuse: Status of all answers while set, 0 for none.
-        lose: Writes that are done and not answered.
+        lose: Changes of keys that are done and not answered.
         page: Items on one page of a listing.
     """
 
@@ -120,7 +120,7 @@
         with self._changed:
             reply = self._change(call[0], call[2], request.json())
             self._changed.notify_all()
-        if self.lose:
+        if self.lose and call[0] == 'kv-txn':
             self.lose -= 1
             raise web.HungUp
         return reply
--- a/dandelionwinch/tests/test_platform.py
+++ b/dandelionwinch/tests/test_platform.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from dandelionwinch import addresses
 from dandelionwinch import eventlog
 from dandelionwinch import gateway
 from dandelionwinch.platform import _boot
@@ -382,6 +383,23 @@
     follow(kv, scenario)
 
 
+def test_a_registration_whose_answer_was_lost_is_withdrawn(kv):
+    async def scenario(store):
+        loop = asyncio.get_running_loop()
+        with open(os.devnull, 'wb') as sink:
+            log = eventlog.EventLog('test', sink.fileno())
+            presence = addresses.Presence('a', '127.0.0.1:1', 'dc', 'r')
+            made = _sync.Registration(loop, store, log, presence, 3.0)
+            kv.lose = 1
+            made.start()
+            while kv.value('dandelionwinch/instances/a') is None:
+                await asyncio.sleep(0.001)
+            await made.withdraw()
+
+    with_store(kv, scenario)
+    assert kv.value('dandelionwinch/instances/a') is None
+
+
 def test_a_whole_entry_serves_registers_and_stops(kv, tmp_path):
     """One process's parts together, by the ports that the system gives."""
 
