--- /dev/null
+++ b/dandelionwinch/soak/_proxy.py
@@ -0,0 +1,82 @@
+"""A loopback proxy that resets, silences or delays connections."""
+
+import asyncio
+import enum
+
+CHUNK_BYTES = 65536
+DELAY_S = 0.2
+
+
+class Mode(enum.Enum):
+    """What the proxy does with bytes."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    SILENT = 'silent'
+    RESET = 'reset'
+
+
+class Proxy:
+    """Forwards connections to one address."""
+
+    __slots__ = ('_server', '_target', '_writers', 'address', 'mode')
+
+    def __init__(self, target):
+        self._target = target
+        self._server = None
+        self._writers = set()
+        self.address = ''
+        self.mode = Mode.PASS
+
+    async def start(self):
+        """Listens on a port that the system chooses."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    def set_mode(self, mode):
+        """Changes the mode; resets end all open connections."""
+        self.mode = mode
+        if mode is Mode.RESET:
+            for writer in list(self._writers):
+                writer.transport.abort()
+
+    async def close(self):
+        """Stops listening and ends all connections."""
+        self.set_mode(Mode.RESET)
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        if self.mode is Mode.RESET:
+            writer.transport.abort()
+            return
+        host, _, port = self._target.rpartition(':')
+        try:
+            there = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, there[1]}
+        try:
+            await asyncio.gather(
+                self._copy(reader, there[1]), self._copy(there[0], writer)
+            )
+        except asyncio.CancelledError:
+            # The loop ends with the soak; there is nobody to tell.
+            writer.transport.abort()
+        finally:
+            self._writers -= {writer, there[1]}
+
+    async def _copy(self, reader, writer):
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.mode is Mode.SILENT:
+                    continue
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            writer.transport.abort()
+        finally:
+            writer.close()
--- /dev/null
+++ b/dandelionwinch/soak/_run.py
@@ -0,0 +1,367 @@
+"""One soak: starts everything, injects faults by seed, and judges."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+import attrs
+
+from dandelionwinch.soak import _caller
+from dandelionwinch.soak import _proxy
+from dandelionwinch.soak import _upstream
+from dandelionwinch.standins import kvstore
+from dandelionwinch import utils
+
+LEAD_S = 3.0
+QUIET_S = 6.0
+RESTART_S = 0.5
+GRACE_S = 4
+FAULTS = ('kill', 'pause', 'term', 'hup', 'store', 'leave', 'config')
+SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "dc"
+heartbeatMs = 1200
+[zones]
+dc = "r"
+[listen]
+frontend = "{ip}:{ports[0]}"
+readiness = "{ip}:{ports[1]}"
+directory = "{ip}:{ports[2]}"
+[bounds]
+graceS = {grace}
+drainMs = 2500
+leaseMs = 3000
+retryBudgetRatio = 0.2
+retrySlack = 200
+budgetWindowS = 10
+ttl_max_s = 5
+[platform]
+address = "{store}"
+minTtlMs = 1000
+"""
+
+
+@attrs.frozen
+class Result:
+    """What a soak found.
+
+    Attributes:
+        statuses: Final answers by status, 0 for a closed connection.
+        faults: Faults that were injected, by kind.
+        broken: Broken promises; empty if all held.
+    """
+
+    seed: int
+    instances: int
+    requests: int
+    statuses: dict
+    faults: dict
+    broken: list
+
+
+class _Instance:
+    """One real process."""
+
+    def __init__(self, name, path, log_path):
+        self.name = name
+        self._path = path
+        self._log_path = log_path
+        self.process = None
+
+    async def start(self):
+        """Starts the program."""
+        env = {**os.environ, 'DANDELIONWINCH_BOOT': str(self._path)}
+        with open(self._log_path, 'ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'dandelionwinch.platform',
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number):
+        """Sends a signal if the process runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def restart(self):
+        """Waits for the end of the process and starts it again."""
+        await self.process.wait()
+        await asyncio.sleep(RESTART_S)
+        await self.start()
+
+
+class _Soak:
+    def __init__(self, seed, instances, callers, folder):
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._count = instances
+        self._callers = callers
+        self._folder = pathlib.Path(folder)
+        self._store = kvstore.KvStore(lapse=True)
+        self._record = _upstream.Record()
+        self._seen = _caller.Seen()
+        self._faults = {}
+        self._tasks = set()
+        self._version = 1
+        self._next_upstream = 0
+        self._upstreams = []
+        self._instances = []
+        self._proxies = []
+
+    async def run(self, for_s):
+        """Plays the soak and returns its Result."""
+        self._store.start()
+        try:
+            await self._play(for_s)
+        finally:
+            await self._stop()
+        return self._judge()
+
+    async def _play(self, for_s):
+        for _n in range(4):
+            await self._add_upstream()
+        self._write_config()
+        directories = await self._start_instances()
+        await asyncio.sleep(LEAD_S)
+        for number in range(self._callers):
+            rng = random.Random(self._rng.random())
+            caller = _caller.Caller(number, directories, self._seen, rng)
+            self._spawn(caller.run())
+        loop = asyncio.get_running_loop()
+        until = loop.time() + for_s
+        while loop.time() < until:
+            await asyncio.sleep(self._rng.uniform(0.2, 1.2))
+            await self._inject(self._rng.choice(FAULTS))
+        await self._check_recovery()
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _start_instances(self):
+        ports = utils.free_ports(3)
+        block = 1 + os.getpid() % 200
+        directories = []
+        for number in range(self._count):
+            ip = f'127.{block}.{number // 200}.{10 + number % 200}'
+            proxy = _proxy.Proxy(self._store.address)
+            await proxy.start()
+            self._proxies.append(proxy)
+            name = f'i-{number}'
+            path = self._folder / f'{name}.toml'
+            text = SETTINGS.format(
+                name=name,
+                ip=ip,
+                ports=ports,
+                store=proxy.address,
+                grace=GRACE_S,
+            )
+            path.write_text(text)
+            log_path = self._folder / f'{name}.log'
+            instance = _Instance(name, path, log_path)
+            await instance.start()
+            self._instances.append(instance)
+            directories.append(f'{ip}:{ports[2]}')
+        return directories
+
+    async def _add_upstream(self):
+        self._next_upstream += 1
+        rng = random.Random(self._rng.random())
+        made = _upstream.SoakUpstream(
+            f'u-{self._next_upstream}', self._record, rng
+        )
+        await made.start()
+        self._upstreams.append(made)
+        self._write_entry(made, 'ready')
+
+    def _write_entry(self, upstream, state):
+        entry = {
+            'service': 's',
+            'address': upstream.address,
+            'zone': 'dc',
+            'version': 'v1',
+            'slots': 24,
+            'state': state,
+            'coldRemainingMs': 0,
+            'phase': 'decode',
+            'sequence': 1,
+            'born': 1,
+        }
+        self._store.write(f'servers/{upstream.id}', json.dumps(entry).encode())
+
+    def _write_config(self):
+        kinds = {
+            'once': ('non_idempotent', 1),
+            'safe': ('idempotent', 2),
+            'resume': ('streaming', 2),
+        }
+        routes = [
+            {
+                'name': name,
+                'host': 'desk',
+                'prefix': f'/{name}/',
+                'kind': kind,
+                'timeoutMs': 3000,
+                'targetLatencyMs': 200,
+                'priority': 0,
+                'service': 's',
+                'maxAttempts': attempts,
+                'resumable': kind == 'streaming',
+                'targetGapMs': 500,
+            }
+            for name, (kind, attempts) in kinds.items()
+        ]
+        service = {'name': 's', 'healthPath': '/h', 'maxConnections': 4000}
+        value = kvstore.config_bytes(self._version, routes, [service])
+        self._store.write('op/config', value)
+
+    async def _inject(self, fault):
+        self._faults[fault] = self._faults.get(fault, 0) + 1
+        instance = self._rng.choice(self._instances)
+        match fault:
+            case 'kill':
+                instance.send(signal.SIGKILL)
+                self._spawn(instance.restart())
+            case 'term':
+                instance.send(signal.SIGTERM)
+                self._spawn(self._end_stop(instance))
+            case 'hup':
+                instance.send(signal.SIGHUP)
+            case 'pause':
+                instance.send(signal.SIGSTOP)
+                self._spawn(self._resume(instance))
+            case 'store':
+                self._spawn(self._disturb(self._rng.choice(self._proxies)))
+            case 'leave':
+                await self._replace_upstream()
+            case 'config':
+                self._version += self._rng.randint(1, 3)
+                self._write_config()
+
+    async def _end_stop(self, instance):
+        process = instance.process
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
+        except TimeoutError:
+            instance.send(signal.SIGKILL)
+        await instance.restart()
+
+    async def _resume(self, instance):
+        process = instance.process
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def _disturb(self, proxy):
+        modes = (_proxy.Mode.DELAY, _proxy.Mode.SILENT, _proxy.Mode.RESET)
+        proxy.set_mode(self._rng.choice(modes))
+        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
+        proxy.set_mode(_proxy.Mode.PASS)
+
+    async def _replace_upstream(self):
+        await self._add_upstream()
+        leaving = self._upstreams.pop(0)
+        if self._rng.random() < 0.5:
+            self._write_entry(leaving, 'draining')
+        else:
+            self._store.remove(f'servers/{leaving.id}')
+        self._spawn(self._end_upstream(leaving))
+
+    async def _end_upstream(self, leaving):
+        loop = asyncio.get_running_loop()
+        left_at = loop.time()
+        await asyncio.sleep(_upstream.DRAIN_S / 2)
+        self._store.remove(f'servers/{leaving.id}')
+        leaving.left_at = left_at
+        await asyncio.sleep(_upstream.DRAIN_S)
+        leaving.close()
+
+    async def _check_recovery(self):
+        """After a quiet time, most requests must be served again."""
+        for proxy in self._proxies:
+            proxy.set_mode(_proxy.Mode.PASS)
+        await asyncio.sleep(QUIET_S)
+        before = dict(self._seen.statuses)
+        await asyncio.sleep(QUIET_S)
+        good = self._seen.statuses.get(200, 0) - before.get(200, 0)
+        total = sum(self._seen.statuses.values()) - sum(before.values())
+        if good * 2 < total or not good:
+            self._seen.wrong.append(
+                f'not recovered: {good} of {total} requests are served'
+            )
+
+    async def _stop(self):
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for instance in self._instances:
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+        for instance in self._instances:
+            await instance.process.wait()
+        for proxy in self._proxies:
+            await proxy.close()
+        for upstream in self._upstreams:
+            upstream.close()
+        self._store.close()
+
+    def _judge(self):
+        runs = self._record.runs
+        broken = list(self._seen.wrong)
+        broken += [
+            f'{request_id}: ran {count} times'
+            for request_id, count in runs.items()
+            if request_id.startswith('once-') and count > 1
+        ]
+        broken += [
+            f'{request_id}: said not to have run, but ran'
+            for request_id in self._seen.not_run
+            if request_id in runs and request_id.startswith('once-')
+        ]
+        broken += [
+            f'{request_id}: sent to an upstream long after it had left'
+            for request_id in self._record.late
+        ]
+        for path in sorted(self._folder.glob('*.log')):
+            if 'gateway.fault' in path.read_text(errors='replace'):
+                broken.append(f'{path.name}: an error of our own')
+        return Result(
+            self._seed,
+            self._count,
+            sum(self._seen.statuses.values()),
+            dict(sorted(self._seen.statuses.items())),
+            self._faults,
+            broken,
+        )
+
+
+def run(seed, for_s, instances=6, callers=12, folder=None):
+    """Plays one soak.
+
+    Args:
+        seed: Seed of all choices; the timing of processes is their own.
+        for_s: Seconds with faults.
+        instances: Number of real processes.
+        callers: Number of callers.
+        folder: Folder for settings and logs, None for a temporary one.
+
+    Returns:
+        A Result.
+    """
+    if folder is not None:
+        soak = _Soak(seed, instances, callers, folder)
+        return asyncio.run(soak.run(for_s))
+    with tempfile.TemporaryDirectory() as made:
+        soak = _Soak(seed, instances, callers, made)
+        return asyncio.run(soak.run(for_s))
--- a/dandelionwinch/standins/kvstore.py
+++ b/dandelionwinch/standins/kvstore.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import threading
+import time
 import urllib.parse
 
 from dandelionwinch.standins import web
@@ -17,20 +18,23 @@
         refuse: Status of all answers while set, 0 for none.
         lose: Changes of keys that are done and not answered.
         page: Items on one page of a listing.
+        lapse: Whether leases end by themselves when they are not renewed.
     """
 
-    def __init__(self, page=500):
+    def __init__(self, page=500, lapse=False):
         self._server = web.WebServer(self._handle)
         self._changed = threading.Condition()
         self._items = {}
         self._history = []
         self._dropped = 0
         self._revision = 1
-        self._leases = set()
+        self._leases = {}
+        self._ttls = {}
         self._next_lease = 100
         self.refuse = 0
         self.lose = 0
         self.page = page
+        self.lapse = lapse
         self.calls = []
 
     def start(self):
@@ -99,11 +103,21 @@
         )
 
     def _end(self, lease):
-        self._leases.discard(lease)
+        self._leases.pop(lease, None)
+        self._ttls.pop(lease, None)
         held = [k for k, i in self._items.items() if i['lease'] == lease]
         for key in held:
             self._delete(key)
 
+    def _expire(self):
+        """Ends leases that were not renewed in time."""
+        if not self.lapse:
+            return
+        now = time.monotonic()
+        for lease, until in list(self._leases.items()):
+            if until < now:
+                self._end(lease)
+
     def _handle(self, request):
         query = dict(urllib.parse.parse_qsl(request.query))
         call = request.path.removeprefix('/-/').partition('/')
@@ -118,6 +132,7 @@
             case 'kv-watch':
                 return self._watch(query)
         with self._changed:
+            self._expire()
             reply = self._change(call[0], call[2], request.json())
             self._changed.notify_all()
         if self.lose and call[0] == 'kv-txn':
@@ -171,11 +186,14 @@
         match call:
             case 'kv-lease':
                 self._next_lease += 1
-                self._leases.add(self._next_lease)
+                self._ttls[self._next_lease] = body['ttlMs'] / 1e3
+                self._renew(self._next_lease)
                 answer = {'lease': self._next_lease, 'ttlMs': body['ttlMs']}
                 return web.Reply(200, answer)
             case 'kv-keep':
                 known = int(argument) in self._leases
+                if known:
+                    self._renew(int(argument))
                 return web.Reply(200 if known else 404, {'ttlMs': 1000})
             case 'kv-lease-end':
                 self._end(int(argument))
@@ -184,6 +202,9 @@
                 return self._transact(body)
         return web.Reply(400, {})
 
+    def _renew(self, lease):
+        self._leases[lease] = time.monotonic() + self._ttls[lease]
+
     def _transact(self, body):
         rows = body['precondition']
         size = len(rows) + len(body['puts']) + len(body['remove'])
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 
+import attrs
 import click
 
 import dandelionwinch
@@ -15,6 +16,7 @@
 from dandelionwinch import platform
 from dandelionwinch import readers
 from dandelionwinch import settings
+from dandelionwinch import soak
 from dandelionwinch.standins import livelist
 from dandelionwinch.standins import service
 from dandelionwinch.standins import store
@@ -74,6 +76,27 @@
     daemon.stop()
 
 
+@main.command('soak')
+@click.option('--seed', default=1, show_default=True)
+@click.option('--for', 'for_s', default=20.0, show_default=True)
+@click.option('--instances', default=6, show_default=True)
+@click.option('--callers', default=12, show_default=True)
+@click.option('--folder', type=click.Path(file_okay=False))
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+def run_soak(seed, for_s, instances, callers, folder, as_json):
+    """Run real instances under faults and check their promises."""
+    if folder:
+        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
+    result = soak.run(seed, for_s, instances, callers, folder)
+    data = attrs.asdict(result)
+    if as_json:
+        click.echo(json.dumps(data))
+    else:
+        for name, value in data.items():
+            click.echo(f'{name}: {value}')
+    sys.exit(1 if result.broken else 0)
+
+
 @main.command('explain')
 @click.argument('request_id')
 @click.argument('logs', nargs=-1, required=True, type=click.File())
