--- a/dandelionwinch/__init__.py
+++ b/dandelionwinch/__init__.py
@@ -1,3 +1,3 @@
 """A serving system for a fixed fleet of model engines."""
 
-__version__ = '0.1.0'
+__version__ = '0.2.0'
--- a/dandelionwinch/gateway/__init__.py
+++ b/dandelionwinch/gateway/__init__.py
@@ -3,17 +3,17 @@
 from dandelionwinch.gateway._codec import BadMessage
 from dandelionwinch.gateway._codec import Head
 from dandelionwinch.gateway._codec import request_bytes
+from dandelionwinch.gateway._connection import ConnectionLost
+from dandelionwinch.gateway._connection import End
 from dandelionwinch.gateway._fleet import Fleet
 from dandelionwinch.gateway._gateway import Gateway
 from dandelionwinch.gateway._inquiry import Dialect
 from dandelionwinch.gateway._inquiry import Inquiry
 from dandelionwinch.gateway._inquiry import Reply
 from dandelionwinch.gateway._inquiry import Sending
+from dandelionwinch.gateway._pool import NotConnected
+from dandelionwinch.gateway._pool import Pool
 from dandelionwinch.gateway._server import Server
-from dandelionwinch.gateway._upstream import ConnectionLost
-from dandelionwinch.gateway._upstream import End
-from dandelionwinch.gateway._upstream import NotConnected
-from dandelionwinch.gateway._upstream import Pool
 
 __all__ = [
     'BadMessage',
--- /dev/null
+++ b/dandelionwinch/gateway/_call.py
@@ -0,0 +1,40 @@
+"""A call of a plain service: one upstream, one whole answer."""
+
+from dandelionwinch import dispatch
+from dandelionwinch.gateway import _conversation
+from dandelionwinch.gateway import _exchange
+
+
+class Call(_exchange.Exchange):
+    """Serves one call of a plain service."""
+
+    __slots__ = ()
+
+    async def _attempt_once(self):
+        """Sends the call to one upstream and hands its answer on."""
+        now = self._loop.time()
+        belief = dispatch.choose_plain(
+            self._fleet.beliefs.serving(self._service),
+            self._tried | self._full,
+            self._gateway.distances,
+            self._gateway.rng,
+            now,
+        )
+        if belief is None:
+            raise self._nowhere()
+        sending = self._sending(belief)
+        pool, conn = await self._connect(belief)
+        belief.active += 1
+        try:
+            answer = await self._talk(conn).ask(sending, self._patience_s())
+        except _conversation.AttemptFailed as exc:
+            pool.discard(conn)
+            self._judge(belief, exc)
+            raise
+        except BaseException:
+            pool.discard(conn)
+            raise
+        finally:
+            belief.active -= 1
+        pool.give(conn)
+        self._accept(belief, answer)
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -1,6 +1,6 @@
 """Connection pools and beliefs of the upstreams, kept in step."""
 
-from dandelionwinch.gateway import _upstream
+from dandelionwinch.gateway import _pool
 from dandelionwinch import upstreams
 
 CONNECTION_SHARE = 0.8
@@ -27,7 +27,7 @@
         pool = self._pools.get(key)
         limit = self._limit(entry.service)
         if pool is None:
-            pool = _upstream.Pool(self._loop, entry.address, limit)
+            pool = _pool.Pool(self._loop, entry.address, limit)
             self._pools[key] = pool
         pool.limit = limit
         return pool
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -6,8 +6,9 @@
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
 from dandelionwinch import errors
-from dandelionwinch.gateway import _exchange
+from dandelionwinch.gateway import _call
 from dandelionwinch.gateway import _fleet
+from dandelionwinch.gateway import _generation
 from dandelionwinch.gateway import _metrics
 
 NO_ROUTES_RETRY_S = 0.5
@@ -85,9 +86,10 @@
             self._refuse(caller, incoming, 404, 'no route matches')
             return
         inquiry = self.dialect.read(head, bytes(incoming.body))
-        exchange = _exchange.Exchange(
-            self, inquiry, route, caller, incoming.at
-        )
+        kind = _call.Call
+        if route.streaming and inquiry.prompt is not None:
+            kind = _generation.Generation
+        exchange = kind(self, inquiry, route, caller, incoming.at)
         try:
             await exchange.run()
         except BaseException as exc:
--- /dev/null
+++ b/dandelionwinch/gateway/_generation.py
@@ -0,0 +1,232 @@
+"""A generation: its prompt is read, and its answer streamed.
+
+The prompt may be read at one engine and answered at another. An answer
+that breaks off goes on elsewhere where its route allows that.
+"""
+
+from dandelionwinch import attempts
+from dandelionwinch import dispatch
+from dandelionwinch.gateway import _connection
+from dandelionwinch.gateway import _conversation
+from dandelionwinch.gateway import _events
+from dandelionwinch.gateway import _exchange
+from dandelionwinch.gateway import _pool
+
+PREFILL_SILENCE_FACTOR = 3.0
+# A caller that comes back waits for less than its whole timeout.
+RETURNED_SHARE = 0.85
+
+
+class Generation(_exchange.Exchange):
+    """Serves one generation on model engines."""
+
+    __slots__ = ()
+
+    async def _attempt_once(self):
+        """Places the prompt, reads it, and hands the answer on."""
+        now = self._loop.time()
+        prompt = self._inquiry.prompt
+        placement = self._gateway.placer.place(
+            prompt,
+            self._fleet.beliefs.serving(self._service),
+            self._tried | self._full,
+            now,
+            direct=bool(self._attempt),
+            late=self._is_late(),
+        )
+        if placement is None:
+            raise self._nowhere()
+        self._gateway.log_placement(self._inquiry.id, placement)
+        self._gateway.placer.sent(prompt, placement, now)
+        try:
+            source = ''
+            if placement.prefill is not None:
+                source = await self._prefill(placement)
+                began, now = now, self._loop.time()
+                self.prefill_s = now - began
+                self._gateway.placer.prefilled(placement, now - began, now)
+            await self._decode(placement, source, now)
+        finally:
+            self._gateway.placer.ended(placement)
+
+    def _is_late(self):
+        """Tells whether the latency objective is out of reach.
+
+        A caller that comes back waits for less than its whole timeout.
+        """
+        route = self._route
+        if self._loop.time() - self._began > route.objective_s:
+            return True
+        timeout_s = self._inquiry.timeout_s
+        return (
+            timeout_s is not None
+            and timeout_s < RETURNED_SHARE * route.timeout_s
+        )
+
+    async def _prefill(self, placement):
+        belief = placement.prefill
+        sending = self._sending(
+            belief, prefill_only=True, urgency=placement.urgency
+        )
+        pool = self._fleet.pool(belief)
+        self.upstream_id = belief.entry.id
+        try:
+            conn = await pool.take(
+                min(_exchange.TAKE_TIMEOUT_S, self._left_s())
+            )
+        except _pool.PoolBusy as exc:
+            self._full.add(belief.entry.id)
+            raise _conversation.AttemptFailed(
+                attempts.Fate.NOT_SENT, str(exc)
+            ) from exc
+        except _pool.NotConnected as exc:
+            self._tried_without_sending(belief)
+            raise _conversation.AttemptFailed(
+                attempts.Fate.NOT_SENT, str(exc)
+            ) from exc
+        belief.active += 1
+        try:
+            answer = await self._ask_prefill(conn, sending, placement.lane)
+        except _conversation.AttemptFailed as exc:
+            pool.discard(conn)
+            self._judge(belief, exc)
+            self._attempt += 1
+            raise _conversation.AttemptFailed(
+                attempts.Fate.NOT_EXECUTED, f'prefill: {exc}'
+            ) from exc
+        except BaseException:
+            pool.discard(conn)
+            raise
+        finally:
+            belief.active -= 1
+        pool.give(conn)
+        return f'{belief.entry.address}/{answer}'
+
+    async def _ask_prefill(self, conn, sending, lane):
+        talk = self._talk(conn)
+        talk.send(sending)
+        patience_s = self._left_s()
+        if lane is not dispatch.Lane.BACKGROUND:
+            patience_s = PREFILL_SILENCE_FACTOR * self._route.objective_s
+        head = await talk.head(patience_s)
+        body = await talk.body(patience_s)
+        reply = self._gateway.dialect.reply(head)
+        handle = self._gateway.dialect.handle(body)
+        if head.status != 200 or not handle:
+            fate = attempts.Fate.UNKNOWN
+            if reply.not_executed:
+                fate = attempts.Fate.NOT_EXECUTED
+            raise _conversation.AttemptFailed(
+                fate, f'status {head.status}, no handle'
+            )
+        return handle
+
+    def _decoder(self, placement):
+        """Returns the engine for the answer, another one if it leaves."""
+        belief = placement.decode
+        if placement.prefill is None or self._fleet.beliefs.serves(belief):
+            return belief
+        other = self._gateway.placer.replace_decoder(
+            placement, self._fleet.beliefs.serving(self._service)
+        )
+        if other is None:
+            raise self._nowhere()
+        return other
+
+    async def _decode(self, placement, source, began):
+        belief = self._decoder(placement)
+        pool, conn = await self._connect(belief)
+        sending = self._sending(
+            belief, source=source, urgency=placement.urgency
+        )
+        belief.active += 1
+        try:
+            await self._stream(conn, sending, placement, began)
+        except _conversation.AttemptFailed as exc:
+            pool.discard(conn)
+            self._judge(belief, exc)
+            raise
+        except BaseException:
+            pool.discard(conn)
+            raise
+        finally:
+            belief.active -= 1
+        pool.give(conn)
+
+    async def _stream(self, conn, sending, placement, began):
+        talk = self._talk(conn)
+        talk.send(sending)
+        patience_s = self._patience_s()
+        head = await talk.head(patience_s)
+        reply = self._gateway.dialect.reply(head)
+        if head.status != 200 or not reply.signed or reply.not_executed:
+            await self._whole_failure(talk, head, placement.decode, patience_s)
+            return
+        splitter = _events.Splitter()
+        last_at = None
+        while True:
+            item = await talk.item(patience_s)
+            if isinstance(item, _connection.End):
+                break
+            for event in self._split(splitter, item.data):
+                now = self._loop.time()
+                if last_at is None:
+                    self._started(placement, began)
+                else:
+                    self.longest_gap_s = max(self.longest_gap_s, now - last_at)
+                    self._gateway.placer.paused(
+                        placement, now - last_at, self._route.gap_s, now
+                    )
+                last_at = now
+                await self._deliver(head, event)
+        if splitter.torn:
+            raise _conversation.AttemptFailed(
+                attempts.Fate.UNKNOWN, 'a torn event'
+            )
+        self._end_stream(head, placement)
+
+    def _end_stream(self, head, placement):
+        if not self._streaming:
+            self._caller.begin_stream(200, head.end_to_end())
+        self._caller.end_stream()
+        placement.decode.succeeded(
+            placement.decode.excess_s, self._loop.time()
+        )
+        self.outcome = 'whole'
+        self._gateway.closed(self, 200, '')
+
+    @staticmethod
+    def _split(splitter, data):
+        try:
+            return splitter.feed(data)
+        except ValueError as exc:
+            raise _conversation.AttemptFailed(
+                attempts.Fate.UNKNOWN, str(exc)
+            ) from exc
+
+    async def _deliver(self, head, event):
+        if event.number is not None:
+            last = self._last_event
+            if last is not None and event.number <= last:
+                return
+            self._last_event = event.number
+        if not self._streaming:
+            self._streaming = True
+            self._caller.begin_stream(200, head.end_to_end())
+        await self._caller.send(event.data)
+
+    def _started(self, placement, began):
+        now = self._loop.time()
+        self.first_event_s = self.first_event_s or now - self._began
+        self._gateway.first_event(self._route, now - self._began)
+        self._gateway.placer.started(placement, now - began, now)
+
+    async def _whole_failure(self, talk, head, belief, patience_s):
+        """Reads an answer that is not a stream of events."""
+        answer = _conversation.Answer(head, await talk.body(patience_s))
+        talk.check_executed(answer)
+        if self._streaming:
+            raise _conversation.AttemptFailed(
+                attempts.Fate.FAILED, f'status {head.status} on resumption'
+            )
+        self._accept(belief, answer)
--- a/dandelionwinch/gateway/_inquiry.py
+++ b/dandelionwinch/gateway/_inquiry.py
@@ -81,6 +81,3 @@
 
     def come_back(self, wait_s):
         """Returns the headers that say when to come back, as pairs."""
-
-    def release(self, handle):
-        """Returns method and path that free a prefilled prompt."""
--- a/dandelionwinch/platform/_dialect.py
+++ b/dandelionwinch/platform/_dialect.py
@@ -99,10 +99,6 @@
         handle = value.get('kvHandle') if isinstance(value, dict) else None
         return handle if isinstance(handle, str) else ''
 
-    def release(self, handle):
-        """Returns method and path that free a prefilled prompt."""
-        return 'DELETE', f'/-/kv-handle/{handle}'
-
     def order(self, role_order, holder, token, sequence):
         """Returns method, path, headers and body of an order."""
         body = {
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -16,6 +16,7 @@
 from dandelionwinch import gateway
 from dandelionwinch.platform import _boot
 from dandelionwinch.platform import _dialect
+from dandelionwinch.platform import _registration
 from dandelionwinch.platform import _steward
 from dandelionwinch.platform import _store
 from dandelionwinch.platform import _sync
@@ -52,7 +53,7 @@
             boot.data_centre,
             boot.regions.get(boot.data_centre, ''),
         )
-        self._registration = _sync.Registration(
+        self._registration = _registration.Registration(
             loop,
             self._store,
             self._log,
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -5,11 +5,11 @@
 
 from dandelionwinch import addresses
 from dandelionwinch.platform import _catalogue
+from dandelionwinch.platform import _registration
 from dandelionwinch.platform import _steward
 from dandelionwinch.platform import _store
 from dandelionwinch import upstreams
 
-INSTANCE_PREFIX = 'dandelionwinch/instances/'
 EVERYTHING = ''
 WATCH_S = 3.0
 COALESCE_S = 0.4
@@ -160,7 +160,7 @@
             self._apply_config(item)
         elif _is_upstream(item.key):
             self._apply_upstream(item, now)
-        elif item.key.startswith(INSTANCE_PREFIX):
+        elif item.key.startswith(_registration.INSTANCE_PREFIX):
             self._apply_instance(item, now)
         elif item.key == _steward.HOLDER_KEY:
             self.holder = (item.value or b'').decode(errors='replace')
@@ -276,82 +276,3 @@
 
 def _is_upstream(key):
     return key.startswith(_catalogue.UPSTREAM_PREFIX)
-
-
-class Registration:
-    """Keeps this instance's entry in the store while it is ready."""
-
-    __slots__ = (
-        '_key',
-        '_lease',
-        '_log',
-        '_loop',
-        '_registered',
-        '_store',
-        '_task',
-        '_ttl_s',
-        '_value',
-    )
-
-    def __init__(self, loop, store, log, presence, ttl_s):
-        self._loop = loop
-        self._store = store
-        self._log = log
-        self._key = INSTANCE_PREFIX + presence.name
-        self._value = json.dumps(
-            {
-                'name': presence.name,
-                'address': presence.address,
-                'data_centre': presence.data_centre,
-                'region': presence.region,
-            }
-        ).encode()
-        self._ttl_s = ttl_s
-        self._lease = 0
-        self._registered = False
-        self._task = None
-
-    def start(self):
-        """Starts to register and to renew."""
-        self._task = self._loop.create_task(self._run())
-
-    async def _run(self):
-        while True:
-            wait_s = self._ttl_s / 3
-            try:
-                if self._registered:
-                    await self._store.keep(self._lease)
-                else:
-                    await self._register()
-            except _store.LeaseEnded:
-                self._log.event('registration.lapsed', lease=self._lease)
-                self._registered = False
-                wait_s = 0.1
-            except _store.StoreFailed as exc:
-                self._log.event('registration.failed', reason=str(exc))
-                wait_s = min(1.0, wait_s)
-            await asyncio.sleep(wait_s)
-
-    async def _register(self):
-        # Known before the entry is written, so that a stop in between
-        # ends it.
-        self._lease = await self._store.lease(self._ttl_s)
-        await self._store.put(self._key, self._value, self._lease)
-        self._registered = True
-        self._log.event('registration.made', lease=self._lease)
-
-    async def withdraw(self):
-        """Removes the entry, as before a planned stop."""
-        if self._task is not None:
-            self._task.cancel()
-        if not self._lease:
-            return
-        try:
-            await self._store.end(self._lease)
-        except _store.StoreFailed as exc:
-            self._log.event('registration.not_withdrawn', reason=str(exc))
-
-    def close(self):
-        """Stops renewing."""
-        if self._task is not None:
-            self._task.cancel()
--- a/dandelionwinch/tests/test_gateway.py
+++ b/dandelionwinch/tests/test_gateway.py
@@ -300,6 +300,14 @@
     assert (status, body) == (200, b'hello')
 
 
+def test_a_refusal_of_another_request_is_not_taken_for_ours():
+    late = refused().replace(
+        b'\r\nContent', b'\r\nX-Dandelionwinch-Request-Id: old\r\nContent'
+    )
+    (status, _headers, body), _seen = ask([[[late + whole()]]], '/once/1')
+    assert (status, body) == (200, b'hello')
+
+
 def test_bytes_after_an_answer_reach_no_other_request():
     async def scenario(house):
         found = []
