--- a/dandelionwinch/platform/_store.py
+++ b/dandelionwinch/platform/_store.py
@@ -12,6 +12,7 @@
 CALL_TIMEOUT_S = 1.5
 WATCH_MARGIN_S = 0.6
 CONNECTIONS = 4
+END_TRIES = 3
 
 
 class StoreFailed(errors.DandelionwinchError):
@@ -121,8 +122,16 @@
         await self._call('POST', f'/-/kv-keep/{lease}')
 
     async def end(self, lease):
-        """Ends a lease and removes its keys."""
-        await self._call('DELETE', f'/-/kv-lease-end/{lease}')
+        """Ends a lease and removes its keys; a lost call is repeated."""
+        for tries_left in reversed(range(END_TRIES)):
+            try:
+                await self._call('DELETE', f'/-/kv-lease-end/{lease}')
+                return
+            except LeaseEnded:
+                return
+            except StoreFailed:
+                if not tries_left:
+                    raise
 
     async def put(self, key, value, lease=0, revision=None):
         """Writes a key.
