--- a/dandelionwinch/tests/test_dispatch.py
+++ b/dandelionwinch/tests/test_dispatch.py
@@ -3,6 +3,8 @@
 import random
 import statistics
 
+import attrs
+
 from dandelionwinch import dispatch
 from dandelionwinch import upstreams
 
@@ -193,3 +195,51 @@
                 pass
             pace.observe(excess_s, SPEED, 4, now)
     assert shares([p.rate for p in paces]) < first
+
+
+def test_an_engine_without_a_partner_reads_and_slows_down_for_far_answers():
+    reader = engines(1, upstreams.Role.PREFILL)[0]
+    far = engines(1, first=5)[0]
+    far.entry = attrs.evolve(far.entry, data_centre='other')
+    made = placer()
+    found = None
+    for number in range(40):
+        placement = place(made, prompt(number), [reader, far], number * 1.0)
+        if placement.prefill is not None:
+            found = placement
+    assert found is not None
+    before = made._pace(reader, 40.0).rate
+    for step in range(10):
+        made.started(found, 0.5, 41.0 + step)
+    assert made._pace(reader, 60.0).rate < before / 2
+
+
+def test_small_prompts_are_admitted_where_a_large_one_waits():
+    pace = dispatch.Pace(SPEED, 1, 0.0)
+    while pace.admit(3000, 0.0):
+        pass
+    assert not pace.admit(3000, 0.0)
+    assert not pace.admit(12000, 0.0)
+    assert pace.admit(300, 0.0)
+    times = {}
+    for tokens in (3000, 12000):
+        waiting = dispatch.Pace(SPEED, 1, 0.0)
+        while waiting.admit(3000, 0.0):
+            pass
+        now = 0.0
+        while not waiting.admit(tokens, now):
+            now += 0.001
+        times[tokens] = now
+    assert times[12000] > times[3000]
+    assert times[12000] < 0.2
+
+
+def test_returned_requests_go_first_in_the_background():
+    returned = place(placer(), prompt(), engines(2), late=True)
+    made = placer()
+    belief = engines(1)
+    fresh = place(made, prompt(), belief)
+    while fresh.lane is dispatch.Lane.URGENT:
+        fresh = place(made, prompt(), belief)
+    assert fresh.lane is dispatch.Lane.BACKGROUND
+    assert returned.urgency < fresh.urgency
