--- a/dandelionwinch/tools/demo_clients.py
+++ b/dandelionwinch/tools/demo_clients.py
@@ -133,7 +133,9 @@
         if self._address and now < self._valid_until:
             return self._address
         for address in self._askable():
-            url = f'http://{address}/v1/address?data_centre={self._place}'
+            url = (
+                f'http://{address}/v1/address?data_centre={self._data_centre}'
+            )
             try:
                 reply = self._http.request(
                     'GET', url, headers={'X-Team': self._team}, timeout=2
--- a/dandelionwinch/tools/demo_fleet.py
+++ b/dandelionwinch/tools/demo_fleet.py
@@ -24,6 +24,7 @@
 
 INSTANCES_PER_PLACE = 2
 READY_TIMEOUT_S = 30.0
+LOG_LINES = 20
 READY_STEP_S = 0.1
 STOP_TIMEOUT_S = 30.0
 ROLE_CHANGE_S = 2.0
@@ -149,10 +150,15 @@
         while waiting:
             waiting = [i for i in waiting if not self.is_ready(i)]
             if time.monotonic() > limit:
-                names = ', '.join(i.cfg.name for i in waiting)
-                raise TimeoutError(f'instances not ready: {names}')
+                logs = '\n'.join(self._last_lines(i) for i in waiting)
+                raise TimeoutError(f'instances not ready:\n{logs}')
             time.sleep(READY_STEP_S)
 
+    def _last_lines(self, instance):
+        path = self.folder / f'{instance.cfg.name}.log'
+        lines = path.read_text(errors='replace').splitlines()
+        return '\n'.join([instance.cfg.name, *lines[-LOG_LINES:]])
+
     def is_ready(self, instance):
         """Tells whether an instance takes new work."""
         try:
