--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -28,7 +28,6 @@
 STOP_MARGIN_S = 0.4
 STOP_STEP_S = 0.1
 METRICS_PORT = 9464
-METRICS_PATH = '/metrics'
 
 
 class Entry:
@@ -98,7 +97,7 @@
                 await server.start(address)
         self._flush()
         self._loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self._loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._log.event('instance.started', pid=os.getpid())
 
     def ports(self):
@@ -150,7 +149,7 @@
         body = json.dumps({'addresses': found, 'ttlS': ttl_s}).encode()
         caller.answer(200, (('Content-Type', 'application/json'),), body)
 
-    def _reload(self):
+    def reload(self):
         """Reads the settings again; addresses stay until a restart."""
         try:
             boot = _boot.load(self._path)
--- a/dandelionwinch/tests/test_platform.py
+++ b/dandelionwinch/tests/test_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import pathlib
 import random
 
 import attrs
@@ -445,6 +446,50 @@
     return int(head.split(b' ')[1]), body
 
 
+@pytest.mark.parametrize('text', ['', 'not = [toml', SETTINGS])
+def test_a_changed_settings_file_closes_nothing(kv, tmp_path, text):
+    path = tmp_path / 'local.toml'
+    path.write_text(text)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        boot = attrs.evolve(
+            _boot.read(SETTINGS),
+            ip='127.0.0.1',
+            store=kv.address,
+            callers='127.0.0.1:0',
+            readiness='127.0.0.1:0',
+            directory='127.0.0.1:0',
+        )
+        entry = _entry.Entry(loop, boot, path, metrics_port=0)
+        await entry.start()
+        try:
+            port = entry.ports()['readiness']
+            reader, writer = await asyncio.open_connection('127.0.0.1', port)
+            entry.reload()
+            writer.write(b'GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n')
+            async with asyncio.timeout(PATIENCE_S):
+                assert (await reader.readline()).startswith(b'HTTP/1.1 ')
+            writer.close()
+        finally:
+            entry.close()
+
+    asyncio.run(scenario())
+
+
+ROOT = pathlib.Path(__file__).parents[1]
+DECISIONS = ('attempts', 'dispatch', 'leadership', 'routes', 'upstreams')
+
+
+def test_no_decision_reads_the_time_of_day():
+    """Clocks may jump; decisions take steady times as arguments."""
+    for folder in (*DECISIONS, 'gateway'):
+        for path in (ROOT / folder).glob('*.py'):
+            text = path.read_text()
+            assert 'import time' not in text, path
+            assert 'datetime' not in text, path
+
+
 async def _serve_one(entry, kv):
     ports = entry.ports()
     while (await _get(ports['readiness'], '/-/ready'))[0] != 200:
