--- a/dandelionwinch/daemon/_beats.py
+++ b/dandelionwinch/daemon/_beats.py
@@ -5,7 +5,7 @@
 from dandelionwinch.daemon import _periodic
 from dandelionwinch import timeline
 
-LOADS_ACROSS_PLACES = 64
+LOADS_ACROSS_DATA_CENTRES = 64
 RATES_LIFE_S = 10.0
 
 
@@ -88,7 +88,7 @@
         core.freshness.tell(digest, now)
         near = data_centre in (None, core.data_centre)
         digest.loads.extend(
-            core.loads.known(now, None if near else LOADS_ACROSS_PLACES)
+            core.loads.known(now, None if near else LOADS_ACROSS_DATA_CENTRES)
         )
         for team, rate in core.work.admission.uses(now).items():
             digest.uses.add(team=team, jobs_per_s=rate)
--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -2,11 +2,11 @@
 
 from dandelionwinch.dispatch._distance import Distances
 from dandelionwinch.dispatch._engines import EnginePlacer
-from dandelionwinch.dispatch._engines import Lane
-from dandelionwinch.dispatch._engines import Placement
-from dandelionwinch.dispatch._engines import Prompt
 from dandelionwinch.dispatch._pace import Pace
 from dandelionwinch.dispatch._plain import choose_plain
+from dandelionwinch.dispatch._prompts import Lane
+from dandelionwinch.dispatch._prompts import Placement
+from dandelionwinch.dispatch._prompts import Prompt
 from dandelionwinch.dispatch._roles import plan_role
 from dandelionwinch.dispatch._roles import RoleOrder
 
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -7,119 +7,45 @@
 answers read a smaller share of the prompts than those that only read.
 """
 
-import bisect
-import enum
 import math
 
-import attrs
-
+from dandelionwinch.dispatch import _cached
 from dandelionwinch.dispatch import _layout
 from dandelionwinch.dispatch import _pace
+from dandelionwinch.dispatch import _prompts
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
-SHORT_PROMPT_TOKENS = 1024
+# Prompt tokens per second, until own answers tell more.
 DECODE_SPEED = 200_000.0
 PREFILL_SPEED = 400_000.0
+LEAST_SPEED = 1000.0
+# A fast sample raises a speed by more than a slow one lowers it: slow ones
+# mostly come from queues.
 SPEED_GAIN = 0.05
 SPEED_LOSS = 0.005
 LEAST_SAMPLE_TOKENS = 1000
-LEAST_SPEED = 1000.0
+# Costs of an engine for an answer, in seconds.
 HANDOVER_S = 0.004
-CACHED_S = 8.0
-MAX_CACHED = 20_000
 RUNNING_S = 0.002
+FAILURE_S = 0.2
 DISTANCE_SHARE = 0.1
+# Relative shares of the sessions, by what an engine can read.
 PREFILL_WEIGHT = 2.0
 DECODE_WEIGHT = 0.65
 ORPHAN_WEIGHT = 0.5
-FAILURE_S = 0.2
+# Engines that a session may use, nearest home first.
 HOMES = 3
+# Prompts that may wait at an engine, by its slots, for all instances.
 BACKGROUND_PER_SLOT = 2.2
 RETURNED_ROOM = 1.3
+# Part of the allowed pause above which prompts are slowed down.
 PAUSE_SHARE = 0.7
 TRANSFER_S = 0.08
 ANSWER_SLOT_SHARE = 0.6
 PEAK_KEEP_S = 6.0
 
 
-class Lane(enum.Enum):
-    """How urgent a prompt is at its engine."""
-
-    ANSWER = 'answer'
-    URGENT = 'urgent'
-    BACKGROUND = 'background'
-
-
-URGENCY = {Lane.ANSWER: 2, Lane.URGENT: 5}
-RETURNED_URGENCY = 6
-BACKGROUND_SIZES = (1500, 4000)
-
-
-@attrs.frozen
-class Prompt:
-    """What a generation asks of an engine.
-
-    Attributes:
-        parts: Ids and sizes of the prompt's parts, in order.
-    """
-
-    tokens: int
-    output_tokens: int
-    parts: tuple[tuple[str, int], ...] = ()
-
-    @property
-    def shared(self):
-        """Returns the parts that other requests may have too."""
-        return self.parts[:-1]
-
-    @property
-    def short(self):
-        """Tells whether reading it is little work."""
-        return self.tokens < SHORT_PROMPT_TOKENS
-
-
-@attrs.frozen
-class Placement:
-    """Where a prompt is prefilled and where its answer is made.
-
-    Attributes:
-        prefill: Belief of the engine for the prompt, None for `decode`.
-        late: Whether its latency objective cannot be met any more.
-        fresh_tokens: Prompt tokens not believed to be cached.
-        work_s: Time that the prompt alone should take, with distance.
-        terms: The terms that decided, for the log.
-    """
-
-    prefill: object
-    decode: object
-    lane: Lane
-    late: bool
-    fresh_tokens: int
-    work_s: float
-    terms: str
-
-    @property
-    def urgency(self):
-        """Returns the urgency at the engine, 0 (first) to 9.
-
-        In the background small prompts go first, as many of them are
-        served for one large one; those that come back go before all,
-        as they will not come a third time.
-        """
-        if self.lane is not Lane.BACKGROUND:
-            return URGENCY[self.lane]
-        if self.late:
-            return RETURNED_URGENCY
-        sizes = bisect.bisect(BACKGROUND_SIZES, self.fresh_tokens)
-        return RETURNED_URGENCY + 1 + sizes
-
-    @property
-    def reader(self):
-        """Returns the belief of the engine that reads the prompt."""
-        return self.prefill or self.decode
-
-
 class EnginePlacer:
     """Chooses engines for prompts; owns what is believed to be cached."""
 
@@ -139,7 +65,7 @@
     def __init__(self, distances, rng):
         self._distances = distances
         self._rng = rng
-        self._cached = {}
+        self._cached = _cached.CachedParts()
         self._speeds = {}
         self._paces = {}
         self._answers = {}
@@ -171,21 +97,23 @@
         if prompt.short:
             chosen = self._answer_host(layout)
             return self._placement(
-                prompt, chosen, layout, Lane.ANSWER, late, now
+                prompt, chosen, layout, _prompts.Lane.ANSWER, late, now
             )
         takers = layout.decoders if direct else layout.readers
         ranked = self._ranked(prompt, takers, layout)
         if not late:
             for belief in ranked[:HOMES]:
-                tokens = prompt.tokens - self._hit(prompt, belief, now)
+                tokens = prompt.tokens - self._cached.hit(
+                    prompt, belief.entry.id, now
+                )
                 if self._pace(belief, now).admit(tokens, now):
                     return self._placement(
-                        prompt, belief, layout, Lane.URGENT, late, now
+                        prompt, belief, layout, _prompts.Lane.URGENT, late, now
                     )
         for belief in ranked[:HOMES]:
             if self._has_background_room(belief, late):
                 return self._placement(
-                    prompt, belief, layout, Lane.BACKGROUND, late, now
+                    prompt, belief, layout, _prompts.Lane.BACKGROUND, late, now
                 )
         return None
 
@@ -241,7 +169,7 @@
         return pace
 
     def _placement(self, prompt, chosen, layout, lane, late, now):
-        tokens = prompt.tokens - self._hit(prompt, chosen, now)
+        tokens = prompt.tokens - self._cached.hit(prompt, chosen.entry.id, now)
         work_s = self._round_trip_s(chosen) + tokens / self._speed(chosen)
         terms = (
             f'{tokens} of {prompt.tokens} tokens not cached, '
@@ -256,7 +184,9 @@
                 key=lambda b: self._decode_cost_s(b, chosen),
             )
             work_s += HANDOVER_S + self._round_trip_s(decode)
-        return Placement(prefill, decode, lane, late, tokens, work_s, terms)
+        return _prompts.Placement(
+            prefill, decode, lane, late, tokens, work_s, terms
+        )
 
     def replace_decoder(self, placement, beliefs):
         """Returns another engine for the answer of a prefilled prompt.
@@ -298,41 +228,23 @@
             return PREFILL_SPEED
         return DECODE_SPEED
 
-    def _hit(self, prompt, belief, now):
-        """Returns tokens of the prompt that an engine is believed to hold."""
-        hit = 0
-        for part_id, tokens in prompt.shared:
-            held = self._cached.get(part_id)
-            if held is None:
-                break
-            used_at = held.get(belief.entry.id)
-            if used_at is None or now - used_at > CACHED_S:
-                break
-            hit += tokens
-        return min(hit, prompt.tokens)
-
     def sent(self, prompt, placement, now):
         """Notes that an engine gets a prompt."""
         upstream_id = placement.reader.entry.id
-        for part_id, _tokens in prompt.shared:
-            held = self._cached.pop(part_id, None) or {}
-            held[upstream_id] = now
-            self._cached[part_id] = held
-        while len(self._cached) > MAX_CACHED:
-            del self._cached[next(iter(self._cached))]
-        if placement.lane is Lane.BACKGROUND:
+        self._cached.sent(prompt, upstream_id, now)
+        if placement.lane is _prompts.Lane.BACKGROUND:
             waiting = self._background.get(upstream_id, 0)
             self._background[upstream_id] = waiting + 1
-        elif placement.lane is Lane.ANSWER:
+        elif placement.lane is _prompts.Lane.ANSWER:
             self._answers[upstream_id] = self._answers.get(upstream_id, 0) + 1
             self._peak = self.answers(now) / self.instances
             self._peak_at = now
 
     def ended(self, placement):
         """Notes that an engine no longer has a prompt."""
-        if placement.lane is Lane.BACKGROUND:
+        if placement.lane is _prompts.Lane.BACKGROUND:
             self._background[placement.reader.entry.id] -= 1
-        elif placement.lane is Lane.ANSWER:
+        elif placement.lane is _prompts.Lane.ANSWER:
             self._answers[placement.decode.entry.id] -= 1
 
     def prefilled(self, placement, taken_s, now):
@@ -381,11 +293,11 @@
 
     def _learn(self, reader, lane, tokens, taken_s, work_s, now):
         excess_s = taken_s - work_s
-        if lane is Lane.BACKGROUND:
+        if lane is _prompts.Lane.BACKGROUND:
             reader.succeeded(reader.excess_s, now)
             return
         reader.succeeded(excess_s, now)
-        if lane is Lane.ANSWER:
+        if lane is _prompts.Lane.ANSWER:
             return
         self._learn_speed(reader, tokens, taken_s)
         self._pace(reader, now).observe(
@@ -412,5 +324,4 @@
     def forget(self, upstream_id):
         """Drops what an engine held, as after its restart."""
         self._paces.pop(upstream_id, None)
-        for held in self._cached.values():
-            held.pop(upstream_id, None)
+        self._cached.forget(upstream_id)
--- /dev/null
+++ b/dandelionwinch/dispatch/_prompts.py
@@ -0,0 +1,86 @@
+"""Prompts, and where they are read and answered."""
+
+import bisect
+import enum
+
+import attrs
+
+# A prompt below this size is read in a few milliseconds.
+SHORT_PROMPT_TOKENS = 1024
+
+
+class Lane(enum.Enum):
+    """How urgent a prompt is at its engine."""
+
+    ANSWER = 'answer'
+    URGENT = 'urgent'
+    BACKGROUND = 'background'
+
+
+URGENCY = {Lane.ANSWER: 2, Lane.URGENT: 5}
+RETURNED_URGENCY = 6
+BACKGROUND_SIZES = (1500, 4000)
+
+
+@attrs.frozen
+class Prompt:
+    """What a generation asks of an engine.
+
+    Attributes:
+        parts: Ids and sizes of the prompt's parts, in order.
+    """
+
+    tokens: int
+    output_tokens: int
+    parts: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def shared(self):
+        """Returns the parts that other requests may have too."""
+        return self.parts[:-1]
+
+    @property
+    def short(self):
+        """Tells whether reading it is little work."""
+        return self.tokens < SHORT_PROMPT_TOKENS
+
+
+@attrs.frozen
+class Placement:
+    """Where a prompt is prefilled and where its answer is made.
+
+    Attributes:
+        prefill: Belief of the engine for the prompt, None for `decode`.
+        late: Whether its latency objective cannot be met any more.
+        fresh_tokens: Prompt tokens not believed to be cached.
+        work_s: Time that the prompt alone should take, with distance.
+        terms: The terms that decided, for the log.
+    """
+
+    prefill: object
+    decode: object
+    lane: Lane
+    late: bool
+    fresh_tokens: int
+    work_s: float
+    terms: str
+
+    @property
+    def urgency(self):
+        """Returns the urgency at the engine, 0 (first) to 9.
+
+        In the background small prompts go first, as many of them are
+        served for one large one; those that come back go before all,
+        as they will not come a third time.
+        """
+        if self.lane is not Lane.BACKGROUND:
+            return URGENCY[self.lane]
+        if self.late:
+            return RETURNED_URGENCY
+        sizes = bisect.bisect(BACKGROUND_SIZES, self.fresh_tokens)
+        return RETURNED_URGENCY + 1 + sizes
+
+    @property
+    def reader(self):
+        """Returns the belief of the engine that reads the prompt."""
+        return self.prefill or self.decode
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -221,34 +221,42 @@
         silence_s = FIRST_SILENCE_FACTOR * route.objective_s
         return min(left_s, max(LEAST_SILENCE_S, silence_s))
 
-    async def _connect(self, belief):
-        """Takes a connection, and a retry out of the budget if need be."""
+    async def _take(self, belief, fresh_s=0.0):
+        """Takes a connection to an upstream that still serves.
+
+        Raises:
+            AttemptFailed: If there is none; nothing was sent.
+        """
         pool = self._fleet.pool(belief)
-        fresh_s = 0.0
-        if self._route.repeat is routes.Repeat.ONCE:
-            fresh_s = FRESH_ONCE_S
-        timeout_s = min(TAKE_TIMEOUT_S, self._left_s())
         self.upstream_id = belief.entry.id
         try:
-            conn = await pool.take(timeout_s, fresh_s=fresh_s)
+            conn = await pool.take(
+                min(TAKE_TIMEOUT_S, self._left_s()), fresh_s=fresh_s
+            )
         except _pool.PoolBusy as exc:
-            self._full.add(belief.entry.id)
-            raise _conversation.AttemptFailed(
-                attempts.Fate.NOT_SENT, str(exc)
-            ) from exc
+            raise self._not_sent(belief, str(exc)) from exc
         except _pool.NotConnected as exc:
-            self._tried_without_sending(belief)
-            raise _conversation.AttemptFailed(
-                attempts.Fate.NOT_SENT, str(exc)
-            ) from exc
+            now = self._loop.time()
+            belief.failed(now)
+            belief.eject(now)
+            raise self._not_sent(belief, str(exc)) from exc
         if not self._fleet.beliefs.serves(belief):
             # It has begun to leave while this request waited.
             pool.give_unused(conn)
-            self._full.add(belief.entry.id)
-            raise _conversation.AttemptFailed(
-                attempts.Fate.NOT_SENT,
-                f'upstream "{belief.entry.id}" is leaving',
-            )
+            reason = f'upstream "{belief.entry.id}" is leaving'
+            raise self._not_sent(belief, reason)
+        return pool, conn
+
+    def _not_sent(self, belief, reason):
+        self._full.add(belief.entry.id)
+        return _conversation.AttemptFailed(attempts.Fate.NOT_SENT, reason)
+
+    async def _connect(self, belief):
+        """Takes a connection, and a retry out of the budget if need be."""
+        fresh_s = 0.0
+        if self._route.repeat is routes.Repeat.ONCE:
+            fresh_s = FRESH_ONCE_S
+        pool, conn = await self._take(belief, fresh_s)
         if self._attempt and not self._gateway.spend_retry(self._service):
             pool.give_unused(conn)
             raise _conversation.NoFurtherAttempt(
@@ -258,12 +266,6 @@
         self._tried.add(belief.entry.id)
         return pool, conn
 
-    def _tried_without_sending(self, belief):
-        now = self._loop.time()
-        self._full.add(belief.entry.id)
-        belief.failed(now)
-        belief.eject(now)
-
     def _sending(self, belief, **more):
         return _inquiry.Sending(
             belief.entry.id,
--- a/dandelionwinch/gateway/_generation.py
+++ b/dandelionwinch/gateway/_generation.py
@@ -10,10 +10,8 @@
 from dandelionwinch.gateway import _conversation
 from dandelionwinch.gateway import _events
 from dandelionwinch.gateway import _exchange
-from dandelionwinch.gateway import _pool
 
 PREFILL_SILENCE_FACTOR = 3.0
-# A caller that comes back waits for less than its whole timeout.
 RETURNED_SHARE = 0.85
 
 
@@ -68,22 +66,7 @@
         sending = self._sending(
             belief, prefill_only=True, urgency=placement.urgency
         )
-        pool = self._fleet.pool(belief)
-        self.upstream_id = belief.entry.id
-        try:
-            conn = await pool.take(
-                min(_exchange.TAKE_TIMEOUT_S, self._left_s())
-            )
-        except _pool.PoolBusy as exc:
-            self._full.add(belief.entry.id)
-            raise _conversation.AttemptFailed(
-                attempts.Fate.NOT_SENT, str(exc)
-            ) from exc
-        except _pool.NotConnected as exc:
-            self._tried_without_sending(belief)
-            raise _conversation.AttemptFailed(
-                attempts.Fate.NOT_SENT, str(exc)
-            ) from exc
+        pool, conn = await self._take(belief)
         belief.active += 1
         try:
             answer = await self._ask_prefill(conn, sending, placement.lane)
--- a/dandelionwinch/membership/_members.py
+++ b/dandelionwinch/membership/_members.py
@@ -6,9 +6,9 @@
 from dandelionwinch import utils
 
 FANOUT = 3
-FANOUT_IN_LARGE_PLACES = 2
-LARGE_PLACE = 16
-SPEAKERS_PER_PLACE = 2
+FANOUT_IN_LARGE_DATA_CENTRES = 2
+LARGE_DATA_CENTRE = 16
+SPEAKERS_PER_DATA_CENTRE = 2
 CROSS_EVERY_BEATS = 4
 FAR_PULSES = 16
 FAR_PATIENCE = 5.0
@@ -126,7 +126,7 @@
         size = sum(
             1 for k in self._by_id.values() if k.data_centre == data_centre
         )
-        return max(1.0, size / LARGE_PLACE)
+        return max(1.0, size / LARGE_DATA_CENTRE)
 
     def _note_pause(self, now):
         if self._last_tick is None:
@@ -157,7 +157,7 @@
         others = [k for k in self._by_id.values() if k is not self.me]
         near = [k for k in others if k.data_centre == self.me.data_centre]
         large = self._pace() > 1
-        fanout = FANOUT_IN_LARGE_PLACES if large else FANOUT
+        fanout = FANOUT_IN_LARGE_DATA_CENTRES if large else FANOUT
         chosen = self._sample(near, fanout)
         if not near or self._speaks(now):
             if self._beats % CROSS_EVERY_BEATS == 1 or not near:
@@ -193,7 +193,7 @@
             (k for k in self.live(now) if k.data_centre == data_centre),
             key=lambda k: utils.stable_hash('speaker', k.name),
         )
-        return ranked[:SPEAKERS_PER_PLACE]
+        return ranked[:SPEAKERS_PER_DATA_CENTRE]
 
     def digest(self, now, to_data_centre=None):
         """Makes the part of a digest that this aggregate owns.
--- a/dandelionwinch/search/_settings.py
+++ b/dandelionwinch/search/_settings.py
@@ -12,7 +12,7 @@
 from dandelionwinch import settings
 
 DATA_CENTRES = ('Ndaragwa', 'Nanyuki', 'Naromoru')
-INSTANCES_PER_PLACE = 2
+INSTANCES_PER_DATA_CENTRE = 2
 RUN_S = 300.0
 FAULTS_UNTIL_S = 200.0
 CHECK_S = 0.25
@@ -41,7 +41,7 @@
     def run(self):
         """Runs to the end and returns the faults."""
         for data_centre in DATA_CENTRES:
-            for _number in range(INSTANCES_PER_PLACE):
+            for _number in range(INSTANCES_PER_DATA_CENTRE):
                 self._start(data_centre)
         self.world.after(0.5, self._seed)
         self.world.after(5, self._command)
--- a/dandelionwinch/tools/demo_fleet.py
+++ b/dandelionwinch/tools/demo_fleet.py
@@ -22,7 +22,7 @@
 from dandelionwinch.standins import upstream
 from dandelionwinch import utils
 
-INSTANCES_PER_PLACE = 2
+INSTANCES_PER_DATA_CENTRE = 2
 READY_TIMEOUT_S = 30.0
 LOG_LINES = 20
 READY_STEP_S = 0.1
@@ -70,7 +70,7 @@
             self._start_upstream(item)
         path = self._write_catalog()
         for data_centre in self.catalog.all('data_centre'):
-            for number in range(INSTANCES_PER_PLACE):
+            for number in range(INSTANCES_PER_DATA_CENTRE):
                 self.instances.append(self._prepare(data_centre, number, path))
         for instance in self.instances:
             self._spawn(instance)
