--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -1,6 +1,7 @@
 """The pages name every key, code, metric and statement."""
 
 import pathlib
+import re
 
 import attrs
 import pytest
@@ -51,3 +52,31 @@
     page = _page('language.md')
     for plural in catalog.KIND_OF_PLURAL:
         assert plural in page
+
+
+ROOT = pathlib.Path(__file__).parents[1]
+DATA_PATH = (
+    'addresses',
+    'attempts',
+    'dispatch',
+    'gateway',
+    'leadership',
+    'platform',
+    'upstreams',
+)
+
+
+def test_every_constant_of_the_data_path_is_listed_with_its_value():
+    page = _page('settings.md')
+    paths = [p for folder in DATA_PATH for p in (ROOT / folder).glob('*.py')]
+    found = 0
+    for path in [*paths, ROOT / 'eventlog.py']:
+        name = path.relative_to(ROOT)
+        constants = re.findall(
+            r'^([A-Z][A-Z_0-9]+) = ([-0-9._<>() ]+)$', path.read_text(), re.M
+        )
+        for constant, value in constants:
+            found += 1
+            row = f'| {name} | `{constant}` | {value.replace("_", "")} |'
+            assert row in page, row
+    assert found > 60
