--- a/dandelionwinch/platform/_catalogue.py
+++ b/dandelionwinch/platform/_catalogue.py
@@ -93,7 +93,13 @@
     Raises:
         EntryInvalid: If a field is missing or of another type.
     """
-    data = _object(value, CONFIG_KEY)
+    try:
+        return _table(_object(value, CONFIG_KEY))
+    except (AttributeError, TypeError, ValueError) as exc:
+        raise EntryInvalid(f'"{CONFIG_KEY}" is malformed: {exc}') from exc
+
+
+def _table(data):
     version = _field(data, 'version', int, CONFIG_KEY)
     found = [_route(item) for item in _field(data, 'routes', list, CONFIG_KEY)]
     services = [
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/platform/_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import traceback
 
 from dandelionwinch import addresses
 from dandelionwinch.platform import _catalogue
@@ -91,6 +92,11 @@
                 self._failed(exc)
                 await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+            except Exception:
+                # Beliefs must not stop being followed for one bad answer.
+                self._log.event('store.fault', trace=traceback.format_exc())
+                listed = False
+                await asyncio.sleep(MAX_BACKOFF_S)
 
     def _failed(self, exc):
         if self._synced:
--- a/dandelionwinch/tests/test_platform.py
+++ b/dandelionwinch/tests/test_platform.py
@@ -190,6 +190,36 @@
     assert (route.streaming, route.timeout_s) == (streaming, 1.2)
 
 
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'{"version": 1, "routes": [1], "services": []}',
+        b'{"version": 1, "routes": [], "services": ["x"]}',
+        b'{"version": 1, "routes": [], "services": [], "limits": [1]}',
+        b'{"version": 1, "routes": {}, "services": []}',
+        b'{"version": "1", "routes": [], "services": []}',
+    ],
+)
+def test_a_configuration_of_other_types_is_refused(value):
+    with pytest.raises(_catalogue.EntryInvalid):
+        _catalogue.read_config(value)
+
+
+def test_beliefs_are_followed_after_an_answer_that_cannot_be_taken(kv):
+    async def scenario(synced):
+        await synced.until(lambda: 'kv-watch' in kv.calls)
+        kv.write('servers/i-0', b'x')
+        broken = {'key': 'servers/i-1', 'revision': 99, 'value': 'a'}
+        with kv._changed:
+            kv._history.append(broken)
+            kv._changed.notify_all()
+        await synced.until(lambda: kv.calls.count('kv-range') > 1)
+        write_upstream(kv, 'i-2')
+        await synced.until(lambda: synced.serving() == ['i-2'])
+
+    follow(kv, scenario)
+
+
 def test_a_broken_configuration_is_refused_whole():
     value = kvstore.config_bytes(3, [route_row(timeoutMs='x')], [])
     with pytest.raises(_catalogue.EntryInvalid, match='timeoutMs'):
