--- a/dandelionwinch/adapters/etcd.py
+++ b/dandelionwinch/adapters/etcd.py
@@ -12,6 +12,7 @@
     exceptions.NewConnectionError,
     exceptions.ConnectTimeoutError,
 )
+READ_TRIES = 2
 
 
 def _encode(data):
@@ -126,10 +127,13 @@
         return effects.Record(key, value, int(kv['mod_revision']))
 
     def _post(self, path, body):
-        try:
-            return self._send(path, body)
-        except (exceptions.HTTPError, ValueError):
-            return None
+        """Sends a read; one that meets a closed connection is repeated."""
+        for _try in range(READ_TRIES):
+            try:
+                return self._send(path, body)
+            except (exceptions.HTTPError, ValueError):
+                continue
+        return None
 
     def _send(self, path, body):
         last = None
--- a/dandelionwinch/tests/test_contracts.py
+++ b/dandelionwinch/tests/test_contracts.py
@@ -1,5 +1,8 @@
 """What any store, list, upstream or service adapter has to do."""
 
+import socket
+import threading
+
 import attrs
 import pytest
 
@@ -92,6 +95,32 @@
     assert adapter.execute(effects.Read('a')) == effects.Unavailable()
 
 
+def test_a_read_on_a_connection_that_was_closed_is_repeated():
+    """The first answer's connection ends with the next request on it."""
+    body = b'{"header": {"revision": "7"}, "kvs": []}'
+    answer = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+    listener = socket.create_server(('127.0.0.1', 0))
+    reads = []
+
+    def serve():
+        for number in (1, 2):
+            conn, _peer = listener.accept()
+            with conn:
+                reads.append(conn.recv(65536))
+                conn.sendall(answer + body)
+                if number == 1:
+                    reads.append(conn.recv(65536))
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    adapter = _etcd(f'127.0.0.1:{listener.getsockname()[1]}')
+    assert adapter.execute(effects.Scan('s/')) == effects.Scanned((), 7)
+    assert adapter.execute(effects.Scan('s/')) == effects.Scanned((), 7)
+    thread.join()
+    listener.close()
+    assert len(reads) == 3
+
+
 def test_lost_answer_is_uncertain_although_written(server):
     adapter = _etcd(server.address)
     server.lose_answers = 1
