--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -73,6 +73,7 @@
         self._path = path
         self._log_path = log_path
         self.process = None
+        self.stopped = False
 
     async def start(self):
         """Starts the program."""
@@ -96,7 +97,8 @@
         """Waits for the end of the process and starts it again."""
         await self.process.wait()
         await asyncio.sleep(RESTART_S)
-        await self.start()
+        if not self.stopped:
+            await self.start()
 
 
 class _Soak:
@@ -111,6 +113,7 @@
         self._seen = _caller.Seen()
         self._faults = {}
         self._tasks = set()
+        self._restarts = set()
         self._version = 1
         self._next_upstream = 0
         self._upstreams = []
@@ -148,6 +151,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _spawn_restart(self, coroutine):
+        """Starts a task that is never cancelled: it may start a process."""
+        task = asyncio.create_task(coroutine)
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     async def _start_instances(self):
         ports = utils.free_ports(3)
         block = 1 + os.getpid() % 200
@@ -231,10 +240,10 @@
         match fault:
             case 'kill':
                 instance.send(signal.SIGKILL)
-                self._spawn(instance.restart())
+                self._spawn_restart(instance.restart())
             case 'term':
                 instance.send(signal.SIGTERM)
-                self._spawn(self._end_stop(instance))
+                self._spawn_restart(self._end_stop(instance))
             case 'hup':
                 instance.send(signal.SIGHUP)
             case 'pause':
@@ -305,9 +314,9 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for instance in self._instances:
-            instance.send(signal.SIGCONT)
-            instance.send(signal.SIGKILL)
+        self._kill_all()
+        await asyncio.gather(*self._restarts, return_exceptions=True)
+        self._kill_all()
         for instance in self._instances:
             await instance.process.wait()
         for proxy in self._proxies:
@@ -316,6 +325,12 @@
             upstream.close()
         self._store.close()
 
+    def _kill_all(self):
+        for instance in self._instances:
+            instance.stopped = True
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+
     def _judge(self):
         runs = self._record.runs
         broken = list(self._seen.wrong)
