--- a/dandelionwinch/addresses/_nearest.py
+++ b/dandelionwinch/addresses/_nearest.py
@@ -30,6 +30,7 @@
     Returns:
         A list of addresses, in a stable order.
     """
+    present = list(present)
     same = [p for p in present if p.data_centre == data_centre]
     near = [p for p in present if p.region == region and p not in same]
     far = [p for p in present if p not in same and p not in near]
--- /dev/null
+++ b/dandelionwinch/control/__init__.py
@@ -0,0 +1,35 @@
+"""Keeps one instance in step with the store, from start to planned stop."""
+
+from dandelionwinch.control._config import InstanceConfig
+from dandelionwinch.control._instance import Instance
+from dandelionwinch.control._members import Members
+from dandelionwinch.control._registration import Registration
+from dandelionwinch.control._store import Catalogue
+from dandelionwinch.control._store import Conflict
+from dandelionwinch.control._store import EntryInvalid
+from dandelionwinch.control._store import HistoryGone
+from dandelionwinch.control._store import Item
+from dandelionwinch.control._store import LeaseEnded
+from dandelionwinch.control._store import Listing
+from dandelionwinch.control._store import Store
+from dandelionwinch.control._store import StoreFailed
+from dandelionwinch.control._store import StoreRefused
+from dandelionwinch.control._sync import Sync
+
+__all__ = [
+    'Catalogue',
+    'Conflict',
+    'EntryInvalid',
+    'HistoryGone',
+    'Instance',
+    'InstanceConfig',
+    'Item',
+    'LeaseEnded',
+    'Listing',
+    'Members',
+    'Registration',
+    'Store',
+    'StoreFailed',
+    'StoreRefused',
+    'Sync',
+]
--- a/dandelionwinch/platform/_registration.py
+++ b/dandelionwinch/control/_registration.py
@@ -3,9 +3,32 @@
 import asyncio
 import json
 
-from dandelionwinch.platform import _store
+import attrs
+
+from dandelionwinch import addresses
+from dandelionwinch.control import _store
 
 INSTANCE_PREFIX = 'dandelionwinch/instances/'
+LEASE_S = 4.0
+RETRY_S = 1.0
+LAPSED_RETRY_S = 0.1
+
+
+def read_presence(value):
+    """Reads an instance's entry.
+
+    Raises:
+        EntryInvalid: If a field is missing or of another type.
+    """
+    try:
+        data = json.loads(value)
+        presence = addresses.Presence(**data)
+    except (ValueError, TypeError) as exc:
+        raise _store.EntryInvalid(f"an instance's entry: {exc}") from exc
+    for name, text in data.items():
+        if not isinstance(text, str):
+            raise _store.EntryInvalid(f'field "{name}" is {text!r}')
+    return presence
 
 
 class Registration:
@@ -28,14 +51,7 @@
         self._store = store
         self._log = log
         self._key = INSTANCE_PREFIX + presence.name
-        self._value = json.dumps(
-            {
-                'name': presence.name,
-                'address': presence.address,
-                'data_centre': presence.data_centre,
-                'region': presence.region,
-            }
-        ).encode()
+        self._value = json.dumps(attrs.asdict(presence)).encode()
         self._ttl_s = ttl_s
         self._lease = 0
         self._registered = False
@@ -57,10 +73,10 @@
                 self._log.event('registration.lapsed', lease=self._lease)
                 self._lease = 0
                 self._registered = False
-                wait_s = 0.1
+                wait_s = LAPSED_RETRY_S
             except _store.StoreFailed as exc:
                 self._log.event('registration.failed', reason=str(exc))
-                wait_s = min(1.0, wait_s)
+                wait_s = min(RETRY_S, wait_s)
             await asyncio.sleep(wait_s)
 
     async def _register(self):
--- a/dandelionwinch/platform/_steward.py
+++ b/dandelionwinch/control/_steward.py
@@ -1,35 +1,32 @@
 """Holds the lease for orders and gives them to engines."""
 
 import asyncio
-import json
-import time
+import traceback
 
+from dandelionwinch.control import _store
 from dandelionwinch import dispatch
-from dandelionwinch import gateway
 from dandelionwinch import leadership
-from dandelionwinch.platform import _store
 
 HOLDER_KEY = 'dandelionwinch/orders/holder'
 CHANGE_PREFIX = 'dandelionwinch/orders/changes/'
+SIZE_KEY = 'dandelionwinch/instances-count'
 ANNOUNCE_S = 1.2
-ORDER_TIMEOUT_S = 1.0
 CHANGE_S = 16.0
 SETTLE_S = 5.0
-PATIENCE_S = 3.0
+# By instances, so that few of many try at once.
+TAKE_SPREAD_S = 0.35
 RETRY_S = 1.0
 MAX_VIEW_AGE_S = 4.5
 
 
-def boot_clock():
-    """Returns seconds that also count suspension of the machine."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Steward:
-    """A task that tries to become the holder and acts while it is."""
+    """A task that tries to become the holder and acts while it is.
+
+    Its clock must also count suspension of the machine.
+    """
 
     __slots__ = (
-        '_dialect',
+        '_clock',
         '_gateway',
         '_lease',
         '_leadership',
@@ -38,23 +35,27 @@
         '_name',
         '_next_at',
         '_rng',
+        '_sender',
         '_store',
         '_sync',
         '_task',
         '_ttl_s',
     )
 
-    def __init__(self, loop, store, sync, served, log, rng, boot):
+    def __init__(
+        self, loop, store, sync, served, sender, log, rng, cfg, clock
+    ):
         self._loop = loop
         self._store = store
         self._sync = sync
         self._gateway = served
-        self._dialect = served.dialect
+        self._sender = sender
+        self._clock = clock
         self._log = log
         self._rng = rng
-        self._name = boot.instance
-        self._ttl_s = max(leadership.LEASE_S, boot.least_lease_s)
-        self._leadership = leadership.Leadership(boot.turn_s)
+        self._name = cfg.instance
+        self._ttl_s = max(leadership.LEASE_S, cfg.least_lease_s)
+        self._leadership = leadership.Leadership(cfg.turn_s)
         self._lease = 0
         self._next_at = 0.0
         self._task = None
@@ -81,6 +82,7 @@
             try:
                 if self._leadership.held:
                     await self._renew()
+                    await self._keep_size()
                     await self._act()
                     await asyncio.sleep(leadership.RENEW_S)
                 else:
@@ -88,16 +90,21 @@
             except _store.StoreFailed as exc:
                 self._log.event('orders.store_failed', reason=str(exc))
                 await asyncio.sleep(RETRY_S)
+            except Exception:
+                # Without this task no role changes until the next start.
+                self._log.event('orders.fault', trace=traceback.format_exc())
+                await asyncio.sleep(RETRY_S)
 
     async def _take(self):
         """Tries to become the holder once nobody is."""
-        await asyncio.sleep(RETRY_S + PATIENCE_S * self._rng.random())
+        spread_s = TAKE_SPREAD_S * self._gateway.fleet.instances
+        await asyncio.sleep(RETRY_S + spread_s * self._rng.random())
         if not self._sync.ready or self._sync.holder:
             return
         if self._lease:
             lease, self._lease = self._lease, 0
             await self._end(lease)
-        asked_at = boot_clock()
+        asked_at = self._clock()
         self._lease = await self._store.lease(self._ttl_s)
         try:
             token = await self._store.put(
@@ -117,7 +124,7 @@
             self._log.event('orders.lease_not_ended', reason=str(exc))
 
     async def _renew(self):
-        asked_at = boot_clock()
+        asked_at = self._clock()
         try:
             await self._store.keep(self._lease)
         except _store.LeaseEnded:
@@ -132,10 +139,17 @@
         self._log.event('orders.lost', reason=reason)
         self._leadership.lost()
 
+    async def _keep_size(self):
+        """Keeps the number of instances for those that start."""
+        count = self._gateway.fleet.instances
+        if self._leadership.held and self._sync.members.is_outdated(count):
+            await self._store.put(SIZE_KEY, str(count).encode())
+            self._sync.members.note(count)
+
     async def _act(self):
         """Gives the next order, if one is due and allowed."""
         now = self._loop.time()
-        if now < self._next_at or not self._leadership.may_order(boot_clock()):
+        if now < self._next_at or not self._may_order():
             return
         change = self._plan(now)
         if change is None:
@@ -144,13 +158,14 @@
         belief = self._gateway.fleet.beliefs.get(change.upstream_id)
         await self._store.put(
             CHANGE_PREFIX + change.upstream_id,
-            json.dumps({'role': change.role.value}).encode(),
+            change.role.value.encode(),
             self._lease,
         )
         self._gateway.changing(change.upstream_id, CHANGE_S)
         await asyncio.sleep(ANNOUNCE_S)
         await self._renew()
-        await self._order(belief, change)
+        if self._gateway.fleet.beliefs.serves(belief):
+            await self._order(belief, change)
         self._next_at = self._loop.time() + SETTLE_S
 
     def _plan(self, now):
@@ -171,65 +186,17 @@
         return None
 
     async def _order(self, belief, change):
-        pool = self._gateway.fleet.pool(belief)
-        try:
-            accepted = await self._accepted(pool, change.upstream_id)
-            if accepted is None:
-                self._log_order(change, 0, 'the engine is busy')
-                return
-            status = await self._send(pool, change, accepted)
-            self._log_order(change, status, '')
-        except (gateway.NotConnected, gateway.ConnectionLost) as exc:
-            self._log_order(change, 0, str(exc))
-
-    async def _accepted(self, pool, upstream_id):
-        """Returns the number of orders that an engine has accepted."""
-        request = gateway.request_bytes(
-            *self._dialect.report(upstream_id), b''
+        sent = await self._sender.send(
+            belief, change, self._leadership.token, self._may_order
         )
-        conn = await pool.take(ORDER_TIMEOUT_S)
-        try:
-            conn.begin(request)
-            body = await _whole(conn)
-        finally:
-            pool.discard(conn)
-        return self._dialect.accepted_orders(body)
-
-    async def _send(self, pool, change, accepted):
-        """Sends an order and returns the status of its answer."""
-        request = gateway.request_bytes(
-            *self._dialect.order(
-                change, self._name, self._leadership.token, accepted
-            )
-        )
-        conn = await pool.take(ORDER_TIMEOUT_S)
-        try:
-            # The last check before the bytes leave; nothing is awaited.
-            if not self._leadership.may_order(boot_clock()):
-                raise gateway.NotConnected('the lease is not certain')
-            conn.begin(request)
-            head = await conn.next(ORDER_TIMEOUT_S)
-        finally:
-            pool.discard(conn)
-        return head.status
-
-    def _log_order(self, change, status, reason):
         self._log.event(
             'orders.sent',
             upstream=change.upstream_id,
             role=change.role.value,
             token=self._leadership.token,
-            status=status,
-            reason=reason,
+            status=sent.status,
+            reason=sent.reason,
         )
 
-
-async def _whole(conn):
-    """Returns the body of the next answer."""
-    await conn.next(ORDER_TIMEOUT_S)
-    body = bytearray()
-    while True:
-        item = await conn.next(ORDER_TIMEOUT_S)
-        if isinstance(item, gateway.End):
-            return bytes(body)
-        body += item.data
+    def _may_order(self):
+        return self._leadership.may_order(self._clock())
--- a/dandelionwinch/platform/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -1,14 +1,12 @@
 """Follows the store and keeps routes, upstreams and instances in step."""
 
 import asyncio
-import json
 import traceback
 
-from dandelionwinch import addresses
-from dandelionwinch.platform import _catalogue
-from dandelionwinch.platform import _registration
-from dandelionwinch.platform import _steward
-from dandelionwinch.platform import _store
+from dandelionwinch.control import _members
+from dandelionwinch.control import _registration
+from dandelionwinch.control import _steward
+from dandelionwinch.control import _store
 from dandelionwinch import upstreams
 
 EVERYTHING = ''
@@ -18,7 +16,6 @@
 MAX_COALESCE_S = 1.2
 BACKOFF_S = 0.3
 MAX_BACKOFF_S = 1.5
-INSTANCE_KEEP_S = 20.0
 
 
 class Sync:
@@ -26,25 +23,26 @@
 
     __slots__ = (
         '_absence',
+        '_catalogue',
         '_gateway',
         '_log',
         '_loop',
         '_reached_at',
-        '_recent',
         '_revision',
         '_rng',
         '_store',
         '_synced',
         '_task',
-        'on_config',
         'holder',
-        'present',
+        'members',
+        'on_config',
     )
 
-    def __init__(self, loop, store, gateway, log, rng, on_config):
+    def __init__(self, loop, store, catalogue, served, log, rng, on_config):
         self._loop = loop
         self._store = store
-        self._gateway = gateway
+        self._catalogue = catalogue
+        self._gateway = served
         self._log = log
         self._rng = rng
         self._absence = upstreams.Absence()
@@ -52,9 +50,8 @@
         self._task = None
         self._synced = False
         self._reached_at = float('-inf')
-        self._recent = {}
         self.holder = ''
-        self.present = {}
+        self.members = _members.Members()
         self.on_config = on_config
 
     def start(self):
@@ -118,20 +115,22 @@
         keys = {item.key for item in listing.items}
         if _steward.HOLDER_KEY not in keys:
             self.holder = ''
-        for item in listing.items:
+        # Announced changes are judged by the entries of their engines.
+        ordered = sorted(listing.items, key=_is_change)
+        for item in ordered:
             self._apply(item, now)
         self._vanish(
             [
                 belief.entry.id
                 for belief in self._gateway.fleet.beliefs
                 if belief.gone_at is None
-                and _catalogue.UPSTREAM_PREFIX + belief.entry.id not in keys
+                and self._catalogue.key_of(belief.entry.id) not in keys
             ],
             now,
         )
-        for key in list(self.present):
+        for key in list(self.members.present):
             if key not in keys:
-                self._remove_instance(key, now)
+                self._remove_instance(key)
         self._settle(now)
 
     async def _watch(self):
@@ -143,13 +142,12 @@
         self._reached()
         gone = []
         for item in listing.items:
-            if item.value is None and _is_upstream(item.key):
-                gone.append(item.key.removeprefix(_catalogue.UPSTREAM_PREFIX))
-            else:
-                if _is_upstream(item.key):
-                    name = item.key.removeprefix(_catalogue.UPSTREAM_PREFIX)
-                    gone = [upstream for upstream in gone if upstream != name]
-                self._apply(item, now)
+            upstream_id = self._catalogue.upstream_of(item.key)
+            if upstream_id is not None and item.value is None:
+                gone.append(upstream_id)
+                continue
+            gone = [name for name in gone if name != upstream_id]
+            self._apply(item, now)
         if gone:
             self._vanish(gone, now)
         self._settle(now)
@@ -162,29 +160,42 @@
         return min(MAX_COALESCE_S, COALESCE_S + INSTANCE_S * instances)
 
     def _apply(self, item, now):
-        if item.key == _catalogue.CONFIG_KEY:
+        upstream_id = self._catalogue.upstream_of(item.key)
+        if item.key == self._catalogue.config_key:
             self._apply_config(item)
-        elif _is_upstream(item.key):
-            self._apply_upstream(item, now)
+        elif upstream_id is not None:
+            self._apply_upstream(upstream_id, item, now)
         elif item.key.startswith(_registration.INSTANCE_PREFIX):
-            self._apply_instance(item, now)
+            self._apply_instance(item)
         elif item.key == _steward.HOLDER_KEY:
             self.holder = (item.value or b'').decode(errors='replace')
-        elif item.key.startswith(_steward.CHANGE_PREFIX):
+        elif item.key == _steward.SIZE_KEY:
+            self._apply_size(item)
+        elif _is_change(item):
             self._apply_change(item)
 
+    def _apply_size(self, item):
+        text = (item.value or b'').decode(errors='replace')
+        if text.isdigit():
+            self.members.note(int(text))
+
     def _apply_change(self, item):
+        if item.value is None:
+            return
         name = item.key.removeprefix(_steward.CHANGE_PREFIX)
-        if item.value is not None:
-            self._gateway.changing(name, _steward.CHANGE_S)
-            self._log.event('upstream.changing', upstream=name)
+        role = item.value.decode(errors='replace')
+        belief = self._gateway.fleet.beliefs.get(name)
+        if belief is None or belief.entry.role.value == role:
+            return
+        self._gateway.changing(name, _steward.CHANGE_S)
+        self._log.event('upstream.changing', upstream=name, role=role)
 
     def _apply_config(self, item):
         if item.value is None:
             return
         try:
-            table = _catalogue.read_config(item.value)
-        except _catalogue.EntryInvalid as exc:
+            table = self._catalogue.read_config(item.value)
+        except _store.EntryInvalid as exc:
             self._log.event('config.invalid', finding=exc.message)
             return
         fleet = self._gateway.fleet
@@ -196,12 +207,11 @@
         )
         self.on_config(table)
 
-    def _apply_upstream(self, item, now):
-        name = item.key.removeprefix(_catalogue.UPSTREAM_PREFIX)
+    def _apply_upstream(self, name, item, now):
         beliefs = self._gateway.fleet.beliefs
         try:
-            entry = _catalogue.read_upstream(name, item.value)
-        except _catalogue.EntryInvalid as exc:
+            entry = self._catalogue.read_upstream(name, item.value)
+        except _store.EntryInvalid as exc:
             self._log.event('upstream.invalid', finding=exc.message)
             beliefs.remove(name, now)
             return
@@ -236,6 +246,8 @@
             self._gone(name, now, held=False)
 
     def _settle(self, now):
+        """Does what is due after each answer of the store."""
+        self._gateway.set_instances(self.members.count(now))
         for name in self._absence.due(now):
             self._gone(name, now, held=True)
 
@@ -243,42 +255,23 @@
         self._gateway.fleet.beliefs.remove(name, now)
         self._log.event('upstream.gone', upstream=name, held=held)
 
-    def _apply_instance(self, item, now):
+    def _apply_instance(self, item):
         if item.value is None:
-            self._remove_instance(item.key, now)
+            self._remove_instance(item.key)
             return
         try:
-            data = json.loads(item.value)
-            presence = addresses.Presence(
-                data['name'],
-                data['address'],
-                data['data_centre'],
-                data['region'],
+            presence = _registration.read_presence(item.value)
+        except _store.EntryInvalid as exc:
+            self._log.event(
+                'instance.invalid', key=item.key, reason=exc.message
             )
-        except (ValueError, KeyError, TypeError) as exc:
-            self._log.event('instance.invalid', key=item.key, reason=str(exc))
             return
-        self.present[item.key] = presence
-        self._count(item.key, now)
+        self.members.add(item.key, presence)
 
-    def _remove_instance(self, key, now):
-        if self.present.pop(key, None) is not None:
+    def _remove_instance(self, key):
+        if self.members.remove(key):
             self._log.event('instance.gone', key=key)
-        self._count(None, now)
-
-    def _count(self, key, now):
-        """Counts instances; those that vanished count for a while yet."""
-        if key is not None:
-            self._recent[key] = now
-        for present in self.present:
-            self._recent[present] = now
-        old = [
-            k for k, at in self._recent.items() if now - at > INSTANCE_KEEP_S
-        ]
-        for stale in old:
-            del self._recent[stale]
-        self._gateway.set_instances(max(1, len(self._recent)))
 
 
-def _is_upstream(key):
-    return key.startswith(_catalogue.UPSTREAM_PREFIX)
+def _is_change(item):
+    return item.key.startswith(_steward.CHANGE_PREFIX)
--- a/dandelionwinch/gateway/_call.py
+++ b/dandelionwinch/gateway/_call.py
@@ -1,7 +1,6 @@
 """A call of a plain service: one upstream, one whole answer."""
 
 from dandelionwinch import dispatch
-from dandelionwinch.gateway import _conversation
 from dandelionwinch.gateway import _exchange
 
 
@@ -24,17 +23,6 @@
             raise self._nowhere()
         sending = self._sending(belief)
         pool, conn = await self._connect(belief)
-        belief.active += 1
-        try:
-            answer = await self._talk(conn).ask(sending, self._patience_s())
-        except _conversation.AttemptFailed as exc:
-            pool.discard(conn)
-            self._judge(belief, exc)
-            raise
-        except BaseException:
-            pool.discard(conn)
-            raise
-        finally:
-            belief.active -= 1
-        pool.give(conn)
+        async with self._talk(belief, pool, conn) as talk:
+            answer = await talk.ask(sending, self._patience_s())
         self._accept(belief, answer)
--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -235,3 +235,20 @@
         """Closes the connection at once."""
         if self._transport is not None:
             self._transport.abort()
+
+
+async def read_whole(conn, timeout_s):
+    """Returns head and body of the next answer on a connection.
+
+    Raises:
+        ConnectionLost: If it broke off or took longer than `timeout_s`.
+    """
+    deadline = asyncio.get_running_loop().time() + timeout_s
+    body = bytearray()
+    head = await conn.next(timeout_s)
+    while True:
+        left_s = deadline - asyncio.get_running_loop().time()
+        item = await conn.next(left_s)
+        if isinstance(item, End):
+            return head, bytes(body)
+        body += item.data
--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -4,6 +4,8 @@
 and `_generation` have one each.
 """
 
+import contextlib
+
 from dandelionwinch import attempts
 from dandelionwinch.gateway import _conversation
 from dandelionwinch.gateway import _inquiry
@@ -179,15 +181,6 @@
         headers = answer.head.end_to_end()
         self._caller.answer(answer.head.status, headers, answer.body)
 
-    def _talk(self, conn):
-        return _conversation.Conversation(
-            self._loop,
-            conn,
-            self._gateway.dialect,
-            self._inquiry,
-            self._deadline,
-        )
-
     def _accept(self, belief, answer):
         now = self._loop.time()
         again = (
@@ -274,7 +267,24 @@
             **more,
         )
 
-    def _judge(self, belief, exc):
-        """Lets an upstream's belief learn from a failed attempt."""
-        if exc.fate is attempts.Fate.UNKNOWN:
-            belief.failed(self._loop.time())
+    @contextlib.asynccontextmanager
+    async def _talk(self, belief, pool, conn):
+        """Lends a connection for one attempt; a whole answer keeps it."""
+        belief.active += 1
+        try:
+            yield _conversation.Conversation(
+                self._loop,
+                conn,
+                self._gateway.dialect,
+                self._inquiry,
+                self._deadline,
+            )
+        except BaseException as exc:
+            pool.discard(conn)
+            fate = getattr(exc, 'fate', None)
+            if fate is attempts.Fate.UNKNOWN:
+                belief.failed(self._loop.time())
+            raise
+        finally:
+            belief.active -= 1
+        pool.give(conn)
--- a/dandelionwinch/gateway/_generation.py
+++ b/dandelionwinch/gateway/_generation.py
@@ -67,26 +67,17 @@
             belief, prefill_only=True, urgency=placement.urgency
         )
         pool, conn = await self._take(belief)
-        belief.active += 1
         try:
-            answer = await self._ask_prefill(conn, sending, placement.lane)
+            async with self._talk(belief, pool, conn) as talk:
+                handle = await self._ask_prefill(talk, sending, placement.lane)
         except _conversation.AttemptFailed as exc:
-            pool.discard(conn)
-            self._judge(belief, exc)
             self._attempt += 1
             raise _conversation.AttemptFailed(
                 attempts.Fate.NOT_EXECUTED, f'prefill: {exc}'
             ) from exc
-        except BaseException:
-            pool.discard(conn)
-            raise
-        finally:
-            belief.active -= 1
-        pool.give(conn)
-        return f'{belief.entry.address}/{answer}'
+        return f'{belief.entry.address}/{handle}'
 
-    async def _ask_prefill(self, conn, sending, lane):
-        talk = self._talk(conn)
+    async def _ask_prefill(self, talk, sending, lane):
         talk.send(sending)
         patience_s = self._left_s()
         if lane is not dispatch.Lane.BACKGROUND:
@@ -122,22 +113,10 @@
         sending = self._sending(
             belief, source=source, urgency=placement.urgency
         )
-        belief.active += 1
-        try:
-            await self._stream(conn, sending, placement, began)
-        except _conversation.AttemptFailed as exc:
-            pool.discard(conn)
-            self._judge(belief, exc)
-            raise
-        except BaseException:
-            pool.discard(conn)
-            raise
-        finally:
-            belief.active -= 1
-        pool.give(conn)
+        async with self._talk(belief, pool, conn) as talk:
+            await self._stream(talk, sending, placement, began)
 
-    async def _stream(self, conn, sending, placement, began):
-        talk = self._talk(conn)
+    async def _stream(self, talk, sending, placement, began):
         talk.send(sending)
         patience_s = self._patience_s()
         head = await talk.head(patience_s)
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -3,8 +3,7 @@
 import pathlib
 import tomllib
 
-import attrs
-
+from dandelionwinch import control
 from dandelionwinch import errors
 
 VARIABLE = 'DANDELIONWINCH_BOOT'
@@ -16,41 +15,6 @@
     code = 'boot_settings_invalid'
 
 
-@attrs.frozen
-class Boot:
-    """What one process is told at its start.
-
-    Attributes:
-        regions: Region of each data centre.
-        callers: Address for callers' requests, or ''.
-        readiness: Address for questions whether it is ready, or ''.
-        directory: Address for questions where to connect, or ''.
-        store: Address of the platform's store.
-        grace_s: Seconds between SIGTERM and SIGKILL.
-        turn_s: Least time between orders of two instances.
-        drain_s: Longest time until a leaving upstream gets no requests.
-    """
-
-    instance: str
-    ip: str
-    data_centre: str
-    regions: dict
-    callers: str
-    readiness: str
-    directory: str
-    store: str
-    heartbeat_s: float
-    grace_s: float
-    drain_s: float
-    retry_ratio: float
-    retry_slack: float
-    retry_window_s: float
-    least_lease_s: float
-    turn_s: float
-    max_ttl_s: float
-    findings: tuple[str, ...] = ()
-
-
 class _Reader:
     """Reads fields of nested tables; collects findings with places."""
 
@@ -82,7 +46,7 @@
         text: The file's text.
 
     Returns:
-        Boot, with findings for fields that were replaced by defaults.
+        InstanceConfig, with findings for fields that got defaults.
 
     Raises:
         SettingsInvalid: If it names no address of the store.
@@ -92,7 +56,7 @@
     except tomllib.TOMLDecodeError as exc:
         raise SettingsInvalid(f'the file is not TOML: {exc}') from exc
     get = reader.get
-    boot = Boot(
+    cfg = control.InstanceConfig(
         get('nodeName', str, ''),
         get('ip', str, '127.0.0.1'),
         get('zone', str, ''),
@@ -105,9 +69,7 @@
         get('listen.readiness', str, ''),
         get('listen.directory', str, ''),
         get('platform.address', str, ''),
-        get('heartbeatMs', float, 1200.0) / 1e3,
         get('bounds.graceS', float, 8.0),
-        get('bounds.drainMs', float, 2500.0) / 1e3,
         get('bounds.retryBudgetRatio', float, 0.2),
         get('bounds.retrySlack', float, 0.0),
         get('bounds.budgetWindowS', float, 10.0),
@@ -116,11 +78,11 @@
         get('bounds.ttl_max_s', float, 5.0),
         tuple(reader.findings),
     )
-    if not boot.store or not boot.instance:
+    if not cfg.store or not cfg.instance:
         raise SettingsInvalid(
             'the settings have no field "platform.address" or "nodeName"'
         )
-    return boot
+    return cfg
 
 
 def load(path):
--- a/dandelionwinch/platform/_catalogue.py
+++ b/dandelionwinch/platform/_catalogue.py
@@ -2,7 +2,7 @@
 
 import json
 
-from dandelionwinch import errors
+from dandelionwinch import control
 from dandelionwinch import routes
 from dandelionwinch import upstreams
 
@@ -17,26 +17,20 @@
 }
 
 
-class EntryInvalid(errors.DandelionwinchError):
-    """A value in the store cannot be read."""
-
-    code = 'entry_invalid'
-
-
 def _object(value, place):
     try:
         found = json.loads(value)
     except ValueError as exc:
-        raise EntryInvalid(f'"{place}" is not JSON: {exc}') from exc
+        raise control.EntryInvalid(f'"{place}" is not JSON: {exc}') from exc
     if not isinstance(found, dict):
-        raise EntryInvalid(f'"{place}" is not an object')
+        raise control.EntryInvalid(f'"{place}" is not an object')
     return found
 
 
 def _field(data, name, kinds, place):
     value = data.get(name)
     if isinstance(value, bool) or not isinstance(value, kinds):
-        raise EntryInvalid(f'field "{name}" of "{place}" is {value!r}')
+        raise control.EntryInvalid(f'field "{name}" of "{place}" is {value!r}')
     return value
 
 
@@ -55,22 +49,28 @@
     address = _field(data, 'address', str, place)
     host, _, port = address.rpartition(':')
     if not host or not port.isdigit():
-        raise EntryInvalid(f'field "address" of "{place}" is {address!r}')
+        raise control.EntryInvalid(
+            f'field "address" of "{place}" is {address!r}'
+        )
     state = _field(data, 'state', str, place)
     if state not in STATES:
-        raise EntryInvalid(f'field "state" of "{place}" is {state!r}')
+        raise control.EntryInvalid(f'field "state" of "{place}" is {state!r}')
     born = data.get('born', 0)
     if type(born) is not int:
-        raise EntryInvalid(f'field "born" of "{place}" is {born!r}')
+        raise control.EntryInvalid(f'field "born" of "{place}" is {born!r}')
     cold_ms = data.get('coldRemainingMs', 0)
     if isinstance(cold_ms, bool) or not isinstance(cold_ms, (int, float)):
-        raise EntryInvalid(f'field "coldRemainingMs" of "{place}" is wrong')
+        raise control.EntryInvalid(
+            f'field "coldRemainingMs" of "{place}" is wrong'
+        )
     role = upstreams.Role.PLAIN
     if 'phase' in data:
         phase = _field(data, 'phase', str, place)
         role = _ROLES.get(phase)
         if role is None:
-            raise EntryInvalid(f'field "phase" of "{place}" is {phase!r}')
+            raise control.EntryInvalid(
+                f'field "phase" of "{place}" is {phase!r}'
+            )
     return upstreams.Entry(
         upstream_id,
         _field(data, 'service', str, place),
@@ -96,7 +96,9 @@
     try:
         return _table(_object(value, CONFIG_KEY))
     except (AttributeError, TypeError, ValueError) as exc:
-        raise EntryInvalid(f'"{CONFIG_KEY}" is malformed: {exc}') from exc
+        raise control.EntryInvalid(
+            f'"{CONFIG_KEY}" is malformed: {exc}'
+        ) from exc
 
 
 def _table(data):
@@ -180,3 +182,25 @@
 
 def _seconds(value_ms, default_s):
     return value_ms / 1e3 if value_ms else default_s
+
+
+class Catalogue:
+    """Keys and values of the platform in the product's types."""
+
+    __slots__ = ()
+
+    config_key = CONFIG_KEY
+    read_config = staticmethod(read_config)
+    read_upstream = staticmethod(read_upstream)
+
+    @staticmethod
+    def upstream_of(key):
+        """Returns the id of the upstream whose entry a key is, or None."""
+        if key.startswith(UPSTREAM_PREFIX):
+            return key.removeprefix(UPSTREAM_PREFIX)
+        return None
+
+    @staticmethod
+    def key_of(upstream_id):
+        """Returns the key of an upstream's entry."""
+        return UPSTREAM_PREFIX + upstream_id
--- a/dandelionwinch/platform/_store.py
+++ b/dandelionwinch/platform/_store.py
@@ -4,9 +4,7 @@
 import json
 import urllib.parse
 
-import attrs
-
-from dandelionwinch import errors
+from dandelionwinch import control
 from dandelionwinch import gateway
 
 CALL_TIMEOUT_S = 1.5
@@ -15,60 +13,12 @@
 END_TRIES = 3
 
 
-class StoreFailed(errors.DandelionwinchError):
-    """The store gave no answer; what was asked may have been done."""
-
-    code = 'store_failed'
-
-
-class StoreRefused(StoreFailed):
-    """The store says that it did nothing."""
-
-    code = 'store_refused'
-
-
-class HistoryGone(StoreFailed):
-    """The store no longer has the changes that were asked for."""
-
-    code = 'history_gone'
-
-
-class Conflict(StoreFailed):
-    """The precondition of a change does not hold."""
-
-    code = 'store_conflict'
-
-
-class LeaseEnded(StoreFailed):
-    """There is no such lease."""
-
-    code = 'lease_ended'
-
-
-@attrs.frozen
-class Item:
-    """A key with its value, or one that was deleted (value None)."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@attrs.frozen
-class Listing:
-    """Items or changes, and the store's revision with them."""
-
-    items: tuple[Item, ...]
-    revision: int
-
-
 class Store:
     """Calls of the store's protocol, one method each."""
 
-    __slots__ = ('_loop', '_pool', 'calls')
+    __slots__ = ('_pool', 'calls')
 
     def __init__(self, loop, address):
-        self._loop = loop
         self._pool = gateway.Pool(loop, address, CONNECTIONS)
         self.calls = 0
 
@@ -92,7 +42,7 @@
             if revision is None:
                 revision = data['storeRevision']
             if not data.get('hasMore') or not data['items']:
-                return Listing(tuple(items), revision)
+                return control.Listing(tuple(items), revision)
             after = items[-1].key
 
     async def watch(self, prefix, after, wait_s):
@@ -110,7 +60,7 @@
             'GET', _path('kv-watch', query), wait_s + WATCH_MARGIN_S
         )
         items = tuple(_item(row) for row in data['events'])
-        return Listing(items, data['storeRevision'])
+        return control.Listing(items, data['storeRevision'])
 
     async def lease(self, ttl_s):
         """Returns the id of a new lease."""
@@ -127,9 +77,9 @@
             try:
                 await self._call('DELETE', f'/-/kv-lease-end/{lease}')
                 return
-            except LeaseEnded:
+            except control.LeaseEnded:
                 return
-            except StoreFailed:
+            except control.StoreFailed:
                 if not tries_left:
                     raise
 
@@ -168,45 +118,38 @@
         return _judge(status, text, path)
 
     async def _exchange(self, request, timeout_s):
-        deadline = self._loop.time() + timeout_s
         try:
             conn = await self._pool.take(timeout_s)
         except gateway.NotConnected as exc:
-            raise StoreRefused(str(exc)) from exc
+            raise control.StoreRefused(str(exc)) from exc
         try:
             conn.begin(request)
-            head = await conn.next(deadline - self._loop.time())
-            text = bytearray()
-            while True:
-                item = await conn.next(deadline - self._loop.time())
-                if isinstance(item, gateway.End):
-                    break
-                text += item.data
+            head, text = await gateway.read_whole(conn, timeout_s)
         except gateway.ConnectionLost as exc:
             self._pool.discard(conn)
-            raise StoreFailed(f'the store: {exc}') from exc
+            raise control.StoreFailed(f'the store: {exc}') from exc
         except BaseException:
             self._pool.discard(conn)
             raise
         self._pool.give(conn)
-        return head.status, bytes(text)
+        return head.status, text
 
 
 def _judge(status, text, path):
     if status == 410:
-        raise HistoryGone(f'410 to "{path}"')
+        raise control.HistoryGone(f'410 to "{path}"')
     if status == 412:
-        raise Conflict(f'412 to "{path}"')
+        raise control.Conflict(f'412 to "{path}"')
     if status == 404:
-        raise LeaseEnded(f'404 to "{path}"')
+        raise control.LeaseEnded(f'404 to "{path}"')
     if status in (429, 503):
-        raise StoreRefused(f'{status} to "{path}"')
+        raise control.StoreRefused(f'{status} to "{path}"')
     if status != 200:
-        raise StoreFailed(f'{status} to "{path}": {text[:200]!r}')
+        raise control.StoreFailed(f'{status} to "{path}": {text[:200]!r}')
     try:
         return json.loads(text)
     except ValueError as exc:
-        raise StoreFailed(f'not JSON from "{path}"') from exc
+        raise control.StoreFailed(f'not JSON from "{path}"') from exc
 
 
 def _path(call, query):
@@ -215,6 +158,6 @@
 
 def _item(row):
     if row.get('deleted'):
-        return Item(row['key'], None, row['revision'])
+        return control.Item(row['key'], None, row['revision'])
     value = base64.b64decode(row['value'])
-    return Item(row['key'], value, row['revision'])
+    return control.Item(row['key'], value, row['revision'])
--- /dev/null
+++ b/dandelionwinch/platform/samples.py
@@ -0,0 +1,211 @@
+"""What the other side of the platform's protocol writes, for stand-ins."""
+
+import json
+
+from dandelionwinch.platform import _boot
+from dandelionwinch.platform import _catalogue
+from dandelionwinch.platform import _dialect
+from dandelionwinch import routes
+
+SETTINGS_VARIABLE = _boot.VARIABLE
+CONFIG_KEY = _catalogue.CONFIG_KEY
+REQUEST_ID = _dialect.REQUEST_ID
+TARGET = _dialect.TARGET
+LAST_EVENT_ID = _dialect.LAST_EVENT_ID
+TOKEN_USAGE = _dialect.TOKEN_USAGE
+
+SETTINGS = """
+nodeName = "{name}"
+ip = "{ip}"
+zone = "{data_centre}"
+heartbeatMs = 1200
+serves = ["edge"]
+somethingNew = [1, 2]
+[zones]
+a = "north"
+b = "south"
+[listen]
+frontend = "{ip}:{callers_port}"
+readiness = "{ip}:{readiness_port}"
+directory = "{ip}:{directory_port}"
+[bounds]
+graceS = {grace_s}
+leaseMs = 3000
+drainMs = 2500
+retryBudgetRatio = 0.2
+retrySlack = {retry_slack}
+budgetWindowS = 10
+ttl_max_s = 5
+[platform]
+address = "{store}"
+minTtlMs = 1000
+"""
+_SETTINGS_DEFAULTS = {
+    'name': 'edge-a-1',
+    'ip': '10.1.0.35',
+    'data_centre': 'a',
+    'callers_port': 8144,
+    'readiness_port': 8140,
+    'directory_port': 8143,
+    'grace_s': 8,
+    'retry_slack': 58,
+    'store': '10.200.1.7:8142',
+}
+_ENTRY = {
+    'service': 's',
+    'address': '10.128.0.9:8080',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 24,
+    'state': 'ready',
+    'coldRemainingMs': 0,
+    'phase': 'decode',
+    'sequence': 4,
+    'born': 17,
+}
+_ROUTE = {
+    'name': 'r1',
+    'host': 'desk',
+    'prefix': '/a/',
+    'kind': 'idempotent',
+    'timeoutMs': 1200,
+    'targetLatencyMs': 150,
+    'priority': 2,
+    'service': 's',
+    'maxAttempts': 2,
+}
+_SERVICE = {'name': 's', 'healthPath': '/health', 'maxConnections': 4000}
+_LIMITS = {
+    'maxHeaderBytes': 16384,
+    'maxBodyBytes': 1 << 20,
+    'headerTimeoutMs': 3000,
+    'idleTimeoutMs': 15000,
+}
+
+
+def settings(**changes):
+    """Returns the text of a settings file."""
+    return SETTINGS.format(**{**_SETTINGS_DEFAULTS, **changes})
+
+
+def entry_key(upstream_id):
+    """Returns the key of an upstream's entry."""
+    return _catalogue.UPSTREAM_PREFIX + upstream_id
+
+
+def entry(**changes):
+    """Returns the bytes of an upstream's entry; fields by wire names."""
+    return json.dumps({**_ENTRY, **changes}).encode()
+
+
+def route(**changes):
+    """Returns one route of a configuration; fields by wire names."""
+    return {**_ROUTE, **changes}
+
+
+def route_of(name, repeat, *, streaming=False, attempts=1, timeout_s=3.0):
+    """Returns one route of a configuration, by the product's words."""
+    kind = 'idempotent'
+    if streaming:
+        kind = 'streaming'
+    elif repeat is routes.Repeat.ONCE:
+        kind = 'non_idempotent'
+    return route(
+        name=name,
+        prefix=f'/{name}/',
+        kind=kind,
+        timeoutMs=int(timeout_s * 1e3),
+        targetLatencyMs=200,
+        maxAttempts=attempts,
+        resumable=repeat is routes.Repeat.RESUMABLE,
+        targetGapMs=500,
+    )
+
+
+def service(**changes):
+    """Returns one service of a configuration; fields by wire names."""
+    return {**_SERVICE, **changes}
+
+
+def config(version, rows, services=()):
+    """Returns the bytes of a configuration."""
+    body = {
+        'version': version,
+        'routes': rows,
+        'services': list(services),
+        'limits': _LIMITS,
+    }
+    return json.dumps(body).encode()
+
+
+def request(target, request_id, *, timeout_ms=3000, prompt=None, more=()):
+    """Returns the bytes of a caller's request with the body `{}`.
+
+    Args:
+        target: Path with its query.
+        request_id: Id of the request.
+        timeout_ms: How long the caller waits.
+        prompt: Sizes of the prompt's parts, or None.
+        more: Further headers, as pairs.
+    """
+    lines = [
+        f'POST {target} HTTP/1.1',
+        'Host: desk',
+        f'{REQUEST_ID}: {request_id}',
+        f'{_dialect.TIMEOUT_MS}: {timeout_ms}',
+        'Content-Length: 2',
+    ]
+    if prompt is not None:
+        parts = ','.join(f'{n:x}:{size}' for n, size in enumerate(prompt))
+        lines.append(f'{TOKEN_USAGE}: {sum(prompt)},80')
+        lines.append(f'{_dialect.PROMPT_PREFIX}: {parts}')
+    lines += [f'{name}: {value}' for name, value in more]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n{}'
+
+
+def question(data_centre, region):
+    """Returns the bytes of a caller's question where to connect."""
+    target = f'/-/resolve?name=desk&region={region}&zone={data_centre}'
+    return (
+        f'GET {target} HTTP/1.1\r\nHost: d\r\nConnection: close\r\n\r\n'
+    ).encode()
+
+
+def answered_addresses(body):
+    """Returns the addresses of an answer to that question."""
+    return json.loads(body)['addresses']
+
+
+def answer_head(request_id, framing='', status='200 OK', more='', signed=True):
+    """Returns the head of an upstream's answer.
+
+    Args:
+        request_id: Id of the request, or '' to leave it out.
+        framing: The header that tells the length, or ''.
+        status: Status with its reason.
+        more: Further lines, each with its end.
+        signed: Whether it bears the upstream's signature.
+    """
+    lines = [f'HTTP/1.1 {status}']
+    if request_id:
+        lines.append(f'{REQUEST_ID}: {request_id}')
+    if signed:
+        lines.append(f'{_dialect.SIGNATURE}: sig')
+    if framing:
+        lines.append(framing)
+    return ('\r\n'.join(lines) + f'\r\n{more}\r\n').encode()
+
+
+def refusal(status='503 Service Unavailable', more=''):
+    """Returns an upstream's answer that it did not run a request."""
+    return (
+        f'HTTP/1.1 {status}\r\n{_dialect.NOT_EXECUTED}: 1\r\n{more}'
+        'Content-Length: 0\r\n\r\n'
+    ).encode()
+
+
+def handle(name):
+    """Returns the body of an answer to a prompt that was only read."""
+    return json.dumps(
+        {'kvHandle': name, 'tokens': 5000, 'version': 1}
+    ).encode()
--- a/dandelionwinch/soak/_caller.py
+++ b/dandelionwinch/soak/_caller.py
@@ -1,10 +1,10 @@
 """Callers of the soak: kept connections, and a check of each answer."""
 
 import asyncio
-import json
 
 import attrs
 
+from dandelionwinch.platform import samples
 from dandelionwinch.soak import _upstream
 
 TIMEOUT_S = 4.0
@@ -72,17 +72,8 @@
         if self._conn is None:
             self._conn = await self._connect()
         reader, writer = self._conn
-        lines = [
-            f'POST /{kind}/1 HTTP/1.1',
-            'Host: desk',
-            f'X-Dandelionwinch-Request-Id: {request_id}',
-            'X-Dandelionwinch-Request-Timeout-Ms: 3000',
-            'Content-Length: 2',
-        ]
-        if kind == 'resume':
-            lines.append('X-Dandelionwinch-Token-Usage: 100,60')
-            lines.append('X-Dandelionwinch-Prompt-Prefix: a:40,b:60')
-        writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n{}')
+        prompt = (40, 60) if kind == 'resume' else None
+        writer.write(samples.request(f'/{kind}/1', request_id, prompt=prompt))
         status, headers, body = await _answer(reader)
         if headers.get('connection') == 'close':
             self._drop()
@@ -99,7 +90,7 @@
             )
         if body != expected:
             self._seen.wrong.append(f'{request_id}: body {body[:80]!r}')
-        if headers.get(_upstream.ID) != request_id:
+        if headers.get(samples.REQUEST_ID) != request_id:
             self._seen.wrong.append(f'{request_id}: another id')
 
     async def _connect(self):
@@ -119,16 +110,13 @@
                     reader, writer = await asyncio.open_connection(
                         host, int(port)
                     )
-                    writer.write(
-                        b'GET /-/resolve?name=desk&region=r&zone=dc HTTP/1.1'
-                        b'\r\nHost: d\r\nConnection: close\r\n\r\n'
-                    )
+                    writer.write(samples.question('a', 'north'))
                     status, _headers, body = await _answer(reader)
                     writer.close()
             except (OSError, asyncio.IncompleteReadError, TimeoutError):
                 continue
             if status == 200:
-                self._addresses = json.loads(body)['addresses']
+                self._addresses = samples.answered_addresses(body)
                 self._asked_at = loop.time()
                 return
 
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -1,7 +1,6 @@
 """One soak: starts everything, injects faults by seed, and judges."""
 
 import asyncio
-import json
 import os
 import pathlib
 import random
@@ -11,6 +10,8 @@
 
 import attrs
 
+from dandelionwinch.platform import samples
+from dandelionwinch import routes
 from dandelionwinch.soak import _caller
 from dandelionwinch.soak import _proxy
 from dandelionwinch.soak import _upstream
@@ -21,30 +22,8 @@
 QUIET_S = 6.0
 RESTART_S = 0.5
 GRACE_S = 4
+RETRY_SLACK = 200
 FAULTS = ('kill', 'pause', 'term', 'hup', 'store', 'leave', 'config')
-SETTINGS = """
-nodeName = "{name}"
-ip = "{ip}"
-zone = "dc"
-heartbeatMs = 1200
-[zones]
-dc = "r"
-[listen]
-frontend = "{ip}:{ports[0]}"
-readiness = "{ip}:{ports[1]}"
-directory = "{ip}:{ports[2]}"
-[bounds]
-graceS = {grace}
-drainMs = 2500
-leaseMs = 3000
-retryBudgetRatio = 0.2
-retrySlack = 200
-budgetWindowS = 10
-ttl_max_s = 5
-[platform]
-address = "{store}"
-minTtlMs = 1000
-"""
 
 
 @attrs.frozen
@@ -77,7 +56,7 @@
 
     async def start(self):
         """Starts the program."""
-        env = {**os.environ, 'DANDELIONWINCH_BOOT': str(self._path)}
+        env = {**os.environ, samples.SETTINGS_VARIABLE: str(self._path)}
         with open(self._log_path, 'ab') as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -168,12 +147,15 @@
             self._proxies.append(proxy)
             name = f'i-{number}'
             path = self._folder / f'{name}.toml'
-            text = SETTINGS.format(
+            text = samples.settings(
                 name=name,
                 ip=ip,
-                ports=ports,
+                callers_port=ports[0],
+                readiness_port=ports[1],
+                directory_port=ports[2],
+                grace_s=GRACE_S,
+                retry_slack=RETRY_SLACK,
                 store=proxy.address,
-                grace=GRACE_S,
             )
             path.write_text(text)
             log_path = self._folder / f'{name}.log'
@@ -194,45 +176,19 @@
         self._write_entry(made, 'ready')
 
     def _write_entry(self, upstream, state):
-        entry = {
-            'service': 's',
-            'address': upstream.address,
-            'zone': 'dc',
-            'version': 'v1',
-            'slots': 24,
-            'state': state,
-            'coldRemainingMs': 0,
-            'phase': 'decode',
-            'sequence': 1,
-            'born': 1,
-        }
-        self._store.write(f'servers/{upstream.id}', json.dumps(entry).encode())
+        entry = samples.entry(address=upstream.address, state=state)
+        self._store.write(samples.entry_key(upstream.id), entry)
 
     def _write_config(self):
-        kinds = {
-            'once': ('non_idempotent', 1),
-            'safe': ('idempotent', 2),
-            'resume': ('streaming', 2),
-        }
-        routes = [
-            {
-                'name': name,
-                'host': 'desk',
-                'prefix': f'/{name}/',
-                'kind': kind,
-                'timeoutMs': 3000,
-                'targetLatencyMs': 200,
-                'priority': 0,
-                'service': 's',
-                'maxAttempts': attempts,
-                'resumable': kind == 'streaming',
-                'targetGapMs': 500,
-            }
-            for name, (kind, attempts) in kinds.items()
+        rows = [
+            samples.route_of('once', routes.Repeat.ONCE),
+            samples.route_of('safe', routes.Repeat.IDEMPOTENT, attempts=2),
+            samples.route_of(
+                'resume', routes.Repeat.RESUMABLE, streaming=True, attempts=2
+            ),
         ]
-        service = {'name': 's', 'healthPath': '/h', 'maxConnections': 4000}
-        value = kvstore.config_bytes(self._version, routes, [service])
-        self._store.write('op/config', value)
+        value = samples.config(self._version, rows, [samples.service()])
+        self._store.write(samples.CONFIG_KEY, value)
 
     async def _inject(self, fault):
         self._faults[fault] = self._faults.get(fault, 0) + 1
@@ -284,14 +240,14 @@
         if self._rng.random() < 0.5:
             self._write_entry(leaving, 'draining')
         else:
-            self._store.remove(f'servers/{leaving.id}')
+            self._store.remove(samples.entry_key(leaving.id))
         self._spawn(self._end_upstream(leaving))
 
     async def _end_upstream(self, leaving):
         loop = asyncio.get_running_loop()
         left_at = loop.time()
         await asyncio.sleep(_upstream.DRAIN_S / 2)
-        self._store.remove(f'servers/{leaving.id}')
+        self._store.remove(samples.entry_key(leaving.id))
         leaving.left_at = left_at
         await asyncio.sleep(_upstream.DRAIN_S)
         leaving.close()
--- a/dandelionwinch/soak/_upstream.py
+++ b/dandelionwinch/soak/_upstream.py
@@ -4,10 +4,13 @@
 
 import attrs
 
-ID = 'x-dandelionwinch-request-id'
+from dandelionwinch.platform import samples
+
 EVENTS = 6
 WORK_S = 0.01
 FAULT_SHARE = 0.04
+# The entry's removal, the pause between watches, and an outage's hold.
+DRAIN_S = 8.0
 FAULTS = ('lose', 'refuse', 'truncate', 'extra')
 
 
@@ -69,23 +72,23 @@
         headers = dict(line.split(': ', 1) for line in lines)
         headers = {name.lower(): value for name, value in headers.items()}
         await reader.readexactly(int(headers.get('content-length', 0)))
-        request_id = headers[ID]
-        if headers['x-dandelionwinch-target-instance'] != self.id:
-            writer.write(_refusal('421 Misdirected Request'))
+        request_id = headers[samples.REQUEST_ID]
+        if headers[samples.TARGET] != self.id:
+            writer.write(samples.refusal('421 Misdirected Request'))
             return True
         self._note_late(request_id)
         fault = ''
         if self._rng.random() < FAULT_SHARE:
             fault = self._rng.choice(FAULTS)
         if fault == 'refuse':
-            writer.write(_refusal('503 Service Unavailable'))
+            writer.write(samples.refusal())
             return True
         self._record.ran(request_id)
         await asyncio.sleep(WORK_S)
         if fault == 'lose':
             writer.transport.abort()
             return False
-        if 'x-dandelionwinch-token-usage' in headers:
+        if samples.TOKEN_USAGE in headers:
             return await self._stream(writer, headers, fault)
         return self._whole(writer, request_id, fault)
 
@@ -97,7 +100,10 @@
     @staticmethod
     def _whole(writer, request_id, fault):
         body = f'answer to {request_id}'.encode()
-        data = _head(request_id, f'Content-Length: {len(body)}') + body
+        data = (
+            samples.answer_head(request_id, f'Content-Length: {len(body)}')
+            + body
+        )
         if fault == 'truncate':
             writer.write(data[:-3])
             return False
@@ -106,9 +112,11 @@
 
     @staticmethod
     async def _stream(writer, headers, fault):
-        request_id = headers[ID]
-        first = int(headers.get('last-event-id', 0)) + 1
-        writer.write(_head(request_id, 'Transfer-Encoding: chunked'))
+        request_id = headers[samples.REQUEST_ID]
+        first = int(headers.get(samples.LAST_EVENT_ID, 0)) + 1
+        writer.write(
+            samples.answer_head(request_id, 'Transfer-Encoding: chunked')
+        )
         for number in range(first, EVENTS + 1):
             data = f'id: {number}\ndata: {request_id}\n\n'.encode()
             if fault == 'truncate' and number == EVENTS // 2:
@@ -118,23 +126,3 @@
             await asyncio.sleep(WORK_S)
         writer.write(b'0\r\n\r\n')
         return True
-
-
-# The entry's removal, the pause between watches, and an outage's hold.
-DRAIN_S = 8.0
-
-
-def _refusal(status):
-    return (
-        f'HTTP/1.1 {status}\r\nX-Dandelionwinch-Not-Executed: 1\r\n'
-        'Content-Length: 0\r\n\r\n'
-    ).encode()
-
-
-def _head(request_id, framing):
-    return (
-        'HTTP/1.1 200 OK\r\n'
-        f'X-Dandelionwinch-Request-Id: {request_id}\r\n'
-        'X-Dandelionwinch-Response-Signature: s\r\n'
-        f'{framing}\r\n\r\n'
-    ).encode()
--- a/dandelionwinch/standins/livelist.py
+++ b/dandelionwinch/standins/livelist.py
@@ -5,28 +5,15 @@
 from dandelionwinch.standins import web
 
 
-class LiveListServer:
+class LiveListServer(web.Served):
     """Serves EndpointSlices that a test or demo fills in."""
 
-    __slots__ = ('_lines', '_lock', '_web')
+    __slots__ = ('_lines', '_lock')
 
     def __init__(self, listen='127.0.0.1:0'):
         self._lines = {}
         self._lock = threading.Lock()
-        self._web = web.WebServer(self._handle, listen)
-
-    @property
-    def address(self):
-        """IP number and port."""
-        return self._web.address
-
-    def start(self):
-        """Starts to serve."""
-        self._web.start()
-
-    def close(self):
-        """Stops serving."""
-        self._web.close()
+        super().__init__(listen)
 
     def add(self, cfg, leaving=False):
         """Lists an instance by its settings."""
--- a/dandelionwinch/standins/scripted.py
+++ b/dandelionwinch/standins/scripted.py
@@ -32,8 +32,9 @@
     request's id.
     """
 
-    def __init__(self, id_header, scripts):
+    def __init__(self, id_header, scripts, changed=lambda: None):
         self._id_header = id_header
+        self._changed = changed
         self._scripts = list(scripts)
         self._server = None
         self._tasks = set()
@@ -69,6 +70,7 @@
             pass
         finally:
             self.closed += 1
+            self._changed()
             self._tasks.discard(task)
             writer.close()
 
@@ -76,6 +78,7 @@
         head = await reader.readuntil(b'\r\n\r\n')
         seen = await self._read(head.decode('latin-1'), reader)
         self.seen.append(seen)
+        self._changed()
         steps = self._scripts[0]
         if len(self._scripts) > 1:
             self._scripts.pop(0)
--- a/dandelionwinch/standins/store.py
+++ b/dandelionwinch/standins/store.py
@@ -64,7 +64,7 @@
         return effects.Committed(self.revision)
 
 
-class StoreServer:
+class StoreServer(web.Served):
     """Serves a memory store by etcd's v3 JSON interface.
 
     Attributes:
@@ -72,26 +72,13 @@
         lose_answers: Number of commits to run without an answer.
     """
 
-    __slots__ = ('_web', 'down', 'lose_answers', 'store')
+    __slots__ = ('down', 'lose_answers', 'store')
 
     def __init__(self, listen='127.0.0.1:0'):
         self.store = MemoryStore()
         self.down = False
         self.lose_answers = 0
-        self._web = web.WebServer(self._handle, listen)
-
-    @property
-    def address(self):
-        """IP number and port."""
-        return self._web.address
-
-    def start(self):
-        """Starts to serve."""
-        self._web.start()
-
-    def close(self):
-        """Stops serving."""
-        self._web.close()
+        super().__init__(listen)
 
     def _handle(self, req):
         if self.down:
--- a/dandelionwinch/standins/upstream.py
+++ b/dandelionwinch/standins/upstream.py
@@ -12,7 +12,7 @@
 SILENT_AFTER = 3
 
 
-class UpstreamServer:
+class UpstreamServer(web.Served):
     """Serves one engine.
 
     Attributes:
@@ -20,27 +20,18 @@
         silent_streams: Streams that are yet to fall silent for good.
     """
 
-    __slots__ = ('_closing', '_web', 'engine', 'silent_streams')
+    __slots__ = ('_closing', 'engine', 'silent_streams')
 
     def __init__(self, cfg, model, listen='127.0.0.1:0', role_change_s=2.0):
         self.engine = engine.Engine(cfg, model, role_change_s)
         self.silent_streams = 0
         self._closing = threading.Event()
-        self._web = web.WebServer(self._handle, listen)
-
-    @property
-    def address(self):
-        """IP number and port."""
-        return self._web.address
-
-    def start(self):
-        """Starts to serve."""
-        self._web.start()
+        super().__init__(listen)
 
     def close(self):
         """Stops serving."""
         self._closing.set()
-        self._web.close()
+        super().close()
 
     def _handle(self, req):
         if not self.engine.alive:
--- a/dandelionwinch/standins/web.py
+++ b/dandelionwinch/standins/web.py
@@ -91,6 +91,29 @@
         return [body]
 
 
+class Served:
+    """A stand-in behind a web server; subclasses have `_handle`."""
+
+    def __init__(self, listen='127.0.0.1:0'):
+        self._web = WebServer(self._handle, listen)
+
+    @property
+    def address(self):
+        """IP number and port."""
+        return self._web.address
+
+    def start(self):
+        """Starts to serve."""
+        self._web.start()
+
+    def close(self):
+        """Stops serving."""
+        self._web.close()
+
+    def _handle(self, req):
+        raise NotImplementedError
+
+
 def _request_of(environ):
     length = int(environ.get('CONTENT_LENGTH') or 0)
     headers = {
--- /dev/null
+++ b/dandelionwinch/tests/house.py
@@ -0,0 +1,195 @@
+"""A gateway on real sockets between scripted upstreams and one caller."""
+
+import asyncio
+import random
+
+import attrs
+
+from dandelionwinch import gateway
+from dandelionwinch.platform import _dialect
+from dandelionwinch.platform import samples
+from dandelionwinch import routes
+from dandelionwinch.standins import scripted
+from dandelionwinch.tests import recorder
+from dandelionwinch import upstreams
+
+
+def whole(body=b'hello', status='200 OK', more='', request_id='{id}'):
+    """Returns a signed answer with its length."""
+    head = samples.answer_head(
+        request_id, f'Content-Length: {len(body)}', status, more
+    )
+    return head + body
+
+
+STREAM_HEAD = samples.answer_head(
+    '{id}',
+    'Transfer-Encoding: chunked',
+    more='X-Head: first\r\nContent-Type: text/event-stream\r\n',
+)
+LAST = b'0\r\n\r\n'
+
+
+def chunk(data):
+    """Returns one chunk of a chunked body."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+def event(number, text=b'x'):
+    """Returns one event of a stream."""
+    return b'id: %d\ndata: %b\n\n' % (number, text)
+
+
+@attrs.define
+class Config:
+    """The part of the settings that a gateway reads."""
+
+    data_centre: str = 'dc'
+    regions: dict = attrs.Factory(lambda: {'dc': 'r'})
+    retry_ratio: float = 20.0
+    retry_slack: float = 50.0
+    retry_window_s: float = 10.0
+
+
+def route(name, repeat, streaming=False, attempts=2, **changes):
+    made = routes.Route(
+        name,
+        'desk',
+        f'/{name}/',
+        repeat,
+        streaming,
+        5.0,
+        0.15,
+        0,
+        attempts,
+        (routes.Share('s', 1.0),),
+        gap_s=0.15,
+    )
+    return attrs.evolve(made, **changes)
+
+
+ROUTES = [
+    route('safe', routes.Repeat.IDEMPOTENT),
+    route('once', routes.Repeat.ONCE, attempts=1),
+    route('twice', routes.Repeat.ONCE, attempts=2),
+    route('short', routes.Repeat.ONCE, attempts=1, timeout_s=0.3),
+    route('stream', routes.Repeat.ONCE, True, attempts=1),
+    route('resume', routes.Repeat.RESUMABLE, True),
+]
+
+
+class House:
+    """A gateway with scripted upstreams, and a caller's connection."""
+
+    def __init__(self, scripts, limits=None):
+        self._scripts = scripts
+        self.limits = limits or routes.Limits()
+
+    async def __aenter__(self):
+        loop = asyncio.get_running_loop()
+        self.log = recorder.Recorder()
+        self.upstreams = [
+            scripted.ScriptedUpstream(samples.REQUEST_ID, s, self.log.poke)
+            for s in self._scripts
+        ]
+        self.gateway = gateway.Gateway(
+            loop, _dialect.Dialect(), self.log, Config(), random.Random(1)
+        )
+        services = [routes.Service('s', 100)]
+        self.gateway.fleet.table = routes.RouteTable(
+            1, ROUTES, services, self.limits
+        )
+        for number, upstream in enumerate(self.upstreams):
+            await upstream.start()
+            self.gateway.fleet.beliefs.apply(
+                upstreams.Entry(
+                    f'u{number}',
+                    's',
+                    upstream.address,
+                    'dc',
+                    1,
+                    True,
+                    upstreams.Role.DECODE,
+                    4,
+                )
+            )
+        self.server = gateway.Server(loop, self.gateway.handle, self.limits)
+        await self.server.start('127.0.0.1:0')
+        await self.connect()
+        return self
+
+    async def connect(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            '127.0.0.1', self.server.port
+        )
+
+    async def __aexit__(self, *_exc):
+        self.writer.close()
+        self.server.close()
+        self.gateway.close()
+        for upstream in self.upstreams:
+            await upstream.close()
+
+    @property
+    def seen(self):
+        return [seen for up in self.upstreams for seen in up.seen]
+
+    def send(self, path, request_id='r1', prompt=None, headers=()):
+        """Sends a caller's request."""
+        self.writer.write(
+            samples.request(path, request_id, prompt=prompt, more=headers)
+        )
+
+    def generate(self, path, request_id='r1', tokens=100):
+        """Sends a request for a generation."""
+        self.send(path, request_id, (50, tokens - 50))
+
+    async def answer(self):
+        """Returns status, headers and body of the next answer.
+
+        The body of an answer that breaks off ends with b'<cut>'.
+        """
+        async with asyncio.timeout(recorder.PATIENCE_S):
+            head = await self.reader.readuntil(b'\r\n\r\n')
+            first, *lines = head.decode().strip().split('\r\n')
+            headers = {
+                name.lower(): value
+                for name, value in (line.split(': ', 1) for line in lines)
+            }
+            status = int(first.split(' ')[1])
+            if 'content-length' in headers:
+                length = int(headers['content-length'])
+                body = await self.reader.readexactly(length)
+                return status, headers, body
+            return status, headers, await self._chunks()
+
+    async def _chunks(self):
+        body = b''
+        try:
+            while True:
+                size = int(await self.reader.readuntil(b'\r\n'), 16)
+                data = await self.reader.readexactly(size + 2)
+                if not size:
+                    return body
+                body += data[:-2]
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return body + b'<cut>'
+
+
+def play(scripts, scenario, limits=None):
+    async def run():
+        async with House(scripts, limits) as house:
+            return await scenario(house)
+
+    return asyncio.run(run())
+
+
+def ask(scripts, path):
+    """Sends one request and returns its answer and what was seen."""
+
+    async def scenario(house):
+        house.send(path)
+        answer = await house.answer()
+        return answer, house.seen
+
+    return play(scripts, scenario)
--- /dev/null
+++ b/dandelionwinch/tests/test_boot.py
@@ -0,0 +1,39 @@
+"""The platform's settings file: fields, findings and their places."""
+
+import pytest
+
+from dandelionwinch.platform import _boot
+from dandelionwinch.platform import samples
+
+SETTINGS = samples.settings()
+
+
+def test_settings_are_read_and_unknown_fields_ignored():
+    boot = _boot.read(SETTINGS)
+    assert (boot.instance, boot.data_centre) == ('edge-a-1', 'a')
+    assert boot.regions == {'a': 'north', 'b': 'south'}
+    assert (boot.retry_slack, boot.grace_s) == (58.0, 8.0)
+    assert boot.findings == ()
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'finding'),
+    [
+        ('graceS = 8', '', 'field "bounds.graceS" is missing'),
+        ('graceS = 8', 'graceS = "x"', 'field "bounds.graceS" is not of'),
+        ('graceS = 8', 'graceS = true', 'field "bounds.graceS" is not of'),
+        ('[zones]', '[other]', 'field "zones" is missing'),
+    ],
+)
+def test_bad_fields_are_findings_with_their_place(old, new, finding):
+    boot = _boot.read(SETTINGS.replace(old, new))
+    assert any(item.startswith(finding) for item in boot.findings)
+    assert boot.grace_s == 8.0
+
+
+@pytest.mark.parametrize(
+    'text', ['not = [toml', SETTINGS.replace('10.200.1.7:8142', '')]
+)
+def test_settings_without_a_store_are_refused(text):
+    with pytest.raises(_boot.SettingsInvalid):
+        _boot.read(text)
--- /dev/null
+++ b/dandelionwinch/tests/test_catalogue.py
@@ -0,0 +1,102 @@
+"""Configurations and entries of the users' store, good ones and others."""
+
+import pytest
+
+from dandelionwinch import control
+from dandelionwinch.platform import _catalogue
+from dandelionwinch.platform import samples
+from dandelionwinch import routes
+from dandelionwinch import upstreams
+
+
+def test_an_upstreams_entry_is_read():
+    entry = _catalogue.read_upstream('i-1', samples.entry())
+    assert entry == upstreams.Entry(
+        'i-1',
+        's',
+        '10.128.0.9:8080',
+        'a',
+        17,
+        True,
+        upstreams.Role.DECODE,
+        24,
+    )
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'service': None},
+        {'service': 7},
+        {'address': 'nowhere'},
+        {'address': 9},
+        {'state': 'resting'},
+        {'state': True},
+        {'slots': '24'},
+        {'born': 1.5},
+        {'born': '17'},
+        {'phase': 'dreaming'},
+        {'zone': []},
+        {'coldRemainingMs': 'x'},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_upstream(change):
+    value = samples.entry(**change)
+    with pytest.raises(control.EntryInvalid):
+        _catalogue.read_upstream('i-1', value)
+
+
+@pytest.mark.parametrize('value', [b'', b'\xff\x00', b'[]', b'{"a":'])
+def test_bytes_that_cannot_be_read_name_no_upstream(value):
+    with pytest.raises(control.EntryInvalid):
+        _catalogue.read_upstream('i-1', value)
+
+
+@pytest.mark.parametrize(
+    ('changes', 'repeat', 'streaming'),
+    [
+        ({}, routes.Repeat.IDEMPOTENT, False),
+        ({'kind': 'non_idempotent'}, routes.Repeat.ONCE, False),
+        ({'kind': 'streaming'}, routes.Repeat.ONCE, True),
+        (
+            {'kind': 'streaming', 'resumable': True},
+            routes.Repeat.RESUMABLE,
+            True,
+        ),
+        (
+            {'kind': 'streaming', 'resumable': 'yes'},
+            routes.Repeat.ONCE,
+            True,
+        ),
+        ({'kind': 'new_kind'}, routes.Repeat.ONCE, False),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(
+    changes, repeat, streaming
+):
+    value = samples.config(3, [samples.route(**changes)], [samples.service()])
+    table = _catalogue.read_config(value)
+    route = table.match('desk', '/a/1')
+    assert (table.version, route.repeat) == (3, repeat)
+    assert (route.streaming, route.timeout_s) == (streaming, 1.2)
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'{"version": 1, "routes": [1], "services": []}',
+        b'{"version": 1, "routes": [], "services": ["x"]}',
+        b'{"version": 1, "routes": [], "services": [], "limits": [1]}',
+        b'{"version": 1, "routes": {}, "services": []}',
+        b'{"version": "1", "routes": [], "services": []}',
+    ],
+)
+def test_a_configuration_of_other_types_is_refused(value):
+    with pytest.raises(control.EntryInvalid):
+        _catalogue.read_config(value)
+
+
+def test_a_broken_configuration_is_refused_whole():
+    value = samples.config(3, [samples.route(timeoutMs='x')], [])
+    with pytest.raises(control.EntryInvalid, match='timeoutMs'):
+        _catalogue.read_config(value)
--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -58,6 +58,7 @@
 DATA_PATH = (
     'addresses',
     'attempts',
+    'control',
     'dispatch',
     'gateway',
     'leadership',
@@ -80,3 +81,12 @@
             row = f'| {name} | `{constant}` | {value.replace("_", "")} |'
             assert row in page, row
     assert found > 60
+
+
+def test_every_test_that_the_pages_name_exists():
+    text = ''.join(p.read_text() for p in (ROOT / 'tests').glob('test_*.py'))
+    tests = set(re.findall(r'def (test_\w+)\(', text))
+    modules = {p.stem for p in (ROOT / 'tests').glob('test_*.py')}
+    for page in ('troubles.md', 'worth.md', 'incidents.md'):
+        named = set(re.findall(r'\btest_\w+', _page(page)))
+        assert named - tests - modules == set(), page
--- /dev/null
+++ b/dandelionwinch/tests/test_store_contract.py
@@ -0,0 +1,96 @@
+"""The client of the users' store against a stand-in over HTTP."""
+
+import asyncio
+
+import pytest
+
+from dandelionwinch import control
+from dandelionwinch.platform import _store
+from dandelionwinch.standins import kvstore
+from dandelionwinch.tests import recorder
+
+
+@pytest.fixture
+def kv():
+    store = kvstore.KvStore()
+    store.start()
+    yield store
+    store.close()
+
+
+def with_store(kv, scenario):
+    async def run():
+        loop = asyncio.get_running_loop()
+        store = _store.Store(loop, kv.address)
+        try:
+            async with asyncio.timeout(recorder.PATIENCE_S):
+                return await scenario(store)
+        finally:
+            store.close()
+
+    return asyncio.run(run())
+
+
+def test_a_listing_goes_over_all_pages(kv):
+    kv.page = 2
+    for number in range(5):
+        kv.write(f'k/{number}', b'v')
+    listing = with_store(kv, lambda store: store.list('k/'))
+    assert [item.key for item in listing.items] == [
+        f'k/{number}' for number in range(5)
+    ]
+
+
+def test_a_watch_brings_changes_and_deletions_in_order(kv):
+    kv.write('k/1', b'a')
+    kv.write('k/2', b'b')
+    kv.remove('k/1')
+
+    listing = with_store(kv, lambda store: store.watch('k/', 1, 1.0))
+    assert [(i.key, i.value) for i in listing.items] == [
+        ('k/1', b'a'),
+        ('k/2', b'b'),
+        ('k/1', None),
+    ]
+
+
+def test_history_that_is_gone_is_said_so(kv):
+    kv.write('k/1', b'a')
+    kv.drop_history()
+    with pytest.raises(control.HistoryGone):
+        with_store(kv, lambda store: store.watch('k/', 1, 1.0))
+
+
+@pytest.mark.parametrize('status', [429, 503])
+def test_a_refused_call_did_nothing(kv, status):
+    kv.refuse = status
+    with pytest.raises(control.StoreRefused):
+        with_store(kv, lambda store: store.put('k/1', b'v'))
+    assert kv.value('k/1') is None
+
+
+def test_a_lost_answer_is_not_called_refused(kv):
+    kv.lose = 1
+    with pytest.raises(control.StoreFailed) as caught:
+        with_store(kv, lambda store: store.put('k/1', b'v'))
+    assert not isinstance(caught.value, control.StoreRefused)
+    assert kv.value('k/1') == b'v'
+
+
+def test_conditions_and_leases_are_kept(kv):
+    async def scenario(store):
+        revision = await store.put('k/1', b'a', revision=0)
+        with pytest.raises(control.Conflict):
+            await store.put('k/1', b'b', revision=0)
+        await store.put('k/1', b'c', revision=revision)
+        with pytest.raises(control.LeaseEnded):
+            await store.put('k/2', b'd', lease=7)
+        lease = await store.lease(3.0)
+        await store.put('k/3', b'e', lease=lease)
+        await store.keep(lease)
+        await store.end(lease)
+        with pytest.raises(control.LeaseEnded):
+            await store.keep(lease)
+
+    with_store(kv, scenario)
+    assert (kv.value('k/1'), kv.value('k/3')) == (b'c', None)
