--- a/dandelionwinch/addresses/_nearest.py
+++ b/dandelionwinch/addresses/_nearest.py
@@ -1,4 +1,9 @@
-"""Lists the instances that a caller should connect to, by distance."""
+"""Lists the instances that a caller should connect to.
+
+Answers a fleet of unlike machines: a caller picks one of the addresses
+that it is given at random, so an instance stands in as many answers as
+its capacity is of the largest one's.
+"""
 
 import attrs
 
@@ -8,15 +13,20 @@
 
 @attrs.frozen
 class Presence:
-    """An instance that takes callers' requests."""
+    """An instance that takes callers' requests.
+
+    Attributes:
+        capacity: Requests per second that it can carry.
+    """
 
     name: str
     address: str
     data_centre: str
     region: str
+    capacity: float = 1.0
 
 
-def nearest(present, data_centre, region):
+def nearest(present, data_centre, region, rng):
     """Returns addresses for a caller.
 
     Those of the caller's data centre are enough if there are two of
@@ -26,6 +36,7 @@
         present: Presence of each instance that is ready.
         data_centre: The caller's data centre, or ''.
         region: The caller's region, or ''.
+        rng: Source of randomness.
 
     Returns:
         A list of addresses, in a stable order.
@@ -38,6 +49,15 @@
     for group in (same, near, far):
         if len(chosen) >= ENOUGH:
             break
-        chosen += group
+        chosen += _drawn(group, rng)
     ranked = sorted(chosen, key=lambda p: p.name)
     return [p.address for p in ranked[:MAX_ADDRESSES]]
+
+
+def _drawn(group, rng):
+    """Returns some of a group, each as often as its capacity asks for."""
+    largest = max((p.capacity for p in group), default=0.0)
+    drawn = [p for p in group if rng.random() * largest < p.capacity]
+    ranked = sorted(group, key=lambda p: -p.capacity)
+    missing = [p for p in ranked if p not in drawn]
+    return drawn + missing[: max(0, ENOUGH - len(drawn))]
--- a/dandelionwinch/attempts/_budget.py
+++ b/dandelionwinch/attempts/_budget.py
@@ -11,7 +11,7 @@
     """One instance's part of the retry budget of all services.
 
     Each instance earns the allowed ratio of the requests it received
-    itself, and an equal part of the fixed slack. The parts add up to
+    itself, and a part of the fixed slack. The parts add up to
     less than the whole, which covers instances not yet known. The slack
     comes in over the first window: right after a common restart no
     instance knows how many there are.
@@ -39,17 +39,17 @@
         self._add(self._requests, service, now)
         self._grown(now)
 
-    def spend(self, service, instances, now):
+    def spend(self, service, parts, now):
         """Takes one retry and tells whether the budget allowed it.
 
         Args:
             service: Name of the service.
-            instances: Instances that are believed to share the budget.
+            parts: Parts like the own that the slack is believed to be in.
             now: Time in seconds.
         """
         requests = self._count(self._requests, service, now)
         retries = self._count(self._retries, service, now)
-        slack = self._slack * self._grown(now) / max(1, instances)
+        slack = self._slack * self._grown(now) / parts
         allowed = self._ratio * requests + slack
         if retries + 1 > allowed:
             return False
--- a/dandelionwinch/control/_config.py
+++ b/dandelionwinch/control/_config.py
@@ -2,6 +2,11 @@
 
 import attrs
 
+# What one request takes of an instance, as far as shares go.
+REQUEST_CORE_S = 0.002
+REQUEST_BITS = 240_000
+BITS_PER_MEGABIT = 1_000_000
+
 
 @attrs.frozen
 class InstanceConfig:
@@ -13,6 +18,8 @@
         readiness: Address for questions whether it is ready, or ''.
         directory: Address for questions where to connect, or ''.
         store: Address of the store.
+        cores: Processor time per second that the machine grants.
+        link_mbps: Megabits per second of the machine's link.
         grace_s: Seconds between SIGTERM and SIGKILL.
         retry_ratio: Repeats allowed for each request, for all instances.
         retry_slack: Repeats allowed besides, for all instances.
@@ -30,6 +37,8 @@
     readiness: str
     directory: str
     store: str
+    cores: float
+    link_mbps: float
     grace_s: float
     retry_ratio: float
     retry_slack: float
@@ -39,6 +48,12 @@
     max_ttl_s: float
     findings: tuple[str, ...] = ()
 
+    @property
+    def capacity(self):
+        """Returns the requests per second that the machine can carry."""
+        link_bits_per_s = self.link_mbps * BITS_PER_MEGABIT
+        return min(self.cores / REQUEST_CORE_S, link_bits_per_s / REQUEST_BITS)
+
     @property
     def region(self):
         """Returns the region of the instance, or ''."""
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -30,19 +30,24 @@
         self._cfg = cfg
         self._store = store
         self.log = log or eventlog.EventLog(cfg.instance)
-        rng = random.Random()
+        self._rng = rng = random.Random()
         self._gateway = gateway.Gateway(loop, dialect, self.log, cfg, rng)
         self._sync = _sync.Sync(
             loop,
             store,
             catalogue,
             self._gateway,
+            cfg.capacity,
             self.log,
             rng,
             self._configured,
         )
         self._presence = addresses.Presence(
-            cfg.instance, cfg.callers, cfg.data_centre, cfg.region
+            cfg.instance,
+            cfg.callers,
+            cfg.data_centre,
+            cfg.region,
+            cfg.capacity,
         )
         self._registration = _registration.Registration(
             loop,
@@ -127,7 +132,9 @@
         present.pop(self._presence.name, None)
         if self.ready:
             present[self._presence.name] = self._presence
-        found = addresses.nearest(present.values(), data_centre, region)
+        found = addresses.nearest(
+            present.values(), data_centre, region, self._rng
+        )
         return found, min(ANSWER_TTL_S, self._cfg.max_ttl_s)
 
     def metrics(self):
--- a/dandelionwinch/control/_registration.py
+++ b/dandelionwinch/control/_registration.py
@@ -25,9 +25,12 @@
         presence = addresses.Presence(**data)
     except (ValueError, TypeError) as exc:
         raise _store.EntryInvalid(f"an instance's entry: {exc}") from exc
-    for name, text in data.items():
-        if not isinstance(text, str):
-            raise _store.EntryInvalid(f'field "{name}" is {text!r}')
+    for name, value in data.items():
+        kind = (int, float) if name == 'capacity' else str
+        if isinstance(value, bool) or not isinstance(value, kind):
+            raise _store.EntryInvalid(f'field "{name}" is {value!r}')
+    if not presence.capacity > 0:
+        raise _store.EntryInvalid(f'capacity is {presence.capacity!r}')
     return presence
 
 
--- a/dandelionwinch/control/_steward.py
+++ b/dandelionwinch/control/_steward.py
@@ -9,7 +9,7 @@
 
 HOLDER_KEY = 'dandelionwinch/orders/holder'
 CHANGE_PREFIX = 'dandelionwinch/orders/changes/'
-SIZE_KEY = 'dandelionwinch/instances-count'
+SIZE_KEY = 'dandelionwinch/capacity'
 ANNOUNCE_S = 1.2
 CHANGE_S = 16.0
 SETTLE_S = 5.0
@@ -97,7 +97,7 @@
 
     async def _take(self):
         """Tries to become the holder once nobody is."""
-        spread_s = TAKE_SPREAD_S * self._gateway.fleet.instances
+        spread_s = TAKE_SPREAD_S * max(1, len(self._sync.members.present))
         await asyncio.sleep(RETRY_S + spread_s * self._rng.random())
         if not self._sync.ready or self._sync.holder:
             return
@@ -140,11 +140,12 @@
         self._leadership.lost()
 
     async def _keep_size(self):
-        """Keeps the number of instances for those that start."""
-        count = self._gateway.fleet.instances
-        if self._leadership.held and self._sync.members.is_outdated(count):
-            await self._store.put(SIZE_KEY, str(count).encode())
-            self._sync.members.note(count)
+        """Keeps the capacity of all instances for those that start."""
+        members = self._sync.members
+        capacity = round(members.capacity(self._loop.time()))
+        if self._leadership.held and members.is_outdated(capacity):
+            await self._store.put(SIZE_KEY, str(capacity).encode())
+            members.note(capacity)
 
     async def _act(self):
         """Gives the next order, if one is due and allowed."""
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -23,6 +23,7 @@
 
     __slots__ = (
         '_absence',
+        '_capacity',
         '_catalogue',
         '_gateway',
         '_log',
@@ -38,11 +39,14 @@
         'on_config',
     )
 
-    def __init__(self, loop, store, catalogue, served, log, rng, on_config):
+    def __init__(
+        self, loop, store, catalogue, served, capacity, log, rng, on_config
+    ):
         self._loop = loop
         self._store = store
         self._catalogue = catalogue
         self._gateway = served
+        self._capacity = capacity
         self._log = log
         self._rng = rng
         self._absence = upstreams.Absence()
@@ -156,7 +160,7 @@
 
     def _coalesce_s(self):
         """Returns the pause before the next watch; each one is a call."""
-        instances = self._gateway.fleet.instances
+        instances = len(self.members.present)
         return min(MAX_COALESCE_S, COALESCE_S + INSTANCE_S * instances)
 
     def _apply(self, item, now):
@@ -177,7 +181,7 @@
     def _apply_size(self, item):
         text = (item.value or b'').decode(errors='replace')
         if text.isdigit():
-            self.members.note(int(text))
+            self.members.note(float(text))
 
     def _apply_change(self, item):
         if item.value is None:
@@ -247,7 +251,7 @@
 
     def _settle(self, now):
         """Does what is due after each answer of the store."""
-        self._gateway.set_instances(self.members.count(now))
+        self._gateway.set_parts(self.members.parts(self._capacity, now))
         for name in self._absence.due(now):
             self._gone(name, now, held=True)
 
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -59,7 +59,7 @@
         '_peak_at',
         '_rng',
         '_speeds',
-        'instances',
+        'parts',
     )
 
     def __init__(self, distances, rng):
@@ -72,7 +72,7 @@
         self._peak = 0.0
         self._peak_at = 0.0
         self._background = {}
-        self.instances = 1
+        self.parts = 1.0
 
     def place(self, prompt, beliefs, exclude, now, *, direct, late):
         """Chooses engines and a lane.
@@ -129,10 +129,10 @@
         """Returns the recent peak of answers that all instances make."""
         faded = self._peak * math.exp((self._peak_at - now) / PEAK_KEEP_S)
         own = max(sum(self._answers.values()), faded)
-        return own * self.instances
+        return own * self.parts
 
     def _has_slot(self, belief):
-        slots = ANSWER_SLOT_SHARE * belief.entry.slots / self.instances
+        slots = ANSWER_SLOT_SHARE * belief.entry.slots / self.parts
         return self._answers.get(belief.entry.id, 0) < max(1.0, slots)
 
     def _answer_cost_s(self, belief):
@@ -144,7 +144,7 @@
         )
 
     def _has_background_room(self, belief, late):
-        room = BACKGROUND_PER_SLOT * belief.entry.slots / self.instances
+        room = BACKGROUND_PER_SLOT * belief.entry.slots / self.parts
         if late:
             room *= RETURNED_ROOM
         return self._background.get(belief.entry.id, 0) < max(1.0, room)
@@ -164,7 +164,7 @@
     def _pace(self, belief, now):
         pace = self._paces.get(belief.entry.id)
         if pace is None:
-            pace = _pace.Pace(self._speed(belief), self.instances, now)
+            pace = _pace.Pace(self._speed(belief), self.parts, now)
             self._paces[belief.entry.id] = pace
         return pace
 
@@ -237,7 +237,7 @@
             self._background[upstream_id] = waiting + 1
         elif placement.lane is _prompts.Lane.ANSWER:
             self._answers[upstream_id] = self._answers.get(upstream_id, 0) + 1
-            self._peak = self.answers(now) / self.instances
+            self._peak = self.answers(now) / self.parts
             self._peak_at = now
 
     def ended(self, placement):
@@ -301,7 +301,7 @@
             return
         self._learn_speed(reader, tokens, taken_s)
         self._pace(reader, now).observe(
-            excess_s, self._speed(reader), self.instances, now
+            excess_s, self._speed(reader), self.parts, now
         )
 
     def paused(self, placement, gap_s, allowed_s, now):
--- a/dandelionwinch/dispatch/_pace.py
+++ b/dandelionwinch/dispatch/_pace.py
@@ -34,7 +34,7 @@
     __slots__ = (
         '_balance',
         '_changed_at',
-        '_instances',
+        '_parts',
         '_limited',
         '_mean',
         '_rate',
@@ -42,10 +42,10 @@
         '_speed',
     )
 
-    def __init__(self, speed, instances, now):
+    def __init__(self, speed, parts, now):
         self._speed = speed
-        self._instances = instances
-        self._rate = min(speed, FIRST_SHARE * speed / instances)
+        self._parts = parts
+        self._rate = min(speed, FIRST_SHARE * speed / parts)
         self._balance = self._rate * BURST_S
         self._read_at = now
         self._changed_at = now
@@ -79,17 +79,17 @@
         self._balance = min(most, self._balance + earned)
         self._read_at = now
 
-    def observe(self, excess_s, speed, instances, now):
+    def observe(self, excess_s, speed, parts, now):
         """Adjusts the rate by one first token.
 
         Args:
             excess_s: Delay beyond what the prompt itself should take.
             speed: Believed prompt speed of the engine.
-            instances: Instances that share the engine.
+            parts: Parts like the own that the engine is shared in.
             now: Time in seconds.
         """
         self._speed = speed
-        self._instances = instances
+        self._parts = parts
         if excess_s > HIGH_S:
             self.slow_down(now)
         elif excess_s < LOW_S and self._limited:
@@ -104,7 +104,7 @@
         if now - self._changed_at < STEP_S:
             return
         self._refill(now)
-        least = LEAST_SHARE * self._speed / self._instances
+        least = LEAST_SHARE * self._speed / self._parts
         self._rate = max(least, min(MOST_SHARE * self._speed, rate))
         self._changed_at = now
 
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -11,13 +11,13 @@
 class Fleet:
     """The upstreams as one instance uses them."""
 
-    __slots__ = ('_loop', '_pools', 'beliefs', 'instances', 'table')
+    __slots__ = ('_loop', '_pools', 'beliefs', 'parts', 'table')
 
     def __init__(self, loop):
         self._loop = loop
         self._pools = {}
         self.beliefs = upstreams.Beliefs()
-        self.instances = 1
+        self.parts = 1.0
         self.table = None
 
     def pool(self, belief):
@@ -35,7 +35,7 @@
     def _limit(self, service):
         known = self.table.services.get(service) if self.table else None
         most = known.max_connections if known else DEFAULT_CONNECTIONS
-        return max(2, int(most * CONNECTION_SHARE / max(1, self.instances)))
+        return max(2, int(most * CONNECTION_SHARE / self.parts))
 
     def sweep(self, now):
         """Closes idle connections and those to upstreams that are gone."""
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -112,10 +112,10 @@
         """Notes a request that was refused before it was whole."""
         self.log.event('request.refused', status=status, reason=reason)
 
-    def set_instances(self, count):
-        """Takes the number of instances that share all limits."""
-        self.fleet.instances = count
-        self.placer.instances = count
+    def set_parts(self, parts):
+        """Takes the number of parts like its own that limits are cut in."""
+        self.fleet.parts = parts
+        self.placer.parts = parts
 
     def changing(self, upstream_id, span_s):
         """Keeps requests away from an engine that changes its role."""
@@ -131,9 +131,7 @@
 
     def spend_retry(self, service):
         """Takes a retry out of the shared budget."""
-        return self.budget.spend(
-            service, self.fleet.instances, self.loop.time()
-        )
+        return self.budget.spend(service, self.fleet.parts, self.loop.time())
 
     def first_event(self, route, taken_s):
         """Notes the time to the first event of a stream."""
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -69,6 +69,8 @@
         get('listen.readiness', str, ''),
         get('listen.directory', str, ''),
         get('platform.address', str, ''),
+        get('limits.cpuShare', float, 1.0) * get('limits.cores', float, 1.0),
+        get('limits.linkMbps', float, 1000.0),
         get('bounds.graceS', float, 8.0),
         get('bounds.retryBudgetRatio', float, 0.2),
         get('bounds.retrySlack', float, 0.0),
--- a/dandelionwinch/platform/samples.py
+++ b/dandelionwinch/platform/samples.py
@@ -28,6 +28,10 @@
 frontend = "{ip}:{callers_port}"
 readiness = "{ip}:{readiness_port}"
 directory = "{ip}:{directory_port}"
+[limits]
+cpuShare = 0.5
+cores = 2
+linkMbps = 1000.0
 [bounds]
 graceS = {grace_s}
 leaseMs = 3000
