--- a/dandelionwinch/soak/_caller.py
+++ b/dandelionwinch/soak/_caller.py
@@ -37,9 +37,10 @@
 class Caller:
     """Sends requests one after another until it is stopped."""
 
-    def __init__(self, name, directories, seen, rng):
+    def __init__(self, name, directories, fronts, seen, rng):
         self._name = name
         self._directories = directories
+        self._fronts = fronts
         self._seen = seen
         self._rng = rng
         self._addresses = []
@@ -99,7 +100,8 @@
             await self._resolve(loop)
         if not self._addresses:
             raise OSError('no address is known')
-        host, _, port = self._rng.choice(self._addresses).rpartition(':')
+        address = self._fronts[self._rng.choice(self._addresses)]
+        host, _, port = address.rpartition(':')
         return await asyncio.open_connection(host, int(port))
 
     async def _resolve(self, loop):
--- a/dandelionwinch/soak/_proxy.py
+++ b/dandelionwinch/soak/_proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that resets, silences or delays connections."""
+"""A loopback proxy that resets, silences, delays or cuts one way."""
 
 import asyncio
 import enum
@@ -13,6 +13,7 @@
     PASS = 'pass'
     DELAY = 'delay'
     SILENT = 'silent'
+    ONE_WAY = 'one way'
     RESET = 'reset'
 
 
@@ -59,7 +60,8 @@
         self._writers |= {writer, there[1]}
         try:
             await asyncio.gather(
-                self._copy(reader, there[1]), self._copy(there[0], writer)
+                self._copy(reader, there[1], (Mode.SILENT,)),
+                self._copy(there[0], writer, (Mode.SILENT, Mode.ONE_WAY)),
             )
         except asyncio.CancelledError:
             # The loop ends with the soak; there is nobody to tell.
@@ -67,10 +69,10 @@
         finally:
             self._writers -= {writer, there[1]}
 
-    async def _copy(self, reader, writer):
+    async def _copy(self, reader, writer, dropping):
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self.mode is Mode.SILENT:
+                if self.mode in dropping:
                     continue
                 if self.mode is Mode.DELAY:
                     await asyncio.sleep(DELAY_S)
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -18,12 +18,25 @@
 from dandelionwinch.standins import kvstore
 from dandelionwinch import utils
 
-LEAD_S = 3.0
 QUIET_S = 6.0
 RESTART_S = 0.5
 GRACE_S = 4
 RETRY_SLACK = 200
-FAULTS = ('kill', 'pause', 'term', 'hup', 'store', 'leave', 'config')
+FAULTS = (
+    'kill',
+    'pause',
+    'term',
+    'hup',
+    'store',
+    'upstream',
+    'caller',
+    'leave',
+    'config',
+)
+START_TIMEOUT_S = 120.0
+INSTANCE_PREFIX = 'dandelionwinch/instances/'
+THREADS_PER_INSTANCE = 2
+MORE_THREADS = 64
 
 
 @attrs.frozen
@@ -87,7 +100,8 @@
         self._count = instances
         self._callers = callers
         self._folder = pathlib.Path(folder)
-        self._store = kvstore.KvStore(lapse=True)
+        threads = MORE_THREADS + THREADS_PER_INSTANCE * instances
+        self._store = kvstore.KvStore(lapse=True, threads=threads)
         self._record = _upstream.Record()
         self._seen = _caller.Seen()
         self._faults = {}
@@ -97,7 +111,9 @@
         self._next_upstream = 0
         self._upstreams = []
         self._instances = []
-        self._proxies = []
+        self._proxies = {'store': [], 'upstream': [], 'caller': []}
+        self._fronts = {}
+        self._changed = asyncio.Event()
 
     async def run(self, for_s):
         """Plays the soak and returns its Result."""
@@ -113,10 +129,12 @@
             await self._add_upstream()
         self._write_config()
         directories = await self._start_instances()
-        await asyncio.sleep(LEAD_S)
+        await self._await_started()
         for number in range(self._callers):
             rng = random.Random(self._rng.random())
-            caller = _caller.Caller(number, directories, self._seen, rng)
+            caller = _caller.Caller(
+                number, directories, self._fronts, self._seen, rng
+            )
             self._spawn(caller.run())
         loop = asyncio.get_running_loop()
         until = loop.time() + for_s
@@ -125,6 +143,24 @@
             await self._inject(self._rng.choice(FAULTS))
         await self._check_recovery()
 
+    async def _await_started(self):
+        """Waits until all instances have an entry in the store."""
+        loop = asyncio.get_running_loop()
+        self._store.changed = lambda: loop.call_soon_threadsafe(
+            self._changed.set
+        )
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while len(self._present()) < self._count:
+                self._changed.clear()
+                await self._changed.wait()
+        self._store.changed = lambda: None
+
+    def _present(self):
+        found, _more = self._store.items.page(
+            INSTANCE_PREFIX, '', self._count + 1
+        )
+        return found
+
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -142,9 +178,10 @@
         directories = []
         for number in range(self._count):
             ip = f'127.{block}.{number // 200}.{10 + number % 200}'
-            proxy = _proxy.Proxy(self._store.address)
-            await proxy.start()
-            self._proxies.append(proxy)
+            proxy = await self._add_proxy('store', self._store.address)
+            front = f'{ip}:{ports[0]}'
+            front_proxy = await self._add_proxy('caller', front)
+            self._fronts[front] = front_proxy.address
             name = f'i-{number}'
             path = self._folder / f'{name}.toml'
             text = samples.settings(
@@ -165,6 +202,12 @@
             directories.append(f'{ip}:{ports[2]}')
         return directories
 
+    async def _add_proxy(self, link, address):
+        proxy = _proxy.Proxy(address)
+        await proxy.start()
+        self._proxies[link].append(proxy)
+        return proxy
+
     async def _add_upstream(self):
         self._next_upstream += 1
         rng = random.Random(self._rng.random())
@@ -172,11 +215,12 @@
             f'u-{self._next_upstream}', self._record, rng
         )
         await made.start()
+        made.proxy = await self._add_proxy('upstream', made.address)
         self._upstreams.append(made)
         self._write_entry(made, 'ready')
 
     def _write_entry(self, upstream, state):
-        entry = samples.entry(address=upstream.address, state=state)
+        entry = samples.entry(address=upstream.proxy.address, state=state)
         self._store.write(samples.entry_key(upstream.id), entry)
 
     def _write_config(self):
@@ -205,8 +249,9 @@
             case 'pause':
                 instance.send(signal.SIGSTOP)
                 self._spawn(self._resume(instance))
-            case 'store':
-                self._spawn(self._disturb(self._rng.choice(self._proxies)))
+            case 'store' | 'upstream' | 'caller':
+                proxy = self._rng.choice(self._proxies[fault])
+                self._spawn(self._disturb(proxy))
             case 'leave':
                 await self._replace_upstream()
             case 'config':
@@ -229,7 +274,7 @@
             process.send_signal(signal.SIGCONT)
 
     async def _disturb(self, proxy):
-        modes = (_proxy.Mode.DELAY, _proxy.Mode.SILENT, _proxy.Mode.RESET)
+        modes = [m for m in _proxy.Mode if m is not _proxy.Mode.PASS]
         proxy.set_mode(self._rng.choice(modes))
         await asyncio.sleep(self._rng.uniform(0.5, 3.0))
         proxy.set_mode(_proxy.Mode.PASS)
@@ -254,7 +299,7 @@
 
     async def _check_recovery(self):
         """After a quiet time, most requests must be served again."""
-        for proxy in self._proxies:
+        for proxy in self._all_proxies():
             proxy.set_mode(_proxy.Mode.PASS)
         await asyncio.sleep(QUIET_S)
         before = dict(self._seen.statuses)
@@ -275,12 +320,15 @@
         self._kill_all()
         for instance in self._instances:
             await instance.process.wait()
-        for proxy in self._proxies:
+        for proxy in self._all_proxies():
             await proxy.close()
         for upstream in self._upstreams:
             upstream.close()
         self._store.close()
 
+    def _all_proxies(self):
+        return [proxy for group in self._proxies.values() for proxy in group]
+
     def _kill_all(self):
         for instance in self._instances:
             instance.stopped = True
--- a/dandelionwinch/soak/_upstream.py
+++ b/dandelionwinch/soak/_upstream.py
@@ -41,6 +41,7 @@
         self._server = None
         self.address = ''
         self.left_at = None
+        self.proxy = None
 
     async def start(self):
         """Listens on a port that the system chooses."""
--- a/dandelionwinch/standins/kvstore.py
+++ b/dandelionwinch/standins/kvstore.py
@@ -22,8 +22,8 @@
         changed: Called after each call and each change, from any thread.
     """
 
-    def __init__(self, page=500, lapse=False):
-        super().__init__()
+    def __init__(self, page=500, lapse=False, threads=web.STAND_IN_THREADS):
+        super().__init__(threads=threads)
         self._condition = threading.Condition()
         self.items = kvitems.KvItems()
         self.refuse = 0
--- a/dandelionwinch/standins/web.py
+++ b/dandelionwinch/standins/web.py
@@ -48,13 +48,15 @@
 
     __slots__ = ('_handler', '_server', '_thread', 'address')
 
-    def __init__(self, handler, listen='127.0.0.1:0'):
+    def __init__(
+        self, handler, listen='127.0.0.1:0', threads=STAND_IN_THREADS
+    ):
         self._handler = handler
         host, _, port = listen.rpartition(':')
         self._server = wsgi.Server(
             (host, int(port)),
             self._application,
-            numthreads=STAND_IN_THREADS,
+            numthreads=threads,
             request_queue_size=256,
             timeout=30,
         )
@@ -94,8 +96,8 @@
 class Served:
     """A stand-in behind a web server; subclasses have `_handle`."""
 
-    def __init__(self, listen='127.0.0.1:0'):
-        self._web = WebServer(self._handle, listen)
+    def __init__(self, listen='127.0.0.1:0', threads=STAND_IN_THREADS):
+        self._web = WebServer(self._handle, listen, threads)
 
     @property
     def address(self):
