--- a/dandelionwinch/gateway/_exchange.py
+++ b/dandelionwinch/gateway/_exchange.py
@@ -181,13 +181,16 @@
         headers = answer.head.end_to_end()
         self._caller.answer(answer.head.status, headers, answer.body)
 
-    def _accept(self, belief, answer):
+    def _accept(self, belief, answer, began):
         now = self._loop.time()
         again = (
             answer.head.status >= SERVER_ERROR
             and self._route.repeat is not routes.Repeat.ONCE
         )
-        belief.succeeded(0.0, now)
+        way_s = self._gateway.distances.round_trip_s(belief.entry.data_centre)
+        taken_s = now - began - way_s
+        excess_s = self._fleet.typical.excess_s(self._service, taken_s)
+        belief.succeeded(excess_s, now)
         if again:
             raise _conversation.AttemptFailed(
                 attempts.Fate.FAILED,
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -11,7 +11,7 @@
 class Fleet:
     """The upstreams as one instance uses them."""
 
-    __slots__ = ('_loop', '_pools', 'beliefs', 'parts', 'table')
+    __slots__ = ('_loop', '_pools', 'beliefs', 'parts', 'table', 'typical')
 
     def __init__(self, loop):
         self._loop = loop
@@ -19,6 +19,7 @@
         self.beliefs = upstreams.Beliefs()
         self.parts = 1.0
         self.table = None
+        self.typical = upstreams.Typical()
 
     def pool(self, belief):
         """Returns the connections to one incarnation of an upstream."""
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -133,10 +133,6 @@
         """Takes a retry out of the shared budget."""
         return self.budget.spend(service, self.fleet.parts, self.loop.time())
 
-    def first_event(self, route, taken_s):
-        """Notes the time to the first event of a stream."""
-        self.metrics.first_event.labels(route.name).observe(taken_s)
-
     def log_placement(self, request_id, placement):
         """Logs where a generation goes, and why."""
         prefill = placement.prefill
@@ -153,8 +149,12 @@
         """Notes the final answer of a request."""
         taken_s = exchange.taken_s()
         name = exchange.route.name
-        self.metrics.answers.labels(name, str(status)).inc()
-        self.metrics.seconds.labels(name).observe(taken_s)
+        stages = {
+            'prefill': exchange.prefill_s,
+            'first_event': exchange.first_event_s,
+            'end': taken_s,
+        }
+        self.metrics.ended(name, status, exchange.outcome, stages)
         self.log.event(
             'request.answered',
             request=exchange.request_id,
--- a/dandelionwinch/gateway/_generation.py
+++ b/dandelionwinch/gateway/_generation.py
@@ -180,7 +180,6 @@
     def _started(self, placement, began):
         now = self._loop.time()
         self.first_event_s = self.first_event_s or now - self._began
-        self._gateway.first_event(self._route, now - self._began)
         self._gateway.placer.started(placement, now - began, now)
 
     async def _whole_failure(self, talk, head, belief, patience_s):
@@ -191,4 +190,4 @@
             raise _conversation.AttemptFailed(
                 attempts.Fate.FAILED, f'status {head.status} on resumption'
             )
-        self._accept(belief, answer)
+        self._accept(belief, answer, self._loop.time())
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -8,7 +8,7 @@
 class Metrics:
     """The metrics of one gateway, in a registry of its own."""
 
-    __slots__ = ('answers', 'attempts', 'first_event', 'registry', 'seconds')
+    __slots__ = ('answers', 'attempts', 'registry', 'seconds')
 
     def __init__(self):
         registry = prometheus_client.CollectorRegistry()
@@ -27,19 +27,27 @@
         )
         self.seconds = prometheus_client.Histogram(
             'dandelionwinch_gateway_seconds',
-            'Time from a whole request to the end of its answer',
-            ['route'],
-            buckets=SECONDS,
-            registry=registry,
-        )
-        self.first_event = prometheus_client.Histogram(
-            'dandelionwinch_gateway_first_event_seconds',
-            'Time from a whole request to the first event of its answer',
-            ['route'],
+            'Time from a whole request to a stage of its answer',
+            ['route', 'stage', 'outcome'],
             buckets=SECONDS,
             registry=registry,
         )
 
+    def ended(self, route, status, outcome, stages):
+        """Notes the final answer of a request.
+
+        Args:
+            route: Name of the route.
+            status: Status of the answer, 0 if it was cut.
+            outcome: What became of it.
+            stages: Seconds by stage; a stage that was not reached has 0.
+        """
+        self.answers.labels(route, str(status)).inc()
+        for stage, taken_s in stages.items():
+            if taken_s:
+                labels = (route, stage, outcome)
+                self.seconds.labels(*labels).observe(taken_s)
+
     def text(self):
         """Returns all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/dandelionwinch/platform/__init__.py
+++ b/dandelionwinch/platform/__init__.py
@@ -1,5 +1,6 @@
 """Everything that only translates between the product and the platform."""
 
 from dandelionwinch.platform._boot import load as load_settings
+from dandelionwinch.platform._deploy import check as check_deploy
 
-__all__ = ['load_settings']
+__all__ = ['check_deploy', 'load_settings']
--- /dev/null
+++ b/dandelionwinch/platform/_deploy.py
@@ -0,0 +1,84 @@
+"""Checks the file that deploys the product on the platform."""
+
+import pathlib
+import tomllib
+
+TOP = {'build': str, 'packages': list, 'roles': dict}
+ROLE = {
+    'run': str,
+    'on': str,
+    'share': (int, float),
+    'count': int,
+    'apart': bool,
+    'serves': list,
+    'metrics': str,
+    'template': str,
+    'env': dict,
+}
+SERVED = ('edge', 'control_plane', 'registry')
+FORBIDDEN_PROGRAMS = ('env', 'npx', 'sh', 'bash')
+MAX_ROLES = 2
+
+
+def check(path):
+    """Returns findings about a deploy file, each with its place."""
+    try:
+        data = tomllib.loads(pathlib.Path(path).read_text())
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        return [f'the file cannot be read: {exc}']
+    findings = list(_fields(data, TOP, ''))
+    if 'build' not in data:
+        findings.append('field "build" is missing')
+    roles = data.get('roles')
+    roles = roles if isinstance(roles, dict) else {}
+    for name, role in roles.items():
+        findings += _role(role, f'roles.{name}')
+    served = [
+        item
+        for role in roles.values()
+        if isinstance(role, dict)
+        for item in role.get('serves', ())
+    ]
+    if 'registry' not in served:
+        findings.append('no role serves "registry"')
+    if len(roles) > MAX_ROLES:
+        findings.append(f'more than {MAX_ROLES} roles')
+    findings += [
+        f'more than one role serves "{item}"'
+        for item in SERVED
+        if served.count(item) > 1
+    ]
+    return findings
+
+
+def _role(role, place):
+    if not isinstance(role, dict):
+        yield f'field "{place}" is not a table'
+        return
+    yield from _fields(role, ROLE, f'{place}.')
+    for name in ('run', 'on'):
+        if name not in role:
+            yield f'field "{place}.{name}" is missing'
+    if ('share' in role) == ('count' in role):
+        yield f'field "{place}" needs either "share" or "count"'
+    share = role.get('share', 1)
+    if isinstance(share, (int, float)) and not 0 < share <= 1:
+        yield f'field "{place}.share" is {share}, not in 0 to 1'
+    program = str(role.get('run', '')).split(' ')[0]
+    if program in FORBIDDEN_PROGRAMS:
+        yield f'field "{place}.run" starts a helper, "{program}"'
+    for item in role.get('serves', ()):
+        if item not in SERVED:
+            yield f'field "{place}.serves" has "{item}"'
+    port, _, page = str(role.get('metrics', '1/x')).partition('/')
+    if not port.isdigit() or not page:
+        yield f'field "{place}.metrics" is not PORT/PATH'
+
+
+def _fields(data, kinds, place):
+    for name, value in data.items():
+        kind = kinds.get(name)
+        if kind is None:
+            yield f'field "{place}{name}" is not known'
+        elif not isinstance(value, kind):
+            yield f'field "{place}{name}" is of another type'
--- a/dandelionwinch/tests/test_calls.py
+++ b/dandelionwinch/tests/test_calls.py
@@ -1,5 +1,6 @@
 """Plain calls and connections, against scripted upstreams."""
 
+import attrs
 import pytest
 
 from dandelionwinch.platform import samples
@@ -235,6 +236,30 @@
     assert house_module.play([[[scripted.HANG]]], scenario)
 
 
+@pytest.mark.parametrize(
+    ('path', 'statuses', 'sends'),
+    [('/safe/1', [200, 200], 3), ('/once/1', [200, 502], 2)],
+)
+def test_a_kept_connection_that_was_dropped_without_notice(
+    path, statuses, sends
+):
+    """What is sent next on it is reset, and may have run."""
+    script = [[house_module.whole()], [scripted.RESET], [house_module.whole()]]
+
+    async def scenario(house):
+        beliefs = house.gateway.fleet.beliefs
+        farther = attrs.evolve(beliefs.get('u1').entry, data_centre='far')
+        beliefs.apply(farther)
+        got = []
+        for number in (1, 2):
+            house.send(path, f'r{number}')
+            got.append((await house.answer())[0])
+        return got, len(house.seen)
+
+    shared = [script, [[house_module.whole()]]]
+    assert house_module.play(shared, scenario) == (statuses, sends)
+
+
 def test_a_drain_answers_what_was_read_and_then_closes():
     async def scenario(house):
         house.send('/once/1')
--- a/dandelionwinch/tests/test_dispatch.py
+++ b/dandelionwinch/tests/test_dispatch.py
@@ -243,3 +243,41 @@
         fresh = place(made, prompt(), belief)
     assert fresh.lane is dispatch.Lane.BACKGROUND
     assert returned.urgency < fresh.urgency
+
+
+def test_a_slow_plain_upstream_gets_fewer_calls_and_is_tried_again():
+    """Replays calls to three upstreams of which one is eight times slow."""
+    rng = random.Random(4)
+    group = engines(3, upstreams.Role.PLAIN)
+    distances = dispatch.Distances('dc', {'dc': 'r'})
+    counts = {belief.entry.id: 0 for belief in group}
+    typical = upstreams.Typical()
+    ends = []
+    for step in range(3000):
+        now = step * 0.02
+        for end in [e for e in ends if e[0] <= now]:
+            ends.remove(end)
+            end[1].active -= 1
+            excess_s = typical.excess_s('s', end[2])
+            end[1].succeeded(excess_s, end[0])
+        chosen = dispatch.choose_plain(group, (), distances, rng, now)
+        taken_s = 0.16 if chosen is group[0] else 0.02
+        chosen.active += 1
+        counts[chosen.entry.id] += 1
+        ends.append((now + taken_s, chosen, taken_s))
+    assert 10 < counts['e0'] < 3000 / 9
+    assert min(counts['e1'], counts['e2']) > 1000
+
+
+def test_the_nearest_plain_upstream_is_kept_while_it_is_as_fast():
+    near, far = engines(2, upstreams.Role.PLAIN)
+    far.entry = attrs.evolve(far.entry, data_centre='far')
+    distances = dispatch.Distances('dc', {'dc': 'r', 'far': 'q'})
+    typical = upstreams.Typical()
+    rng = random.Random(1)
+    for step in range(500):
+        now = step * 0.1
+        chosen = dispatch.choose_plain([near, far], (), distances, rng, now)
+        assert chosen is near
+        taken_s = 0.02 + 0.01 * rng.random()
+        chosen.succeeded(typical.excess_s('s', taken_s), now)
--- a/dandelionwinch/tests/test_explain.py
+++ b/dandelionwinch/tests/test_explain.py
@@ -5,7 +5,9 @@
 import re
 
 import click.testing
+import pytest
 
+from dandelionwinch import platform
 from dandelionwinch.tools import cli
 from dandelionwinch.tools import explain
 
@@ -78,3 +80,60 @@
     result = runner.invoke(cli.main, ['check-boot', str(path)])
     assert result.exit_code == 2
     assert 'field "bounds.graceS" is missing' in result.output
+
+
+def test_the_time_line_merges_logs(tmp_path):
+    path = tmp_path / 'a.log'
+    path.write_text('\n'.join(reversed(LOG)))
+    runner = click.testing.CliRunner()
+    result = runner.invoke(
+        cli.main, ['timeline', '--log', str(path), '--subject', 'r1', '--json']
+    )
+    assert [row['kind'] for row in json.loads(result.output)['rows']] == [
+        'request.placed',
+        'attempt.failed',
+        'request.answered',
+    ]
+
+
+def test_the_deploy_file_of_the_project_is_good():
+    runner = click.testing.CliRunner()
+    path = ROOT / 'deploy' / 'system.toml'
+    result = runner.invoke(cli.main, ['check-deploy', str(path)])
+    assert (result.exit_code, result.output) == (0, '')
+
+
+GOOD = """
+build = "true"
+[roles.a]
+run = "python3 -m a"
+on = "edge"
+share = 1.0
+serves = ["edge", "registry"]
+metrics = "9464/metrics"
+"""
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'finding'),
+    [
+        ('build = "true"', '', 'field "build" is missing'),
+        ('build = "true"', 'built = "true"', 'field "built" is not known'),
+        ('on = "edge"', '', 'field "roles.a.on" is missing'),
+        ('share = 1.0', 'share = 2.0', 'field "roles.a.share" is 2.0'),
+        ('share = 1.0', 'count = "1"', 'field "roles.a.count" is of another'),
+        ('share = 1.0', '', 'needs either "share" or "count"'),
+        ('python3 -m a', 'env python3', 'starts a helper, "env"'),
+        ('"registry"]', '"reg"]', 'no role serves "registry"'),
+        ('9464/metrics', '/metrics', 'is not PORT/PATH'),
+        ('[roles.a]', '[roles', 'the file cannot be read'),
+    ],
+)
+def test_findings_about_a_deploy_file_name_their_place(
+    tmp_path, old, new, finding
+):
+    path = tmp_path / 'system.toml'
+    path.write_text(GOOD)
+    assert platform.check_deploy(path) == []
+    path.write_text(GOOD.replace(old, new))
+    assert any(finding in text for text in platform.check_deploy(path))
--- a/dandelionwinch/tests/test_upstreams.py
+++ b/dandelionwinch/tests/test_upstreams.py
@@ -92,3 +92,24 @@
     names = [f'u{n}' for n in range(5)]
     assert absence.vanished(names, 9, 100.0) == []
     assert sorted(absence.due(103.0)) == names
+
+
+def test_a_flapping_upstream_gets_few_requests_while_it_is_down():
+    """Replays an upstream that is down and up by turns of two seconds."""
+    group = [upstreams.Belief(entry(f'u{n}')) for n in range(3)]
+    flapping = group[0]
+    failed, served, turn = 0, 0, 0
+    for step in range(2000):
+        now = step * 0.02
+        usable = upstreams.available(group, now)
+        turn += 1
+        chosen = usable[turn % len(usable)]
+        if chosen is flapping and int(now / 2) % 2:
+            chosen.failed(now)
+            chosen.eject(now)
+            failed += 1
+        else:
+            chosen.succeeded(0.0, now)
+            served += chosen is flapping
+    assert failed <= 40 / 2
+    assert served > 200
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -120,6 +120,17 @@
     except (OSError, errors.DandelionwinchError) as exc:
         click.echo(f'error: {path}: {exc}', err=True)
         sys.exit(FINDINGS_EXIT)
+    _report(path, findings)
+
+
+@main.command('check-deploy')
+@click.argument('path', type=click.Path(dir_okay=False))
+def check_deploy(path):
+    """Check a deploy file of the users' platform."""
+    _report(path, platform.check_deploy(path))
+
+
+def _report(path, findings):
     for finding in findings:
         click.echo(f'{path}: {finding}')
     sys.exit(FINDINGS_EXIT if findings else 0)
@@ -207,6 +218,13 @@
 @click.option('--operator', default=DEFAULT_OPERATOR, show_default=True)
 @click.option('--token-file', type=click.Path(exists=True, dir_okay=False))
 @click.option('--authority-file', type=click.Path(exists=True, dir_okay=False))
+@click.option(
+    '--log',
+    'logs',
+    multiple=True,
+    type=click.File(),
+    help="An instance's log, instead of asking an operators' address.",
+)
 @click.option('--subject', default='', help='Only this job, upstream, order.')
 @click.option('--instance', default='', help='Only this instance.')
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
@@ -214,14 +232,27 @@
     '--html', type=click.Path(dir_okay=False), help='Write an HTML page.'
 )
 def timeline(
-    operator, token_file, authority_file, subject, instance, as_json, html
+    operator,
+    token_file,
+    authority_file,
+    logs,
+    subject,
+    instance,
+    as_json,
+    html,
 ):
-    """Merge the events of all live instances in causal order."""
-    link = console.Link(operator, _token(token_file), authority_file)
-    try:
-        answer = link.ask('show events')
-    except errors.DandelionwinchError as exc:
-        _fail(exc)
+    """Merge the events of all live instances in causal order.
+
+    Events of logs are in order of the instances' clocks.
+    """
+    if logs:
+        answer = explain.as_timeline(text for log in logs for text in log)
+    else:
+        link = console.Link(operator, _token(token_file), authority_file)
+        try:
+            answer = link.ask('show events')
+        except errors.DandelionwinchError as exc:
+            _fail(exc)
     rows = console.filter_events(answer['rows'], subject, instance)
     answer['rows'] = rows
     if html:
--- a/dandelionwinch/tools/explain.py
+++ b/dandelionwinch/tools/explain.py
@@ -5,6 +5,7 @@
 import attrs
 
 CONTEXT_S = 5.0
+TIMELINE_COLUMNS = ('time', 'instance', 'kind', 'subject', 'detail')
 BELIEF_EVENTS = (
     'config.applied',
     'orders.sent',
@@ -90,11 +91,32 @@
     return sorted(found, key=lambda e: e.time)
 
 
-def text_of(line):
-    """Returns a Line as one line of text."""
-    parts = [
+def _details(line, left_out):
+    return ' '.join(
         f'{name}={value}'
         for name, value in line.fields.items()
-        if name not in ('at', 'request') and value not in ('', None)
-    ]
-    return f'{line.time:.3f} {line.instance} {line.event} {" ".join(parts)}'
+        if name not in left_out and value not in ('', None)
+    )
+
+
+def text_of(line):
+    """Returns a Line as one line of text."""
+    details = _details(line, ('at', 'request'))
+    return f'{line.time:.3f} {line.instance} {line.event} {details}'
+
+
+def as_timeline(lines):
+    """Returns the events of logs in the form of the operators' answers."""
+    rows = []
+    for line in sorted(read(lines), key=lambda e: e.time):
+        subject = line.fields.get('request') or line.fields.get('upstream')
+        rows.append(
+            {
+                'time': line.time,
+                'instance': line.instance,
+                'kind': line.event,
+                'subject': subject or '',
+                'detail': _details(line, ('at', 'request', 'upstream')),
+            }
+        )
+    return {'columns': list(TIMELINE_COLUMNS), 'rows': rows}
--- a/dandelionwinch/upstreams/__init__.py
+++ b/dandelionwinch/upstreams/__init__.py
@@ -6,5 +6,14 @@
 from dandelionwinch.upstreams._beliefs import Beliefs
 from dandelionwinch.upstreams._beliefs import Entry
 from dandelionwinch.upstreams._beliefs import Role
+from dandelionwinch.upstreams._typical import Typical
 
-__all__ = ['Absence', 'Belief', 'Beliefs', 'Entry', 'Role', 'available']
+__all__ = [
+    'Absence',
+    'Belief',
+    'Beliefs',
+    'Entry',
+    'Role',
+    'Typical',
+    'available',
+]
--- a/dandelionwinch/upstreams/_beliefs.py
+++ b/dandelionwinch/upstreams/_beliefs.py
@@ -7,6 +7,7 @@
 FAILURE_SHARE = 0.2
 EJECT_FAILURES = 0.5
 EJECT_S = 1.0
+EJECT_GROWTH = 1.5
 MAX_EJECT_S = 8.0
 MAX_EJECTED_SHARE = 0.5
 LATENCY_SHARE = 0.2
@@ -84,8 +85,10 @@
             self.eject(now)
 
     def eject(self, now):
-        """Keeps requests away for a time that doubles."""
-        span_s = min(MAX_EJECT_S, EJECT_S * 2**self.ejections)
+        """Keeps requests away for a time that grows from one to the next."""
+        if self.ejected_until > now:
+            return
+        span_s = min(MAX_EJECT_S, EJECT_S * EJECT_GROWTH**self.ejections)
         self.ejected_until = now + span_s
         self.ejections += 1
         self.failures = EJECT_FAILURES - FAILURE_SHARE / 2
