--- a/dandelionwinch/gateway/_generation.py
+++ b/dandelionwinch/gateway/_generation.py
@@ -4,6 +4,8 @@
 that breaks off goes on elsewhere where its route allows that.
 """
 
+import attrs
+
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
 from dandelionwinch.gateway import _connection
@@ -109,6 +111,20 @@
 
     async def _decode(self, placement, source, began):
         belief = self._decoder(placement)
+        try:
+            await self._answer_at(belief, placement, source, began)
+        except _conversation.AttemptFailed as exc:
+            gone = source and exc.fate is attempts.Fate.NOT_EXECUTED
+            if not gone or isinstance(exc, _conversation.NoFurtherAttempt):
+                raise
+            # The handle may be gone; the engine can read the prompt itself.
+            self._fates.append(exc.fate)
+            self._log_attempt(exc)
+            placement.prefill.failed(self._loop.time())
+            direct = attrs.evolve(placement, prefill=None)
+            await self._answer_at(belief, direct, '', self._loop.time())
+
+    async def _answer_at(self, belief, placement, source, began):
         pool, conn = await self._connect(belief)
         sending = self._sending(
             belief, source=source, urgency=placement.urgency
--- a/dandelionwinch/tests/test_streams.py
+++ b/dandelionwinch/tests/test_streams.py
@@ -218,3 +218,25 @@
     _statuses, (_first, second) = play_reader([prefill, decode])
     ids = [s.headers[samples.REQUEST_ID] for s in second.seen]
     assert len(ids) == len(set(ids))
+
+
+def test_a_prompt_whose_handle_is_gone_is_read_where_it_is_answered():
+    prefill = [[house_module.whole(samples.handle('h1'))]]
+
+    async def scenario(house):
+        make_reader(house)
+        number, status = 0, None
+        while not house.upstreams[0].seen:
+            number += 1
+            house.upstreams[1]._scripts = [[samples.refusal()], ONE_EVENT]
+            house.generate('/stream/1', f'r{number}', tokens=5000 + number)
+            status = (await house.answer())[0]
+        return status, house.upstreams[1].seen[-2:]
+
+    status, (first, second) = house_module.play([prefill, []], scenario)
+    assert status == 200
+    assert first.headers[samples.REQUEST_ID] == (
+        second.headers[samples.REQUEST_ID]
+    )
+    assert 'x-dandelionwinch-kv-source' in first.headers
+    assert 'x-dandelionwinch-kv-source' not in second.headers
