--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -11,6 +11,7 @@
 
 from dandelionwinch.dispatch import _cached
 from dandelionwinch.dispatch import _layout
+from dandelionwinch.dispatch import _overdue
 from dandelionwinch.dispatch import _pace
 from dandelionwinch.dispatch import _prompts
 from dandelionwinch import upstreams
@@ -27,6 +28,7 @@
 LEAST_SAMPLE_TOKENS = 1000
 # Costs of an engine for an answer, in seconds.
 HANDOVER_S = 0.004
+FAR_HANDOVER_S = 0.03
 RUNNING_S = 0.002
 FAILURE_S = 0.2
 DISTANCE_SHARE = 0.1
@@ -44,6 +46,8 @@
 TRANSFER_S = 0.08
 ANSWER_SLOT_SHARE = 0.6
 PEAK_KEEP_S = 6.0
+# Delay of the nearest engine for answers at which others are asked, too.
+PARTNER_DELAY_S = 0.1
 
 
 class EnginePlacer:
@@ -54,6 +58,7 @@
         '_background',
         '_cached',
         '_distances',
+        '_overdue',
         '_paces',
         '_peak',
         '_peak_at',
@@ -66,6 +71,7 @@
         self._distances = distances
         self._rng = rng
         self._cached = _cached.CachedParts()
+        self._overdue = _overdue.Overdue()
         self._speeds = {}
         self._paces = {}
         self._answers = {}
@@ -95,7 +101,7 @@
         if layout is None:
             return None
         if prompt.short:
-            chosen = self._answer_host(layout)
+            chosen = self._answer_host(layout, now)
             return self._placement(
                 prompt, chosen, layout, _prompts.Lane.ANSWER, late, now
             )
@@ -106,7 +112,7 @@
                 tokens = prompt.tokens - self._cached.hit(
                     prompt, belief.entry.id, now
                 )
-                if self._pace(belief, now).admit(tokens, now):
+                if self._admits(belief, tokens, now):
                     return self._placement(
                         prompt, belief, layout, _prompts.Lane.URGENT, late, now
                     )
@@ -117,13 +123,23 @@
                 )
         return None
 
-    def _answer_host(self, layout):
+    def _admits(self, belief, tokens, now):
+        pace = self._pace(belief, now)
+        if self._overdue.overdue_s(belief.entry.id, now) > _pace.HIGH_S:
+            pace.slow_down(now)
+        return pace.admit(tokens, now)
+
+    def _answer_host(self, layout, now):
         """Returns the engine for an answer to a short prompt."""
+
+        def cost_s(belief):
+            return self._answer_cost_s(belief, now)
+
         for group in (layout.reserved, layout.mixed):
             room = [b for b in group if self._has_slot(b)]
             if room:
-                return min(room, key=self._answer_cost_s)
-        return min(layout.decoders, key=self._answer_cost_s)
+                return min(room, key=cost_s)
+        return min(layout.decoders, key=cost_s)
 
     def answers(self, now):
         """Returns the recent peak of answers that all instances make."""
@@ -135,9 +151,10 @@
         slots = ANSWER_SLOT_SHARE * belief.entry.slots / self.parts
         return self._answers.get(belief.entry.id, 0) < max(1.0, slots)
 
-    def _answer_cost_s(self, belief):
+    def _answer_cost_s(self, belief, now):
         return (
             RUNNING_S * belief.active
+            + self._delay_s(belief, now)
             + self._round_trip_s(belief) * DISTANCE_SHARE
             + FAILURE_S * belief.failures
             + self._rng.random() * RUNNING_S
@@ -179,21 +196,35 @@
         prefill, decode = None, chosen
         if chosen.entry.role is upstreams.Role.PREFILL:
             prefill = chosen
-            decode = min(
-                layout.partners(chosen),
-                key=lambda b: self._decode_cost_s(b, chosen),
-            )
+            decode = self._partner(chosen, layout, now)
             work_s += HANDOVER_S + self._round_trip_s(decode)
         return _prompts.Placement(
             prefill, decode, lane, late, tokens, work_s, terms
         )
 
-    def replace_decoder(self, placement, beliefs):
+    def _partner(self, reader, layout, now):
+        """Returns the engine for the answer to a prompt read elsewhere."""
+
+        def cost_s(belief):
+            return self._decode_cost_s(belief, reader, now)
+
+        near = min(layout.partners(reader), key=cost_s)
+        if self._delay_s(near, now) < PARTNER_DELAY_S:
+            return near
+        return min(layout.decoders, key=cost_s)
+
+    def _delay_s(self, belief, now):
+        """Returns how far an engine is behind, as far as it is seen."""
+        overdue_s = self._overdue.overdue_s(belief.entry.id, now)
+        return max(overdue_s, belief.late_by_s(now))
+
+    def replace_decoder(self, placement, beliefs, now):
         """Returns another engine for the answer of a prefilled prompt.
 
         Args:
             placement: The Placement whose engine does not serve any more.
             beliefs: Engines that take requests, of all roles.
+            now: Time in seconds.
 
         Returns:
             A Belief, or None if no engine makes answers.
@@ -201,16 +232,14 @@
         layout = _layout.lay_out(beliefs)
         if layout is None:
             return None
-        return min(
-            layout.partners(placement.prefill),
-            key=lambda b: self._decode_cost_s(b, placement.prefill),
-        )
+        return self._partner(placement.prefill, layout, now)
 
-    def _decode_cost_s(self, belief, prefill):
+    def _decode_cost_s(self, belief, prefill, now):
         near = belief.entry.data_centre == prefill.entry.data_centre
         return (
             self._round_trip_s(belief)
-            + (0.0 if near else HANDOVER_S)
+            + (0.0 if near else FAR_HANDOVER_S)
+            + self._delay_s(belief, now)
             + RUNNING_S * belief.active
             + FAILURE_S * belief.failures
             + self._rng.random() * RUNNING_S
@@ -232,6 +261,9 @@
         """Notes that an engine gets a prompt."""
         upstream_id = placement.reader.entry.id
         self._cached.sent(prompt, upstream_id, now)
+        if placement.lane is _prompts.Lane.URGENT:
+            due_at = now + placement.work_s
+            self._overdue.sent(upstream_id, placement, due_at)
         if placement.lane is _prompts.Lane.BACKGROUND:
             waiting = self._background.get(upstream_id, 0)
             self._background[upstream_id] = waiting + 1
@@ -240,8 +272,21 @@
             self._peak = self.answers(now) / self.parts
             self._peak_at = now
 
+    def handed_over(self, placement, now):
+        """Notes that an engine gets a prompt that another one has read."""
+        decode = placement.decode
+        due_at = now + HANDOVER_S + self._round_trip_s(decode)
+        self._overdue.sent(decode.entry.id, placement, due_at)
+
+    def handle_refused(self, placement, now):
+        """Notes that an engine could not go on with a prefilled prompt."""
+        placement.prefill.failed(now)
+        self._overdue.done(placement.decode.entry.id, placement)
+
     def ended(self, placement):
         """Notes that an engine no longer has a prompt."""
+        for belief in (placement.reader, placement.decode):
+            self._overdue.done(belief.entry.id, placement)
         if placement.lane is _prompts.Lane.BACKGROUND:
             self._background[placement.reader.entry.id] -= 1
         elif placement.lane is _prompts.Lane.ANSWER:
@@ -256,6 +301,7 @@
             now: Time in seconds.
         """
         reader = placement.prefill
+        self._overdue.done(reader.entry.id, placement)
         tokens = placement.fresh_tokens
         work_s = self._round_trip_s(reader) + tokens / self._speed(reader)
         self._learn(reader, placement.lane, tokens, taken_s, work_s, now)
@@ -269,6 +315,7 @@
             now: Time in seconds.
         """
         decode = placement.decode
+        self._overdue.done(decode.entry.id, placement)
         if placement.prefill is not None:
             work_s = HANDOVER_S + self._round_trip_s(decode)
             excess_s = taken_s - work_s
--- a/dandelionwinch/dispatch/_plain.py
+++ b/dandelionwinch/dispatch/_plain.py
@@ -8,7 +8,6 @@
 
 QUEUE_S = 0.004
 FAILURE_S = 0.2
-EXCESS_KEEP_S = 2.0
 
 
 def choose_plain(beliefs, exclude, distances, rng, now):
@@ -34,13 +33,9 @@
             distances.round_trip_s(belief.entry.data_centre)
             + QUEUE_S * belief.active
             + FAILURE_S * belief.failures
-            + max(0.0, belief.excess_s) * _freshness(belief, now)
+            + belief.late_by_s(now)
             + rng.random() * QUEUE_S
         )
 
     return min(usable, key=cost_s)
 
-
-def _freshness(belief, now):
-    age_s = now - belief.observed_at
-    return max(0.0, 1.0 - age_s / EXCESS_KEEP_S)
--- a/dandelionwinch/dispatch/_prompts.py
+++ b/dandelionwinch/dispatch/_prompts.py
@@ -17,6 +17,8 @@
     BACKGROUND = 'background'
 
 
+# A prompt that was read elsewhere needs its engine for the shortest time.
+HANDED_OVER_URGENCY = 1
 URGENCY = {Lane.ANSWER: 2, Lane.URGENT: 5}
 RETURNED_URGENCY = 6
 BACKGROUND_SIZES = (1500, 4000)
@@ -45,7 +47,7 @@
         return self.tokens < SHORT_PROMPT_TOKENS
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Placement:
     """Where a prompt is prefilled and where its answer is made.
 
--- a/dandelionwinch/gateway/_generation.py
+++ b/dandelionwinch/gateway/_generation.py
@@ -45,6 +45,7 @@
                 began, now = now, self._loop.time()
                 self.prefill_s = now - began
                 self._gateway.placer.prefilled(placement, now - began, now)
+                placement = self._settled(placement)
             await self._decode(placement, source, now)
         finally:
             self._gateway.placer.ended(placement)
@@ -97,22 +98,21 @@
             )
         return handle
 
-    def _decoder(self, placement):
-        """Returns the engine for the answer, another one if it leaves."""
-        belief = placement.decode
-        if placement.prefill is None or self._fleet.beliefs.serves(belief):
-            return belief
+    def _settled(self, placement):
+        """Returns the placement with an engine that still takes requests."""
+        now = self._loop.time()
+        if self._fleet.beliefs.serves(placement.decode):
+            return placement
         other = self._gateway.placer.replace_decoder(
-            placement, self._fleet.beliefs.serving(self._service)
+            placement, self._fleet.beliefs.serving(self._service), now
         )
         if other is None:
             raise self._nowhere()
-        return other
+        return attrs.evolve(placement, decode=other)
 
     async def _decode(self, placement, source, began):
-        belief = self._decoder(placement)
         try:
-            await self._answer_at(belief, placement, source, began)
+            await self._answer_at(placement, source, began)
         except _conversation.AttemptFailed as exc:
             gone = source and exc.fate is attempts.Fate.NOT_EXECUTED
             if not gone or isinstance(exc, _conversation.NoFurtherAttempt):
@@ -120,15 +120,19 @@
             # The handle may be gone; the engine can read the prompt itself.
             self._fates.append(exc.fate)
             self._log_attempt(exc)
-            placement.prefill.failed(self._loop.time())
+            now = self._loop.time()
+            self._gateway.placer.handle_refused(placement, now)
             direct = attrs.evolve(placement, prefill=None)
-            await self._answer_at(belief, direct, '', self._loop.time())
+            await self._answer_at(direct, '', now)
 
-    async def _answer_at(self, belief, placement, source, began):
+    async def _answer_at(self, placement, source, began):
+        belief = placement.decode
         pool, conn = await self._connect(belief)
-        sending = self._sending(
-            belief, source=source, urgency=placement.urgency
-        )
+        urgency = placement.urgency
+        if source:
+            urgency = dispatch.HANDED_OVER_URGENCY
+            self._gateway.placer.handed_over(placement, self._loop.time())
+        sending = self._sending(belief, source=source, urgency=urgency)
         async with self._talk(belief, pool, conn) as talk:
             await self._stream(talk, sending, placement, began)
 
--- a/dandelionwinch/tests/test_dispatch.py
+++ b/dandelionwinch/tests/test_dispatch.py
@@ -281,3 +281,56 @@
         assert chosen is near
         taken_s = 0.02 + 0.01 * rng.random()
         chosen.succeeded(typical.excess_s('s', taken_s), now)
+
+
+def test_a_prompt_without_a_first_sign_slows_its_engine_down_at_once():
+    made = placer()
+    beliefs = engines(1)
+    first = place(made, prompt(1), beliefs)
+    made.sent(prompt(1), first, 0.0)
+    before = made._pace(beliefs[0], 0.0).rate
+    for step in range(1, 11):
+        place(made, prompt(2), beliefs, 0.5 + 0.1 * step)
+    assert made._pace(beliefs[0], 2.0).rate < before / 2
+    made.ended(first)
+    held = made._pace(beliefs[0], 2.0).rate
+    place(made, prompt(3), beliefs, 3.0)
+    assert made._pace(beliefs[0], 3.0).rate == held
+
+
+def _stuck_partner():
+    """Replays a reader whose partner takes 1.4 s for each answer.
+
+    Returns:
+        Ids of the engines for the answers, one each 20 ms.
+    """
+    reader = engines(1, upstreams.Role.PREFILL)[0]
+    near, far = engines(2, first=5)
+    far.entry = attrs.evolve(far.entry, data_centre='other')
+    made = placer()
+    found, ends = [], []
+    for step in range(400):
+        now = step * 0.02
+        for end in [e for e in ends if e[0] <= now]:
+            ends.remove(end)
+            made.started(end[1], end[0] - end[2], end[0])
+            made.ended(end[1])
+        asked = dispatch.Prompt(3000, 2, ((f'x{step}', 3000),))
+        group = [reader, near, far]
+        placement = place(made, asked, group, now)
+        if placement is None or placement.prefill is None:
+            continue
+        made.sent(asked, placement, now)
+        made.prefilled(placement, 0.0, now)
+        made.handed_over(placement, now)
+        taken_s = 1.4 if placement.decode is near else 0.05
+        ends.append((now + taken_s, placement, now))
+        found.append(placement.decode.entry.id)
+    return found
+
+
+def test_answers_go_elsewhere_while_the_nearest_engine_is_stuck():
+    found = _stuck_partner()
+    assert found[0] == 'e5'
+    assert found.count('e6') > 0.6 * len(found)
+    assert 'e5' in found[len(found) // 2 :]
--- a/dandelionwinch/upstreams/_beliefs.py
+++ b/dandelionwinch/upstreams/_beliefs.py
@@ -11,6 +11,7 @@
 MAX_EJECT_S = 8.0
 MAX_EJECTED_SHARE = 0.5
 LATENCY_SHARE = 0.2
+EXCESS_KEEP_S = 2.0
 
 
 class Role(enum.Enum):
@@ -77,6 +78,11 @@
         if self.failures < FAILURE_SHARE / 2:
             self.ejections = 0
 
+    def late_by_s(self, now):
+        """Returns the recent excess latency, which fades with its age."""
+        fresh = max(0.0, 1.0 - (now - self.observed_at) / EXCESS_KEEP_S)
+        return max(0.0, self.excess_s) * fresh
+
     def failed(self, now):
         """Notes a failed attempt, and ejects after too many of them."""
         self.failures += FAILURE_SHARE * (1.0 - self.failures)
