--- a/dandelionwinch/bench/_policies.py
+++ b/dandelionwinch/bench/_policies.py
@@ -271,8 +271,14 @@
             gap_s=limits.token_gap_s,
         )
 
+    def _placer(self, work):
+        """Returns the placer of the usual decider of a data centre."""
+        names = range(self.trace.instances)
+        decider = placement.usual_decider(names, work.job.data_centre, 'm')
+        return self._placers[decider]
+
     def place(self, work, now):
-        placer = self._placers[work.job.instance]
+        placer = self._placer(work)
         sites = self._sites[work.job.data_centre]
         choice = placer.place(self._demand(work), sites, now)
         refused = isinstance(choice, placement.Refusal)
@@ -297,7 +303,7 @@
         return Placed(engine.number, decode, self._extra(work, engine))
 
     def choose_decode(self, work, now):
-        placer = self._placers[work.job.instance]
+        placer = self._placer(work)
         engine = self.engines[work.prefill_upstream]
         site = self._sites[engine.data_centre][0]
         name = placer.choose_decode(self._demand(work), site, now)
--- a/dandelionwinch/daemon/_core.py
+++ b/dandelionwinch/daemon/_core.py
@@ -15,6 +15,7 @@
 from dandelionwinch import catalog
 from dandelionwinch.daemon import _beats
 from dandelionwinch.daemon import _claims
+from dandelionwinch.daemon import _deciders
 from dandelionwinch.daemon import _earnings
 from dandelionwinch.daemon import _loads
 from dandelionwinch.daemon import _metrics
@@ -77,6 +78,7 @@
         )
         self.metrics = _metrics.Metrics()
         self.work = _work.Work(self)
+        self.deciders = _deciders.Deciders(self)
         self.beats = _beats.Beats(self)
         self.settings = _settings.SettingsTask(self)
         self.loads = _loads.Loads(self)
--- /dev/null
+++ b/dandelionwinch/daemon/_deciders.py
@@ -0,0 +1,86 @@
+"""Asks the usual decider of the data centre where a job runs."""
+
+from dandelionwinch.daemon import _wire
+from dandelionwinch.peers import peer_pb2
+from dandelionwinch import placement
+
+ASK_TIMEOUT_S = 0.25
+# How long a decider that did not answer is left alone.
+REST_S = 2.0
+MAX_EXCLUDED = 32
+
+
+class Deciders:
+    """Places jobs here or at the usual decider.
+
+    The decider knows all that was sent to the upstreams near it. It is
+    asked for quality only: without its answer the job is placed here.
+    """
+
+    def __init__(self, core):
+        self._core = core
+        self._resting_until = {}
+
+    async def choose(self, query):
+        """Returns the placement.Choice or Refusal for a job."""
+        core = self._core
+        decider = self._decider(query.model)
+        if decider is None:
+            return core.work.choose(query)
+        reply = await core.peers.call(
+            decider.member.peer_address,
+            'Place',
+            self._request(query),
+            ASK_TIMEOUT_S,
+        )
+        if reply is None:
+            self._resting_until[decider.name] = core.now() + REST_S
+            core.event('decider.silent', decider.name)
+            return core.work.choose(query)
+        choice = _wire.load_choice(reply)
+        if isinstance(choice, placement.Refusal) or self._knows(choice):
+            return choice
+        return core.work.choose(query)
+
+    def _decider(self, model):
+        """Returns the decider, None if that is this instance."""
+        core = self._core
+        now = core.now()
+        near = {
+            known.name: known
+            for known in core.members.usable(now)
+            if known.member.data_centre == core.data_centre
+        }
+        if not near:
+            return None
+        name = placement.usual_decider(near, core.data_centre, model)
+        if name == core.name or self._resting_until.get(name, now) > now:
+            return None
+        return near[name]
+
+    def _request(self, query):
+        quarantined = self._core.work.beliefs.quarantined(self._core.now())
+        excluded = sorted(query.exclude | set(quarantined))
+        return peer_pb2.PlaceRequest(
+            model=query.model,
+            prompt_tokens=query.prompt_tokens,
+            output_tokens=query.output_tokens,
+            prefix=query.prefix,
+            exclude=excluded[:MAX_EXCLUDED],
+        )
+
+    def _knows(self, choice):
+        names = {choice.prefill, choice.decode} - {''}
+        catalog = self._core.catalog
+        return all(catalog.get('upstream', name) for name in names)
+
+    def answer(self, request):
+        """Answers a peer that asks where a job runs."""
+        query = placement.Query(
+            request.model,
+            request.prompt_tokens,
+            request.output_tokens,
+            request.prefix,
+            frozenset(request.exclude),
+        )
+        return _wire.dump_choice(self._core.work.choose(query))
--- a/dandelionwinch/daemon/_peers.py
+++ b/dandelionwinch/daemon/_peers.py
@@ -170,6 +170,10 @@
             peer_pb2.ClaimReply(result=_wire.dump_result(result))
         )
 
+    async def Place(self, stream):  # noqa: N802
+        request = await self._receive(stream)
+        await stream.send_message(self._core.deciders.answer(request))
+
     async def Events(self, stream):  # noqa: N802
         request = await self._receive(stream)
         events = self._core.ring.latest(request.limit)
--- a/dandelionwinch/daemon/_wire.py
+++ b/dandelionwinch/daemon/_wire.py
@@ -6,6 +6,7 @@
 
 from dandelionwinch import claims
 from dandelionwinch.peers import peer_pb2
+from dandelionwinch import placement
 from dandelionwinch import timeline
 
 _MUTATIONS = {cls.__name__: cls for cls in (claims.Open, claims.Close)}
@@ -53,6 +54,34 @@
     return _load(data, _RESULTS)
 
 
+def dump_choice(choice):
+    """Turns a choice or a refusal into its message."""
+    if isinstance(choice, placement.Refusal):
+        return peer_pb2.PlaceReply(
+            refusal=choice.reason, retry_after_s=choice.retry_after_s
+        )
+    return peer_pb2.PlaceReply(
+        prefill=choice.prefill,
+        decode=choice.decode,
+        first_token_s=choice.first_token_s,
+        hit_tokens=choice.hit_tokens,
+        terms=choice.terms,
+    )
+
+
+def load_choice(message):
+    """Turns a message into a choice or a refusal."""
+    if message.refusal:
+        return placement.Refusal(message.refusal, message.retry_after_s)
+    return placement.Choice(
+        message.prefill,
+        message.decode,
+        message.first_token_s,
+        message.hit_tokens,
+        message.terms,
+    )
+
+
 def dump_event(event):
     """Turns an event into its message."""
     return peer_pb2.Event(
--- a/dandelionwinch/daemon/_work.py
+++ b/dandelionwinch/daemon/_work.py
@@ -70,28 +70,24 @@
         names = set(self.admission.busy_teams()) | {team.name}
         return sum(self._team(name).weight for name in names)
 
-    def place(self, message):
+    async def place(self, message):
         """Chooses the upstreams of a completion."""
         core = self._core
-        now = core.now()
         job = message.job
         model = core.catalog.get('model', job.model)
         if model is None:
             raise errors.NotFound(f'model "{job.model}" does not exist')
-        pools = core.catalog.pools_of_model(job.model)
-        demand = placement.Demand(
-            data_centre=core.data_centre,
-            prompt_tokens=job.prompt_tokens,
-            output_tokens=job.max_tokens,
-            prefix=job.prefix,
-            prefix_tokens=job.prompt_tokens,
-            patience_s=DEFAULT_PATIENCE_S,
-            gap_s=model.token_gap_s,
-            exclude=message.exclude,
+        query = placement.Query(
+            job.model,
+            job.prompt_tokens,
+            job.max_tokens,
+            job.prefix,
+            message.exclude,
         )
-        self.placer.set_peer_rates(core.beats.peer_rates(now))
-        choice = self.placer.place(demand, self._sites(pools, job), now)
+        choice = await core.deciders.choose(query)
+        now = core.now()
         if isinstance(choice, placement.Refusal):
+            pools = core.catalog.pools_of_model(job.model)
             self._add_demand(pools, job, now)
             raise errors.NoUpstream(
                 choice.reason, retry_after_s=choice.retry_after_s
@@ -99,7 +95,34 @@
         self._note(message, choice, now)
         return self._placed(choice, model)
 
-    def _sites(self, pools, job):
+    def choose(self, query):
+        """Decides here where a job of this data centre runs.
+
+        Returns:
+            A placement.Choice or placement.Refusal.
+        """
+        core = self._core
+        now = core.now()
+        model = core.catalog.get('model', query.model)
+        if model is None:
+            return placement.Refusal(
+                f'model "{query.model}" does not exist', 1.0
+            )
+        demand = placement.Demand(
+            data_centre=core.data_centre,
+            prompt_tokens=query.prompt_tokens,
+            output_tokens=query.output_tokens,
+            prefix=query.prefix,
+            prefix_tokens=query.prompt_tokens,
+            patience_s=DEFAULT_PATIENCE_S,
+            gap_s=model.token_gap_s,
+            exclude=query.exclude,
+        )
+        self.placer.set_peer_rates(core.beats.peer_rates(now))
+        pools = core.catalog.pools_of_model(query.model)
+        return self.placer.place(demand, self._sites(pools, query), now)
+
+    def _sites(self, pools, query):
         catalog = self._core.catalog
         here = self._core.data_centre
         region = catalog.region_of(here)
@@ -110,7 +133,7 @@
             if pool.data_centre != here:
                 extra_s = link.latency_s
             if catalog.region_of(pool.data_centre) != region:
-                extra_s += 2 * link.latency_s + _link_s(link, job)
+                extra_s += 2 * link.latency_s + _link_s(link, query)
             names = tuple(
                 upstream.name
                 for upstream in catalog.upstreams_of(pool.name)
@@ -259,10 +282,10 @@
         return {pool: trend.rates(now) for pool, trend in self.trends.items()}
 
 
-def _link_s(link, job):
+def _link_s(link, query):
     """Returns what the way of a job between regions costs, in seconds."""
-    size = job.prompt_tokens * PROMPT_TOKEN_BYTES
-    size += job.max_tokens * OUTPUT_TOKEN_BYTES
+    size = query.prompt_tokens * PROMPT_TOKEN_BYTES
+    size += query.output_tokens * OUTPUT_TOKEN_BYTES
     return size / link.bytes_per_s + link.price * size / GIGABYTE
 
 
--- a/dandelionwinch/dispatch/_plain.py
+++ b/dandelionwinch/dispatch/_plain.py
@@ -38,4 +38,3 @@
         )
 
     return min(usable, key=cost_s)
-
--- a/dandelionwinch/peers/peer_grpc.py
+++ b/dandelionwinch/peers/peer_grpc.py
@@ -30,6 +30,10 @@
     async def Claim(self, stream: 'grpclib.server.Stream[dandelionwinch.peers.peer_pb2.ClaimRequest, dandelionwinch.peers.peer_pb2.ClaimReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Place(self, stream: 'grpclib.server.Stream[dandelionwinch.peers.peer_pb2.PlaceRequest, dandelionwinch.peers.peer_pb2.PlaceReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Events(self, stream: 'grpclib.server.Stream[dandelionwinch.peers.peer_pb2.EventsRequest, dandelionwinch.peers.peer_pb2.EventsReply]') -> None:
         pass
@@ -64,6 +68,12 @@
                 dandelionwinch.peers.peer_pb2.ClaimRequest,
                 dandelionwinch.peers.peer_pb2.ClaimReply,
             ),
+            '/dandelionwinch.peers.Peer/Place': grpclib.const.Handler(
+                self.Place,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                dandelionwinch.peers.peer_pb2.PlaceRequest,
+                dandelionwinch.peers.peer_pb2.PlaceReply,
+            ),
             '/dandelionwinch.peers.Peer/Events': grpclib.const.Handler(
                 self.Events,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -106,6 +116,12 @@
             dandelionwinch.peers.peer_pb2.ClaimRequest,
             dandelionwinch.peers.peer_pb2.ClaimReply,
         )
+        self.Place = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/dandelionwinch.peers.Peer/Place',
+            dandelionwinch.peers.peer_pb2.PlaceRequest,
+            dandelionwinch.peers.peer_pb2.PlaceReply,
+        )
         self.Events = grpclib.client.UnaryUnaryMethod(
             channel,
             '/dandelionwinch.peers.Peer/Events',
--- a/dandelionwinch/placement/__init__.py
+++ b/dandelionwinch/placement/__init__.py
@@ -3,6 +3,8 @@
 from dandelionwinch.placement._beliefs import Belief
 from dandelionwinch.placement._beliefs import Beliefs
 from dandelionwinch.placement._beliefs import Report
+from dandelionwinch.placement._decider import Query
+from dandelionwinch.placement._decider import usual_decider
 from dandelionwinch.placement._placer import Choice
 from dandelionwinch.placement._placer import Demand
 from dandelionwinch.placement._placer import Placer
@@ -23,6 +25,7 @@
     'Demand',
     'Placer',
     'Prefixes',
+    'Query',
     'Refusal',
     'Report',
     'RoleChange',
@@ -30,4 +33,5 @@
     'Trend',
     'plan_roles',
     'served_share',
+    'usual_decider',
 ]
--- a/dandelionwinch/placement/_beliefs.py
+++ b/dandelionwinch/placement/_beliefs.py
@@ -213,6 +213,14 @@
         if belief is not None:
             belief.note_sent(_Sent(now, prefill_tokens, kv_tokens, decodes))
 
+    def quarantined(self, now):
+        """Returns the names of upstreams that are left alone now."""
+        return [
+            name
+            for name, belief in self._by_name.items()
+            if belief.quarantined_until > now
+        ]
+
     def failed(self, name, now):
         """Notes a failure; the upstream is left alone for a while."""
         belief = self._by_name.get(name)
