--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -44,6 +44,8 @@
 # Part of the allowed pause above which prompts are slowed down.
 PAUSE_SHARE = 0.7
 TRANSFER_S = 0.08
+# Delay of an engine from which on it gets nothing more in the background.
+BACKGROUND_DELAY_S = 0.25
 ANSWER_SLOT_SHARE = 0.6
 PEAK_KEEP_S = 6.0
 # Delay of the nearest engine for answers at which others are asked, too.
@@ -64,6 +66,7 @@
         '_peak_at',
         '_rng',
         '_speeds',
+        '_transfers',
         'parts',
     )
 
@@ -72,6 +75,7 @@
         self._rng = rng
         self._cached = _cached.CachedParts()
         self._overdue = _overdue.Overdue()
+        self._transfers = _overdue.Overdue()
         self._speeds = {}
         self._paces = {}
         self._answers = {}
@@ -80,7 +84,9 @@
         self._background = {}
         self.parts = 1.0
 
-    def place(self, prompt, beliefs, exclude, now, *, direct, late):
+    def place(
+        self, prompt, beliefs, exclude, now, *, direct, late, objective_s
+    ):
         """Chooses engines and a lane.
 
         Args:
@@ -90,6 +96,7 @@
             now: Time in seconds.
             direct: Whether the prompt must not be prefilled elsewhere.
             late: Whether its latency objective cannot be met any more.
+            objective_s: Latency objective of the first token.
 
         Returns:
             A Placement, or None if no engine has room for it.
@@ -100,32 +107,50 @@
         layout = _layout.lay_out(usable)
         if layout is None:
             return None
-        if prompt.short:
-            chosen = self._answer_host(layout, now)
+
+        def placed(chosen, lane):
             return self._placement(
-                prompt, chosen, layout, _prompts.Lane.ANSWER, late, now
+                prompt, chosen, layout, lane, late, objective_s, now
             )
+
+        if prompt.short:
+            chosen = self._answer_host(layout, now)
+            return placed(chosen, _prompts.Lane.ANSWER)
         takers = layout.decoders if direct else layout.readers
-        ranked = self._ranked(prompt, takers, layout)
+        homes = self._homes(prompt, takers, layout, now)
         if not late:
-            for belief in ranked[:HOMES]:
+            for belief in homes:
                 tokens = prompt.tokens - self._cached.hit(
                     prompt, belief.entry.id, now
                 )
-                if self._admits(belief, tokens, now):
-                    return self._placement(
-                        prompt, belief, layout, _prompts.Lane.URGENT, late, now
-                    )
-        for belief in ranked[:HOMES]:
-            if self._has_background_room(belief, late):
-                return self._placement(
-                    prompt, belief, layout, _prompts.Lane.BACKGROUND, late, now
-                )
+                if self._admits(belief, tokens, objective_s, now):
+                    return placed(belief, _prompts.Lane.URGENT)
+        for belief in homes:
+            if self._has_background_room(belief, late, now):
+                return placed(belief, _prompts.Lane.BACKGROUND)
         return None
 
-    def _admits(self, belief, tokens, now):
+    def _homes(self, prompt, takers, layout, now):
+        """Returns the engines that may read a prompt, the first one first.
+
+        Where KV caches do not get through, engines that only make answers
+        read, too, as they need none.
+        """
+        homes = self._ranked(prompt, takers, layout)[:HOMES]
+        if any(self._is_stuck(b, now) for b in homes):
+            others = [b for b in layout.reserved if b not in homes]
+            homes += self._ranked(prompt, others, layout)
+        return homes
+
+    def _is_stuck(self, reader, now):
+        """Tells whether KV caches of an engine take too long to move."""
+        return self._transfers.overdue_s(reader.entry.id, now) > TRANSFER_S
+
+    def _admits(self, belief, tokens, objective_s, now):
         pace = self._pace(belief, now)
-        if self._overdue.overdue_s(belief.entry.id, now) > _pace.HIGH_S:
+        overdue_s = self._overdue.overdue_s(belief.entry.id, now)
+        high_s = _pace.HIGH_SHARE * objective_s
+        if overdue_s > high_s or self._is_stuck(belief, now):
             pace.slow_down(now)
         return pace.admit(tokens, now)
 
@@ -160,7 +185,12 @@
             + self._rng.random() * RUNNING_S
         )
 
-    def _has_background_room(self, belief, late):
+    def _has_background_room(self, belief, late, now):
+        # A link carries KV caches one by one, whatever their urgency.
+        if self._is_stuck(belief, now):
+            return False
+        if self._delay_s(belief, now) > BACKGROUND_DELAY_S:
+            return False
         room = BACKGROUND_PER_SLOT * belief.entry.slots / self.parts
         if late:
             room *= RETURNED_ROOM
@@ -185,7 +215,7 @@
             self._paces[belief.entry.id] = pace
         return pace
 
-    def _placement(self, prompt, chosen, layout, lane, late, now):
+    def _placement(self, prompt, chosen, layout, lane, late, objective_s, now):
         tokens = prompt.tokens - self._cached.hit(prompt, chosen.entry.id, now)
         work_s = self._round_trip_s(chosen) + tokens / self._speed(chosen)
         terms = (
@@ -199,7 +229,7 @@
             decode = self._partner(chosen, layout, now)
             work_s += HANDOVER_S + self._round_trip_s(decode)
         return _prompts.Placement(
-            prefill, decode, lane, late, tokens, work_s, terms
+            prefill, decode, lane, late, objective_s, tokens, work_s, terms
         )
 
     def _partner(self, reader, layout, now):
@@ -277,16 +307,22 @@
         decode = placement.decode
         due_at = now + HANDOVER_S + self._round_trip_s(decode)
         self._overdue.sent(decode.entry.id, placement, due_at)
+        self._transfers.sent(placement.prefill.entry.id, placement, due_at)
 
     def handle_refused(self, placement, now):
         """Notes that an engine could not go on with a prefilled prompt."""
         placement.prefill.failed(now)
+        self._answered(placement)
+
+    def _answered(self, placement):
+        """Notes the first sign of an answer, or that none will come."""
         self._overdue.done(placement.decode.entry.id, placement)
+        self._transfers.done(placement.reader.entry.id, placement)
 
     def ended(self, placement):
         """Notes that an engine no longer has a prompt."""
-        for belief in (placement.reader, placement.decode):
-            self._overdue.done(belief.entry.id, placement)
+        self._overdue.done(placement.reader.entry.id, placement)
+        self._answered(placement)
         if placement.lane is _prompts.Lane.BACKGROUND:
             self._background[placement.reader.entry.id] -= 1
         elif placement.lane is _prompts.Lane.ANSWER:
@@ -304,7 +340,7 @@
         self._overdue.done(reader.entry.id, placement)
         tokens = placement.fresh_tokens
         work_s = self._round_trip_s(reader) + tokens / self._speed(reader)
-        self._learn(reader, placement.lane, tokens, taken_s, work_s, now)
+        self._learn(reader, placement, taken_s, work_s, now)
 
     def started(self, placement, taken_s, now):
         """Learns from the first token of an answer.
@@ -315,21 +351,14 @@
             now: Time in seconds.
         """
         decode = placement.decode
-        self._overdue.done(decode.entry.id, placement)
+        self._answered(placement)
         if placement.prefill is not None:
             work_s = HANDOVER_S + self._round_trip_s(decode)
             excess_s = taken_s - work_s
             decode.succeeded(excess_s, now)
             self._learn_transfer(placement, excess_s, now)
             return
-        self._learn(
-            decode,
-            placement.lane,
-            placement.fresh_tokens,
-            taken_s,
-            placement.work_s,
-            now,
-        )
+        self._learn(decode, placement, taken_s, placement.work_s, now)
 
     def _learn_transfer(self, placement, excess_s, now):
         """Slows an engine down whose KV caches go too far to follow."""
@@ -338,17 +367,21 @@
         if far and excess_s > TRANSFER_S:
             self._pace(reader, now).slow_down(now)
 
-    def _learn(self, reader, lane, tokens, taken_s, work_s, now):
-        excess_s = taken_s - work_s
-        if lane is _prompts.Lane.BACKGROUND:
+    def _learn(self, reader, placement, taken_s, work_s, now):
+        if placement.lane is _prompts.Lane.BACKGROUND:
             reader.succeeded(reader.excess_s, now)
             return
+        excess_s = taken_s - work_s
         reader.succeeded(excess_s, now)
-        if lane is _prompts.Lane.ANSWER:
+        if placement.lane is _prompts.Lane.ANSWER:
             return
-        self._learn_speed(reader, tokens, taken_s)
+        self._learn_speed(reader, placement.fresh_tokens, taken_s)
         self._pace(reader, now).observe(
-            excess_s, self._speed(reader), self.parts, now
+            excess_s,
+            placement.objective_s,
+            self._speed(reader),
+            self.parts,
+            now,
         )
 
     def paused(self, placement, gap_s, allowed_s, now):
--- a/dandelionwinch/dispatch/_pace.py
+++ b/dandelionwinch/dispatch/_pace.py
@@ -8,8 +8,9 @@
 
 import math
 
-HIGH_S = 0.06
-LOW_S = 0.03
+# Delays of first tokens that lower and raise a rate, of the objective.
+HIGH_SHARE = 0.3
+LOW_SHARE = 0.15
 DECREASE = 0.85
 INCREASE = 0.04
 STEP_S = 0.08
@@ -79,20 +80,21 @@
         self._balance = min(most, self._balance + earned)
         self._read_at = now
 
-    def observe(self, excess_s, speed, parts, now):
+    def observe(self, excess_s, objective_s, speed, parts, now):
         """Adjusts the rate by one first token.
 
         Args:
             excess_s: Delay beyond what the prompt itself should take.
+            objective_s: Latency objective of the first token.
             speed: Believed prompt speed of the engine.
             parts: Parts like the own that the engine is shared in.
             now: Time in seconds.
         """
         self._speed = speed
         self._parts = parts
-        if excess_s > HIGH_S:
+        if excess_s > HIGH_SHARE * objective_s:
             self.slow_down(now)
-        elif excess_s < LOW_S and self._limited:
+        elif excess_s < LOW_SHARE * objective_s and self._limited:
             self._limited = False
             self._change(self._rate + INCREASE * speed, now)
 
--- a/dandelionwinch/dispatch/_prompts.py
+++ b/dandelionwinch/dispatch/_prompts.py
@@ -54,6 +54,7 @@
     Attributes:
         prefill: Belief of the engine for the prompt, None for `decode`.
         late: Whether its latency objective cannot be met any more.
+        objective_s: Latency objective of the first token.
         fresh_tokens: Prompt tokens not believed to be cached.
         work_s: Time that the prompt alone should take, with distance.
         terms: The terms that decided, for the log.
@@ -63,6 +64,7 @@
     decode: object
     lane: Lane
     late: bool
+    objective_s: float
     fresh_tokens: int
     work_s: float
     terms: str
--- a/dandelionwinch/gateway/_generation.py
+++ b/dandelionwinch/gateway/_generation.py
@@ -33,6 +33,7 @@
             now,
             direct=bool(self._attempt),
             late=self._is_late(),
+            objective_s=self._route.objective_s,
         )
         if placement is None:
             raise self._nowhere()
