--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -7,25 +7,16 @@
 answers read a smaller share of the prompts than those that only read.
 """
 
-import math
-
 from dandelionwinch.dispatch import _cached
 from dandelionwinch.dispatch import _layout
 from dandelionwinch.dispatch import _overdue
 from dandelionwinch.dispatch import _pace
 from dandelionwinch.dispatch import _prompts
+from dandelionwinch.dispatch import _running
+from dandelionwinch.dispatch import _speeds
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
-# Prompt tokens per second, until own answers tell more.
-DECODE_SPEED = 200_000.0
-PREFILL_SPEED = 400_000.0
-LEAST_SPEED = 1000.0
-# A fast sample raises a speed by more than a slow one lowers it: slow ones
-# mostly come from queues.
-SPEED_GAIN = 0.05
-SPEED_LOSS = 0.005
-LEAST_SAMPLE_TOKENS = 1000
 # Costs of an engine for an answer, in seconds.
 HANDOVER_S = 0.004
 FAR_HANDOVER_S = 0.03
@@ -47,7 +38,6 @@
 # Delay of an engine from which on it gets nothing more in the background.
 BACKGROUND_DELAY_S = 0.25
 ANSWER_SLOT_SHARE = 0.6
-PEAK_KEEP_S = 6.0
 # Delay of the nearest engine for answers at which others are asked, too.
 PARTNER_DELAY_S = 0.1
 
@@ -56,15 +46,12 @@
     """Chooses engines for prompts; owns what is believed to be cached."""
 
     __slots__ = (
-        '_answers',
-        '_background',
         '_cached',
         '_distances',
         '_overdue',
         '_paces',
-        '_peak',
-        '_peak_at',
         '_rng',
+        '_running',
         '_speeds',
         '_transfers',
         'parts',
@@ -76,12 +63,9 @@
         self._cached = _cached.CachedParts()
         self._overdue = _overdue.Overdue()
         self._transfers = _overdue.Overdue()
-        self._speeds = {}
+        self._speeds = _speeds.Speeds()
+        self._running = _running.Running()
         self._paces = {}
-        self._answers = {}
-        self._peak = 0.0
-        self._peak_at = 0.0
-        self._background = {}
         self.parts = 1.0
 
     def place(
@@ -168,13 +152,11 @@
 
     def answers(self, now):
         """Returns the recent peak of answers that all instances make."""
-        faded = self._peak * math.exp((self._peak_at - now) / PEAK_KEEP_S)
-        own = max(sum(self._answers.values()), faded)
-        return own * self.parts
+        return self._running.peak_of_answers(now) * self.parts
 
     def _has_slot(self, belief):
         slots = ANSWER_SLOT_SHARE * belief.entry.slots / self.parts
-        return self._answers.get(belief.entry.id, 0) < max(1.0, slots)
+        return self._running.answers(belief.entry.id) < max(1.0, slots)
 
     def _answer_cost_s(self, belief, now):
         return (
@@ -194,7 +176,7 @@
         room = BACKGROUND_PER_SLOT * belief.entry.slots / self.parts
         if late:
             room *= RETURNED_ROOM
-        return self._background.get(belief.entry.id, 0) < max(1.0, room)
+        return self._running.background(belief.entry.id) < max(1.0, room)
 
     def _ranked(self, prompt, takers, layout):
         key = prompt.shared[-1][0] if prompt.shared else self._rng.random()
@@ -279,13 +261,7 @@
         return self._distances.round_trip_s(belief.entry.data_centre)
 
     def _speed(self, belief):
-        entry = belief.entry
-        found = self._speeds.get((entry.service, entry.role))
-        if found is not None:
-            return found
-        if entry.role is upstreams.Role.PREFILL:
-            return PREFILL_SPEED
-        return DECODE_SPEED
+        return self._speeds.of(belief.entry)
 
     def sent(self, prompt, placement, now):
         """Notes that an engine gets a prompt."""
@@ -294,13 +270,7 @@
         if placement.lane is _prompts.Lane.URGENT:
             due_at = now + placement.work_s
             self._overdue.sent(upstream_id, placement, due_at)
-        if placement.lane is _prompts.Lane.BACKGROUND:
-            waiting = self._background.get(upstream_id, 0)
-            self._background[upstream_id] = waiting + 1
-        elif placement.lane is _prompts.Lane.ANSWER:
-            self._answers[upstream_id] = self._answers.get(upstream_id, 0) + 1
-            self._peak = self.answers(now) / self.parts
-            self._peak_at = now
+        self._running.sent(placement, now)
 
     def handed_over(self, placement, now):
         """Notes that an engine gets a prompt that another one has read."""
@@ -323,10 +293,7 @@
         """Notes that an engine no longer has a prompt."""
         self._overdue.done(placement.reader.entry.id, placement)
         self._answered(placement)
-        if placement.lane is _prompts.Lane.BACKGROUND:
-            self._background[placement.reader.entry.id] -= 1
-        elif placement.lane is _prompts.Lane.ANSWER:
-            self._answers[placement.decode.entry.id] -= 1
+        self._running.ended(placement)
 
     def prefilled(self, placement, taken_s, now):
         """Learns from a prompt that an engine has read for another.
@@ -375,7 +342,11 @@
         reader.succeeded(excess_s, now)
         if placement.lane is _prompts.Lane.ANSWER:
             return
-        self._learn_speed(reader, placement.fresh_tokens, taken_s)
+        self._speeds.learn(
+            reader.entry,
+            placement.fresh_tokens,
+            taken_s - self._round_trip_s(reader),
+        )
         self._pace(reader, now).observe(
             excess_s,
             placement.objective_s,
@@ -390,17 +361,6 @@
             belief = placement.decode
             self._pace(belief, now).slow_down(now)
 
-    def _learn_speed(self, belief, tokens, taken_s):
-        taken_s -= self._round_trip_s(belief)
-        if tokens < LEAST_SAMPLE_TOKENS or taken_s <= 0:
-            return
-        sample = tokens / taken_s
-        speed = self._speed(belief)
-        gain = SPEED_GAIN if sample > speed else SPEED_LOSS
-        speed += gain * (min(sample, 4 * speed) - speed)
-        entry = belief.entry
-        self._speeds[(entry.service, entry.role)] = max(LEAST_SPEED, speed)
-
     def forget(self, upstream_id):
         """Drops what an engine held, as after its restart."""
         self._paces.pop(upstream_id, None)
