--- a/dandelionwinch/dispatch/_pace.py
+++ b/dandelionwinch/dispatch/_pace.py
@@ -9,8 +9,8 @@
 import math
 
 # Delays of first tokens that lower and raise a rate, of the objective.
-HIGH_SHARE = 0.3
-LOW_SHARE = 0.15
+HIGH_SHARE = 0.22
+LOW_SHARE = 0.11
 DECREASE = 0.85
 INCREASE = 0.04
 STEP_S = 0.08
