--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -34,7 +34,12 @@
 RETURNED_ROOM = 1.3
 # Part of the allowed pause above which prompts are slowed down.
 PAUSE_SHARE = 0.7
-TRANSFER_S = 0.08
+# Delays of KV caches from which on a reader is taken to be stuck: those
+# that go far take ten times as long and give way first.
+TRANSFER_S = 0.15
+FAR_TRANSFER_S = 0.05
+# How long an engine whose KV caches were late is taken to be stuck.
+STUCK_KEEP_S = 1.0
 # Delay of an engine from which on it gets nothing more in the background.
 BACKGROUND_DELAY_S = 0.25
 ANSWER_SLOT_SHARE = 0.6
@@ -53,6 +58,7 @@
         '_rng',
         '_running',
         '_speeds',
+        '_stuck_until',
         '_transfers',
         'parts',
     )
@@ -63,6 +69,7 @@
         self._cached = _cached.CachedParts()
         self._overdue = _overdue.Overdue()
         self._transfers = _overdue.Overdue()
+        self._stuck_until = {}
         self._speeds = _speeds.Speeds()
         self._running = _running.Running()
         self._paces = {}
@@ -107,10 +114,10 @@
                 tokens = prompt.tokens - self._cached.hit(
                     prompt, belief.entry.id, now
                 )
-                if self._admits(belief, tokens, objective_s, now):
+                if self._admits(belief, tokens, layout, objective_s, now):
                     return placed(belief, _prompts.Lane.URGENT)
         for belief in homes:
-            if self._has_background_room(belief, late, now):
+            if self._has_background_room(belief, layout, late, now):
                 return placed(belief, _prompts.Lane.BACKGROUND)
         return None
 
@@ -121,20 +128,25 @@
         read, too, as they need none.
         """
         homes = self._ranked(prompt, takers, layout)[:HOMES]
-        if any(self._is_stuck(b, now) for b in homes):
+        if any(self._is_stuck(b, layout, now) for b in homes):
             others = [b for b in layout.reserved if b not in homes]
             homes += self._ranked(prompt, others, layout)
         return homes
 
-    def _is_stuck(self, reader, now):
-        """Tells whether KV caches of an engine take too long to move."""
-        return self._transfers.overdue_s(reader.entry.id, now) > TRANSFER_S
+    def _is_stuck(self, reader, layout, now):
+        """Tells whether KV caches of an engine take, or took, too long."""
+        reader_id = reader.entry.id
+        near = layout.has_partner(reader)
+        allowed_s = TRANSFER_S if near else FAR_TRANSFER_S
+        if self._transfers.overdue_s(reader_id, now) > allowed_s:
+            self._stuck_until[reader_id] = now + STUCK_KEEP_S
+        return now < self._stuck_until.get(reader_id, 0.0)
 
-    def _admits(self, belief, tokens, objective_s, now):
+    def _admits(self, belief, tokens, layout, objective_s, now):
         pace = self._pace(belief, now)
         overdue_s = self._overdue.overdue_s(belief.entry.id, now)
         high_s = _pace.HIGH_SHARE * objective_s
-        if overdue_s > high_s or self._is_stuck(belief, now):
+        if overdue_s > high_s or self._is_stuck(belief, layout, now):
             pace.slow_down(now)
         return pace.admit(tokens, now)
 
@@ -167,9 +179,9 @@
             + self._rng.random() * RUNNING_S
         )
 
-    def _has_background_room(self, belief, late, now):
+    def _has_background_room(self, belief, layout, late, now):
         # A link carries KV caches one by one, whatever their urgency.
-        if self._is_stuck(belief, now):
+        if self._is_stuck(belief, layout, now):
             return False
         if self._delay_s(belief, now) > BACKGROUND_DELAY_S:
             return False
@@ -220,10 +232,12 @@
         def cost_s(belief):
             return self._decode_cost_s(belief, reader, now)
 
-        near = min(layout.partners(reader), key=cost_s)
-        if self._delay_s(near, now) < PARTNER_DELAY_S:
-            return near
-        return min(layout.decoders, key=cost_s)
+        first = min(layout.partners(reader), key=cost_s)
+        if self._delay_s(first, now) < PARTNER_DELAY_S:
+            return first
+        # Never in another region: a link that carries KV caches ten times
+        # as slowly would be full and stay so.
+        return min(layout.neighbours(reader) or [first], key=cost_s)
 
     def _delay_s(self, belief, now):
         """Returns how far an engine is behind, as far as it is seen."""
@@ -331,7 +345,7 @@
         """Slows an engine down whose KV caches go too far to follow."""
         reader = placement.prefill
         far = reader.entry.data_centre != placement.decode.entry.data_centre
-        if far and excess_s > TRANSFER_S:
+        if far and excess_s > FAR_TRANSFER_S:
             self._pace(reader, now).slow_down(now)
 
     def _learn(self, reader, placement, taken_s, work_s, now):
@@ -347,8 +361,9 @@
             placement.fresh_tokens,
             taken_s - self._round_trip_s(reader),
         )
+        stuck_s = self._transfers.overdue_s(reader.entry.id, now)
         self._pace(reader, now).observe(
-            excess_s,
+            max(excess_s, stuck_s),
             placement.objective_s,
             self._speed(reader),
             self.parts,
@@ -364,4 +379,5 @@
     def forget(self, upstream_id):
         """Drops what an engine held, as after its restart."""
         self._paces.pop(upstream_id, None)
+        self._stuck_until.pop(upstream_id, None)
         self._cached.forget(upstream_id)
--- a/dandelionwinch/dispatch/_layout.py
+++ b/dandelionwinch/dispatch/_layout.py
@@ -48,6 +48,11 @@
                 return near
         return list(self.decoders)
 
+    def neighbours(self, reader):
+        """Returns all engines for answers in a reader's data centre."""
+        centre = reader.entry.data_centre
+        return [b for b in self.decoders if b.entry.data_centre == centre]
+
 
 def lay_out(usable):
     """Parts the engines of a service.
--- a/dandelionwinch/tools/bench.py
+++ b/dandelionwinch/tools/bench.py
@@ -20,6 +20,7 @@
 from dandelionwinch.bench import _simulation
 from dandelionwinch.bench import _takeover
 from dandelionwinch.bench import _trace
+from dandelionwinch.bench import overload as overload_package
 from dandelionwinch import errors
 from dandelionwinch import search as search_package
 from dandelionwinch import utils
@@ -84,9 +85,7 @@
     try:
         trace = _trace.read_trace(path)
     except errors.SettingsInvalid as exc:
-        for finding in exc.findings:
-            click.echo(str(finding), err=True)
-        sys.exit(FINDINGS_EXIT)
+        _fail(exc)
     names = list(_policies.POLICIES) if policy == 'all' else [policy]
     results = []
     for name in names:
@@ -100,6 +99,45 @@
         _plot.draw(trace, results, plot)
 
 
+@bench.command()
+@click.option(
+    '--trace',
+    'trace_name',
+    default='overload',
+    show_default=True,
+    help='A load file, or the name of a shipped load.',
+)
+@click.option(
+    '--policy',
+    default='all',
+    show_default=True,
+    type=click.Choice(['all', *overload_package.POLICIES]),
+)
+@_options
+def overload(trace_name, policy, seed, as_json):
+    """Play an overloaded day of model engines in virtual time."""
+    try:
+        load = overload_package.read_load(_trace_path(trace_name))
+    except errors.SettingsInvalid as exc:
+        _fail(exc)
+    names = overload_package.POLICIES if policy == 'all' else [policy]
+    rows = []
+    for name in names:
+        row = attrs.asdict(overload_package.simulate(load, name, seed))
+        kinds = row.pop('kinds')
+        row['windows'] = ' '.join(str(share) for share in row['windows'])
+        if as_json:
+            row['kinds'] = kinds
+        rows.append(row)
+    _print(rows, as_json)
+
+
+def _fail(exc):
+    for finding in exc.findings:
+        click.echo(str(finding), err=True)
+    sys.exit(FINDINGS_EXIT)
+
+
 def _row(result):
     row = attrs.asdict(result)
     del row['samples']
