--- a/dandelionwinch/bench/overload/_engine.py
+++ b/dandelionwinch/bench/overload/_engine.py
@@ -52,6 +52,8 @@
         self._free = figures.slots
         self._waiting = []
         self._number = 0
+        self._to_read = []
+        self._reading = False
         self._read_free_at = 0.0
         self._link_free_at = 0.0
         self._cache = collections.OrderedDict()
@@ -70,6 +72,8 @@
         """Loses all that it has."""
         self.alive = False
         self._waiting.clear()
+        self._to_read.clear()
+        self._reading = False
         self._cache.clear()
         self._cached_tokens = 0
 
@@ -89,16 +93,37 @@
                 self._read(work, now)
 
     def _read(self, work, now):
+        """Takes a slot; slots read one after another, by urgency."""
         self._free -= 1
+        self._number += 1
+        heapq.heappush(self._to_read, (work.urgency, self._number, work))
+        self._read_next(now)
+
+    def _read_next(self, now):
+        while self._to_read and not self._reading:
+            _urgency, _number, work = heapq.heappop(self._to_read)
+            if work.left:
+                self._release(now)
+                continue
+            self._read_one(work, now)
+
+    def _read_one(self, work, now):
         speed = self._figures.read_tokens_per_s
         if not self.reads_only:
             speed *= DIRECT_SPEED
         fresh = work.prompt.tokens - self._hit(work.prompt)
         self.tokens_read += fresh
         self.tokens_kept += work.prompt.tokens - fresh
-        start = max(now, self._read_free_at)
-        self._read_free_at = start + fresh / speed
-        self._schedule(self._read_free_at, self._begin, work)
+        self._reading = True
+        self._read_free_at = now + fresh / speed
+        self._schedule(self._read_free_at, self._end_reading, work)
+
+    def _end_reading(self, work, now):
+        if not self.alive:
+            return
+        self._reading = False
+        self._begin(work, now)
+        self._read_next(now)
 
     def _fetch(self, work, now):
         """Fetches the KV cache; links carry them one after another."""
--- a/dandelionwinch/bench/overload/_load.py
+++ b/dandelionwinch/bench/overload/_load.py
@@ -9,6 +9,9 @@
 from dandelionwinch import dispatch
 from dandelionwinch import readers
 
+# An answer's worth grows with the size of its prompt.
+BASE_WORTH = 0.3
+MOST_WORTH = 4.0
 _positive = validators.gt(0)
 _not_negative = validators.ge(0)
 
@@ -109,6 +112,14 @@
     prompt: dispatch.Prompt
     events: int
 
+    @property
+    def size_worth(self):
+        """Returns the worth by size, about 1 for a prompt of mean size."""
+        kind = self.kind
+        mean = kind.own_tokens + kind.template_tokens + kind.session_tokens
+        grown = BASE_WORTH + (1 - BASE_WORTH) * self.prompt.tokens / mean
+        return min(MOST_WORTH, grown)
+
 
 def read_load(path):
     """Reads a load from its file.
--- a/dandelionwinch/bench/overload/_simulation.py
+++ b/dandelionwinch/bench/overload/_simulation.py
@@ -151,7 +151,7 @@
         tally = self.tallies[arrival.kind.name]
         tally.asked += 1
         self.window(arrival)[0] += 1
-        tally.owed += arrival.kind.worth
+        tally.owed += arrival.kind.worth * arrival.size_worth
         _Request(self, arrival, now, returned=False).start(now)
 
     def _result(self):
@@ -280,10 +280,10 @@
         if taken_s <= kind.objective_s and longest_s <= kind.pause_s:
             tally.in_time += 1
             self._day.window(self._arrival)[1] += 1
-            tally.credit += kind.worth
+            tally.credit += kind.worth * self._arrival.size_worth
         else:
             tally.late += 1
-            tally.credit += kind.late_worth
+            tally.credit += kind.late_worth * self._arrival.size_worth
 
     def _engine_refused(self, now):
         if self._ended:
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -28,7 +28,7 @@
 DECODE_WEIGHT = 0.65
 ORPHAN_WEIGHT = 0.5
 # Engines that a session may use, nearest home first.
-HOMES = 3
+HOMES = 1
 # Prompts that may wait at an engine, by its slots, for all instances.
 BACKGROUND_PER_SLOT = 2.2
 RETURNED_ROOM = 1.3
--- a/dandelionwinch/tests/test_overload.py
+++ b/dandelionwinch/tests/test_overload.py
@@ -40,6 +40,18 @@
     assert results['winch'].credit > best
 
 
+@pytest.mark.parametrize('seed', [1, 2])
+def test_sessions_stay_at_their_homes_under_overload(seed):
+    """A prompt that goes elsewhere costs what its session has cached."""
+    played = load('overload')
+    shares = {}
+    for name in ('winch', 'homes'):
+        result = overload.simulate(played, name, seed)
+        whole = result.kept_tokens + result.read_tokens
+        shares[name] = result.kept_tokens / whole
+    assert shares['winch'] > 1.1 * shares['homes']
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_all_is_in_time_again_soon_after_engines_are_back(seed):
     """Answers sent to other regions once kept all links full for 14 s."""
