--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -27,8 +27,6 @@
 PREFILL_WEIGHT = 2.0
 DECODE_WEIGHT = 0.65
 ORPHAN_WEIGHT = 0.5
-# Engines that a session may use, nearest home first.
-HOMES = 1
 # Prompts that may wait at an engine, by its slots, for all instances.
 BACKGROUND_PER_SLOT = 2.2
 RETURNED_ROOM = 1.3
@@ -124,13 +122,15 @@
     def _homes(self, prompt, takers, layout, now):
         """Returns the engines that may read a prompt, the first one first.
 
-        Where KV caches do not get through, engines that only make answers
-        read, too, as they need none.
+        A session has one engine: at another one its parts would be read
+        again and push out others. Where KV caches do not get through,
+        engines that only make answers read, too, as they need none.
         """
-        homes = self._ranked(prompt, takers, layout)[:HOMES]
-        if any(self._is_stuck(b, layout, now) for b in homes):
+        rank = self._rank(prompt, layout)
+        homes = [max(takers, key=rank)]
+        if self._is_stuck(homes[0], layout, now):
             others = [b for b in layout.reserved if b not in homes]
-            homes += self._ranked(prompt, others, layout)
+            homes += sorted(others, key=rank, reverse=True)
         return homes
 
     def _is_stuck(self, reader, layout, now):
@@ -190,17 +190,22 @@
             room *= RETURNED_ROOM
         return self._running.background(belief.entry.id) < max(1.0, room)
 
-    def _ranked(self, prompt, takers, layout):
+    @staticmethod
+    def _weight(belief, layout):
+        if belief.entry.role is not upstreams.Role.PREFILL:
+            return DECODE_WEIGHT
+        near = layout.has_partner(belief)
+        return PREFILL_WEIGHT if near else ORPHAN_WEIGHT
+
+    def _rank(self, prompt, layout):
+        """Returns the function that ranks engines for a prompt's session."""
         key = prompt.shared[-1][0] if prompt.shared else self._rng.random()
 
         def score(belief):
-            weight = DECODE_WEIGHT
-            if belief.entry.role is upstreams.Role.PREFILL:
-                near = layout.has_partner(belief)
-                weight = PREFILL_WEIGHT if near else ORPHAN_WEIGHT
+            weight = self._weight(belief, layout)
             return utils.rendezvous_score(weight, key, belief.entry.id)
 
-        return sorted(takers, key=score, reverse=True)
+        return score
 
     def _pace(self, belief, now):
         pace = self._paces.get(belief.entry.id)
--- a/dandelionwinch/dispatch/_layout.py
+++ b/dandelionwinch/dispatch/_layout.py
@@ -7,12 +7,15 @@
 the remaining engines read and answer.
 """
 
+import functools
+
 import attrs
 
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
 ORDER_KEY = 'answers'
+MAX_ORDERS = 4096
 
 
 @attrs.frozen
@@ -23,11 +26,13 @@
         readers: Engines that may read long prompts.
         reserved: Engines that only make answers.
         mixed: Engines that read prompts and make their answers.
+        centres: Data centres with an engine that makes answers.
     """
 
     readers: tuple
     reserved: tuple
     mixed: tuple
+    centres: frozenset
 
     @property
     def decoders(self):
@@ -36,8 +41,7 @@
 
     def has_partner(self, reader):
         """Tells whether an engine in the same data centre can answer."""
-        centre = reader.entry.data_centre
-        return any(b.entry.data_centre == centre for b in self.decoders)
+        return reader.entry.data_centre in self.centres
 
     def partners(self, reader):
         """Returns engines that may answer what another engine has read."""
@@ -69,7 +73,7 @@
         (prefill if is_prefill else decode).append(belief)
     if not decode:
         return None
-    decode.sort(key=lambda b: utils.stable_hash(ORDER_KEY, b.entry.id))
+    decode.sort(key=lambda b: _order(b.entry.id))
     wanted = {}
     for belief in prefill:
         centre = belief.entry.data_centre
@@ -83,4 +87,11 @@
         else:
             mixed.append(belief)
     readers = prefill + mixed or decode
-    return Layout(tuple(readers), tuple(reserved), tuple(mixed))
+    centres = frozenset(b.entry.data_centre for b in decode)
+    return Layout(tuple(readers), tuple(reserved), tuple(mixed), centres)
+
+
+@functools.lru_cache(maxsize=MAX_ORDERS)
+def _order(upstream_id):
+    """Returns an engine's place in the order that all instances share."""
+    return utils.stable_hash(ORDER_KEY, upstream_id)
