--- /dev/null
+++ b/dandelionwinch/bench/_events.py
@@ -0,0 +1,56 @@
+"""What a line of the event log costs in processor time."""
+
+import os
+import time
+
+from dandelionwinch import eventlog
+
+LINES = 20_000
+# Lines that a request takes on a day of overload.
+PER_REQUEST = 1.8
+
+
+class _Steps:
+    """A clock that leaves room for each line."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        self.now += 1.0
+        return self.now
+
+
+def measure():
+    """Returns a row with the cost of a line like that of an answer."""
+    reader, writer = os.pipe()
+    log = eventlog.EventLog('edge-1', writer, _Steps())
+    began = time.process_time()
+    size = 0
+    for number in range(LINES):
+        log.event(
+            'request.answered',
+            request=f'{number:016x}',
+            route='waiver',
+            upstream='i-7f3a91c2',
+            status=200,
+            outcome='whole',
+            reason='',
+            attempts=1,
+            prefill_ms=42.5,
+            first_ms=71.25,
+            gap_ms=12.0,
+            taken_ms=99.5,
+        )
+        log.flush()
+        size += len(os.read(reader, 1 << 16))
+    taken_s = time.process_time() - began
+    os.close(reader)
+    os.close(writer)
+    per_line_us = taken_s / LINES * 1e6
+    return {
+        'lines': LINES,
+        'us_per_line': round(per_line_us, 1),
+        'bytes_per_line': round(size / LINES),
+        'us_per_request': round(per_line_us * PER_REQUEST, 1),
+    }
--- a/dandelionwinch/tests/test_explain.py
+++ b/dandelionwinch/tests/test_explain.py
@@ -137,3 +137,11 @@
     assert platform.check_deploy(path) == []
     path.write_text(GOOD.replace(old, new))
     assert any(finding in text for text in platform.check_deploy(path))
+
+
+def test_the_cost_of_a_line_is_measured():
+    runner = click.testing.CliRunner()
+    result = runner.invoke(cli.main, ['bench', 'events', '--json'])
+    row = json.loads(result.output)
+    assert row['lines'] and row['us_per_line'] > 0
+    assert row['bytes_per_line'] > 200
--- a/dandelionwinch/tools/bench.py
+++ b/dandelionwinch/tools/bench.py
@@ -12,6 +12,7 @@
 from dandelionwinch.bench import _capacity
 from dandelionwinch.bench import _claims
 from dandelionwinch.bench import _control
+from dandelionwinch.bench import _events
 from dandelionwinch.bench import _herding
 from dandelionwinch.bench import _placement
 from dandelionwinch.bench import _plot
@@ -100,6 +101,13 @@
         _plot.draw(trace, results, plot)
 
 
+@bench.command()
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON lines.')
+def events(as_json):
+    """Measure what a line of the event log costs, writing included."""
+    _print([_events.measure()], as_json)
+
+
 @bench.command()
 @click.option(
     '--load',
