--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -2,11 +2,14 @@
 
 Answers a mix that swings between long prompts and long answers: requests
 that share the beginning of their prompts meet at one engine, and leave it
-for the next one of the same order when it falls behind. Long prompts
-between the tokens of long answers make pauses, so engines that make
-answers read a smaller share of the prompts than those that only read.
+only for one that has been idle. Long prompts between the tokens of long
+answers make pauses, so engines that make answers read a smaller share of
+the prompts than those that only read.
 """
 
+import heapq
+import itertools
+
 from dandelionwinch.dispatch import _cached
 from dandelionwinch.dispatch import _layout
 from dandelionwinch.dispatch import _overdue
@@ -27,6 +30,8 @@
 PREFILL_WEIGHT = 2.0
 DECODE_WEIGHT = 0.65
 ORPHAN_WEIGHT = 0.5
+# Engines that are looked at for the sessions of a full one.
+SPARE_ENGINES = 4
 # Prompts that may wait at an engine, by its slots, for all instances.
 BACKGROUND_PER_SLOT = 2.2
 RETURNED_ROOM = 1.3
@@ -108,7 +113,9 @@
         takers = layout.decoders if direct else layout.readers
         homes = self._homes(prompt, takers, layout, now)
         if not late:
-            for belief in homes:
+            spare = self._spare(prompt, takers, layout, objective_s, now)
+            others = (b for b in spare if b not in homes)
+            for belief in itertools.chain(homes, others):
                 tokens = prompt.tokens - self._cached.hit(
                     prompt, belief.entry.id, now
                 )
@@ -133,6 +140,15 @@
             homes += sorted(others, key=rank, reverse=True)
         return homes
 
+    def _spare(self, prompt, takers, layout, objective_s, now):
+        """Yields engines that have been idle, for sessions of full ones."""
+        low_s = _pace.LOW_SHARE * objective_s
+        rank = self._rank(prompt, layout)
+        for belief in heapq.nlargest(SPARE_ENGINES, takers, key=rank):
+            untouched = self._pace(belief, now).is_untouched()
+            if untouched and self._delay_s(belief, now) < low_s:
+                yield belief
+
     def _is_stuck(self, reader, layout, now):
         """Tells whether KV caches of an engine take, or took, too long."""
         reader_id = reader.entry.id
--- a/dandelionwinch/dispatch/_pace.py
+++ b/dandelionwinch/dispatch/_pace.py
@@ -17,6 +17,7 @@
 LEAST_SHARE = 0.15
 MOST_SHARE = 1.0
 FIRST_SHARE = 1.5
+UNTOUCHED_SHARE = 0.9
 BURST_S = 0.05
 MEAN_SHARE = 0.05
 FIRST_MEAN = 3000.0
@@ -110,6 +111,11 @@
         self._rate = max(least, min(MOST_SHARE * self._speed, rate))
         self._changed_at = now
 
+    def is_untouched(self):
+        """Tells whether no delay has lowered the rate."""
+        first = FIRST_SHARE * self._speed / self._parts
+        return self._rate >= min(self._speed, first) * UNTOUCHED_SHARE
+
     @property
     def rate(self):
         """Returns the present rate."""
--- a/dandelionwinch/tests/test_overload.py
+++ b/dandelionwinch/tests/test_overload.py
@@ -52,6 +52,13 @@
     assert shares['winch'] > 1.1 * shares['homes']
 
 
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_sessions_of_a_full_engine_go_to_idle_ones(seed):
+    """Replays two sessions that are more than two engines can read."""
+    result = overload.simulate(load('few-sessions'), 'winch', seed)
+    assert result.in_time > 0.85
+
+
 @pytest.mark.parametrize('seed', [1, 2, 3])
 def test_all_is_in_time_again_soon_after_engines_are_back(seed):
     """Answers sent to other regions once kept all links full for 14 s."""
