--- a/dandelionwinch/bench/overload/__init__.py
+++ b/dandelionwinch/bench/overload/__init__.py
@@ -1,8 +1,9 @@
 """A model of model engines under more load than they carry."""
 
+from dandelionwinch.bench.overload._load import Burst
 from dandelionwinch.bench.overload._load import Load
 from dandelionwinch.bench.overload._load import read_load
 from dandelionwinch.bench.overload._policies import POLICIES
 from dandelionwinch.bench.overload._simulation import simulate
 
-__all__ = ['POLICIES', 'Load', 'read_load', 'simulate']
+__all__ = ['POLICIES', 'Burst', 'Load', 'read_load', 'simulate']
--- a/dandelionwinch/tests/test_overload.py
+++ b/dandelionwinch/tests/test_overload.py
@@ -66,6 +66,21 @@
     assert min(result.windows[-3:]) > 0.9
 
 
+def test_what_an_engine_had_before_a_crash_never_shows_up_again():
+    calm = load('few-sessions')
+    lost = ['Ndaragwa-0', 'Ndaragwa-1', 'Nanyuki-0', 'Naromoru-0']
+    bursts = [
+        overload.Burst(start_s=at, end_s=at + 0.01, lost=lost)
+        for at in (2.0, 2.5, 3.0)
+    ]
+    played = attrs.evolve(calm, duration_s=5.0, bursts=bursts)
+    result = overload.simulate(played, 'winch', 1)
+    tally = result.kinds['summary']
+    assert tally['unserved'] > 0
+    ends = ('in_time', 'late', 'refused', 'unserved')
+    assert sum(tally[end] for end in ends) == tally['asked']
+
+
 def test_refused_and_broken_off_requests_are_all_counted():
     result = overload.simulate(load('overload'), 'random', 1)
     for tally in result.kinds.values():
