--- a/dandelionwinch/soak/_caller.py
+++ b/dandelionwinch/soak/_caller.py
@@ -21,11 +21,13 @@
         statuses: Number of final answers by status, 0 for none.
         not_run: Ids of requests that were said not to have run.
         wrong: Findings about single answers.
+        sent_to: Address of the instance that each request was sent to.
     """
 
     statuses: dict = attrs.Factory(dict)
     not_run: list = attrs.Factory(list)
     wrong: list = attrs.Factory(list)
+    sent_to: dict = attrs.Factory(dict)
 
     def note(self, request_id, status):
         """Notes a final answer."""
@@ -46,6 +48,7 @@
         self._addresses = []
         self._asked_at = float('-inf')
         self._conn = None
+        self._instance = ''
         self._number = 0
 
     async def run(self):
@@ -73,6 +76,7 @@
         if self._conn is None:
             self._conn = await self._connect()
         reader, writer = self._conn
+        self._seen.sent_to[request_id] = self._instance
         prompt = (40, 60) if kind == 'resume' else None
         writer.write(samples.request(f'/{kind}/1', request_id, prompt=prompt))
         status, headers, body = await _answer(reader)
@@ -100,7 +104,8 @@
             await self._resolve(loop)
         if not self._addresses:
             raise OSError('no address is known')
-        address = self._fronts[self._rng.choice(self._addresses)]
+        self._instance = self._rng.choice(self._addresses)
+        address = self._fronts[self._instance]
         host, _, port = address.rpartition(':')
         return await asyncio.open_connection(host, int(port))
 
--- a/dandelionwinch/soak/_proxy.py
+++ b/dandelionwinch/soak/_proxy.py
@@ -18,15 +18,27 @@
 
 
 class Proxy:
-    """Forwards connections to one address."""
+    """Forwards connections to one address.
 
-    __slots__ = ('_server', '_target', '_writers', 'address', 'mode')
+    Attributes:
+        name: Whose link it is, for those that tell of it.
+    """
+
+    __slots__ = (
+        '_server',
+        '_target',
+        '_writers',
+        'address',
+        'mode',
+        'name',
+    )
 
     def __init__(self, target):
         self._target = target
         self._server = None
         self._writers = set()
         self.address = ''
+        self.name = ''
         self.mode = Mode.PASS
 
     async def start(self):
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -1,11 +1,10 @@
 """One soak: starts everything, injects faults by seed, and judges."""
 
 import asyncio
-import os
+import math
 import pathlib
 import random
 import signal
-import sys
 import tempfile
 
 import attrs
@@ -13,13 +12,13 @@
 from dandelionwinch.platform import samples
 from dandelionwinch import routes
 from dandelionwinch.soak import _caller
+from dandelionwinch.soak import _process
 from dandelionwinch.soak import _proxy
 from dandelionwinch.soak import _upstream
 from dandelionwinch.standins import kvstore
 from dandelionwinch import utils
 
 QUIET_S = 6.0
-RESTART_S = 0.5
 GRACE_S = 4
 RETRY_SLACK = 200
 FAULTS = (
@@ -35,6 +34,8 @@
 )
 START_TIMEOUT_S = 120.0
 INSTANCE_PREFIX = 'dandelionwinch/instances/'
+# An instance knows the store's state again this long after a cut.
+CONTACT_S = 4.0
 THREADS_PER_INSTANCE = 2
 MORE_THREADS = 64
 
@@ -46,6 +47,7 @@
     Attributes:
         statuses: Final answers by status, 0 for a closed connection.
         faults: Faults that were injected, by kind.
+        timeline: Each fault with its time in seconds.
         broken: Broken promises; empty if all held.
     """
 
@@ -54,43 +56,21 @@
     requests: int
     statuses: dict
     faults: dict
+    timeline: list
     broken: list
 
 
-class _Instance:
-    """One real process."""
-
-    def __init__(self, name, path, log_path):
-        self.name = name
-        self._path = path
-        self._log_path = log_path
-        self.process = None
-        self.stopped = False
-
-    async def start(self):
-        """Starts the program."""
-        env = {**os.environ, samples.SETTINGS_VARIABLE: str(self._path)}
-        with open(self._log_path, 'ab') as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                '-m',
-                'dandelionwinch.platform',
-                env=env,
-                stdout=log,
-                stderr=log,
-            )
+@attrs.define
+class _Cut:
+    """A time in which an instance could not follow the store.
 
-    def send(self, number):
-        """Sends a signal if the process runs."""
-        if self.process.returncode is None:
-            self.process.send_signal(number)
+    Attributes:
+        front: The instance's address for callers, '' for other links.
+    """
 
-    async def restart(self):
-        """Waits for the end of the process and starts it again."""
-        await self.process.wait()
-        await asyncio.sleep(RESTART_S)
-        if not self.stopped:
-            await self.start()
+    front: str
+    start: float
+    end: float = math.inf
 
 
 class _Soak:
@@ -105,6 +85,10 @@
         self._record = _upstream.Record()
         self._seen = _caller.Seen()
         self._faults = {}
+        self._timeline = []
+        self._began = 0.0
+        self._cuts = []
+        self._lock, self._block = _process.own_block()
         self._tasks = set()
         self._restarts = set()
         self._version = 1
@@ -137,7 +121,8 @@
             )
             self._spawn(caller.run())
         loop = asyncio.get_running_loop()
-        until = loop.time() + for_s
+        self._began = loop.time()
+        until = self._began + for_s
         while loop.time() < until:
             await asyncio.sleep(self._rng.uniform(0.2, 1.2))
             await self._inject(self._rng.choice(FAULTS))
@@ -174,12 +159,12 @@
 
     async def _start_instances(self):
         ports = utils.free_ports(3)
-        block = 1 + os.getpid() % 200
         directories = []
         for number in range(self._count):
-            ip = f'127.{block}.{number // 200}.{10 + number % 200}'
+            ip = f'127.{self._block}.{number // 200}.{10 + number % 200}'
             proxy = await self._add_proxy('store', self._store.address)
             front = f'{ip}:{ports[0]}'
+            proxy.name = front
             front_proxy = await self._add_proxy('caller', front)
             self._fronts[front] = front_proxy.address
             name = f'i-{number}'
@@ -196,7 +181,7 @@
             )
             path.write_text(text)
             log_path = self._folder / f'{name}.log'
-            instance = _Instance(name, path, log_path)
+            instance = _process.Instance(name, front, path, log_path)
             await instance.start()
             self._instances.append(instance)
             directories.append(f'{ip}:{ports[2]}')
@@ -234,9 +219,14 @@
         value = samples.config(self._version, rows, [samples.service()])
         self._store.write(samples.CONFIG_KEY, value)
 
+    def _note(self, fault, target):
+        at = asyncio.get_running_loop().time() - self._began
+        self._timeline.append(f'{at:.2f} {fault} {target}')
+
     async def _inject(self, fault):
         self._faults[fault] = self._faults.get(fault, 0) + 1
         instance = self._rng.choice(self._instances)
+        self._note(fault, instance.name)
         match fault:
             case 'kill':
                 instance.send(signal.SIGKILL)
@@ -269,15 +259,26 @@
 
     async def _resume(self, instance):
         process = instance.process
+        cut = self._begin_cut(instance.front)
         await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        cut.end = asyncio.get_running_loop().time()
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
 
+    def _begin_cut(self, front):
+        cut = _Cut(front, asyncio.get_running_loop().time())
+        self._cuts.append(cut)
+        return cut
+
     async def _disturb(self, proxy):
         modes = [m for m in _proxy.Mode if m is not _proxy.Mode.PASS]
-        proxy.set_mode(self._rng.choice(modes))
+        mode = self._rng.choice(modes)
+        cut = self._begin_cut(proxy.name)
+        self._note(mode.value, proxy.name)
+        proxy.set_mode(mode)
         await asyncio.sleep(self._rng.uniform(0.5, 3.0))
         proxy.set_mode(_proxy.Mode.PASS)
+        cut.end = asyncio.get_running_loop().time()
 
     async def _replace_upstream(self):
         await self._add_upstream()
@@ -325,6 +326,7 @@
         for upstream in self._upstreams:
             upstream.close()
         self._store.close()
+        self._lock.close()
 
     def _all_proxies(self):
         return [proxy for group in self._proxies.values() for proxy in group]
@@ -335,6 +337,14 @@
             instance.send(signal.SIGCONT)
             instance.send(signal.SIGKILL)
 
+    def _was_cut_off(self, request_id, at):
+        """Tells whether the instance could not know of a leaving upstream."""
+        front = self._seen.sent_to.get(request_id)
+        return any(
+            cut.front == front and cut.start <= at <= cut.end + CONTACT_S
+            for cut in self._cuts
+        )
+
     def _judge(self):
         runs = self._record.runs
         broken = list(self._seen.wrong)
@@ -350,7 +360,8 @@
         ]
         broken += [
             f'{request_id}: sent to an upstream long after it had left'
-            for request_id in self._record.late
+            for request_id, at in self._record.late
+            if not self._was_cut_off(request_id, at)
         ]
         for path in sorted(self._folder.glob('*.log')):
             if 'gateway.fault' in path.read_text(errors='replace'):
@@ -361,6 +372,7 @@
             sum(self._seen.statuses.values()),
             dict(sorted(self._seen.statuses.items())),
             self._faults,
+            self._timeline,
             broken,
         )
 
--- a/dandelionwinch/soak/_upstream.py
+++ b/dandelionwinch/soak/_upstream.py
@@ -20,7 +20,8 @@
 
     Attributes:
         runs: Runs of each request id.
-        late: Requests that reached an upstream long after it had left.
+        late: Requests that reached an upstream long after it had left,
+            each with the time.
     """
 
     runs: dict = attrs.Factory(dict)
@@ -96,7 +97,7 @@
     def _note_late(self, request_id):
         now = asyncio.get_running_loop().time()
         if self.left_at is not None and now - self.left_at > DRAIN_S:
-            self._record.late.append(request_id)
+            self._record.late.append((request_id, now))
 
     @staticmethod
     def _whole(writer, request_id, fault):
