--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -17,6 +17,7 @@
 from dandelionwinch.dispatch import _prompts
 from dandelionwinch.dispatch import _running
 from dandelionwinch.dispatch import _speeds
+from dandelionwinch.dispatch import _transfers
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
@@ -37,12 +38,6 @@
 RETURNED_ROOM = 1.3
 # Part of the allowed pause above which prompts are slowed down.
 PAUSE_SHARE = 0.7
-# Delays of KV caches from which on a reader is taken to be stuck: those
-# that go far take ten times as long and give way first.
-TRANSFER_S = 0.15
-FAR_TRANSFER_S = 0.05
-# How long an engine whose KV caches were late is taken to be stuck.
-STUCK_KEEP_S = 1.0
 # Delay of an engine from which on it gets nothing more in the background.
 BACKGROUND_DELAY_S = 0.25
 ANSWER_SLOT_SHARE = 0.6
@@ -61,7 +56,6 @@
         '_rng',
         '_running',
         '_speeds',
-        '_stuck_until',
         '_transfers',
         'parts',
     )
@@ -71,8 +65,7 @@
         self._rng = rng
         self._cached = _cached.CachedParts()
         self._overdue = _overdue.Overdue()
-        self._transfers = _overdue.Overdue()
-        self._stuck_until = {}
+        self._transfers = _transfers.Transfers()
         self._speeds = _speeds.Speeds()
         self._running = _running.Running()
         self._paces = {}
@@ -150,13 +143,8 @@
                 yield belief
 
     def _is_stuck(self, reader, layout, now):
-        """Tells whether KV caches of an engine take, or took, too long."""
-        reader_id = reader.entry.id
         near = layout.has_partner(reader)
-        allowed_s = TRANSFER_S if near else FAR_TRANSFER_S
-        if self._transfers.overdue_s(reader_id, now) > allowed_s:
-            self._stuck_until[reader_id] = now + STUCK_KEEP_S
-        return now < self._stuck_until.get(reader_id, 0.0)
+        return self._transfers.is_stuck(reader, near, now)
 
     def _admits(self, belief, tokens, layout, objective_s, now):
         pace = self._pace(belief, now)
@@ -312,7 +300,7 @@
         decode = placement.decode
         due_at = now + HANDOVER_S + self._round_trip_s(decode)
         self._overdue.sent(decode.entry.id, placement, due_at)
-        self._transfers.sent(placement.prefill.entry.id, placement, due_at)
+        self._transfers.sent(placement, due_at)
 
     def handle_refused(self, placement, now):
         """Notes that an engine could not go on with a prefilled prompt."""
@@ -322,7 +310,7 @@
     def _answered(self, placement):
         """Notes the first sign of an answer, or that none will come."""
         self._overdue.done(placement.decode.entry.id, placement)
-        self._transfers.done(placement.reader.entry.id, placement)
+        self._transfers.done(placement)
 
     def ended(self, placement):
         """Notes that an engine no longer has a prompt."""
@@ -366,7 +354,7 @@
         """Slows an engine down whose KV caches go too far to follow."""
         reader = placement.prefill
         far = reader.entry.data_centre != placement.decode.entry.data_centre
-        if far and excess_s > FAR_TRANSFER_S:
+        if far and excess_s > _transfers.FAR_DELAY_S:
             self._pace(reader, now).slow_down(now)
 
     def _learn(self, reader, placement, taken_s, work_s, now):
@@ -382,7 +370,7 @@
             placement.fresh_tokens,
             taken_s - self._round_trip_s(reader),
         )
-        stuck_s = self._transfers.overdue_s(reader.entry.id, now)
+        stuck_s = self._transfers.overdue_s(reader, now)
         self._pace(reader, now).observe(
             max(excess_s, stuck_s),
             placement.objective_s,
@@ -400,5 +388,5 @@
     def forget(self, upstream_id):
         """Drops what an engine held, as after its restart."""
         self._paces.pop(upstream_id, None)
-        self._stuck_until.pop(upstream_id, None)
+        self._transfers.forget(upstream_id)
         self._cached.forget(upstream_id)
