--- a/dandelionwinch/tests/test_soak.py
+++ b/dandelionwinch/tests/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from dandelionwinch import soak
+from dandelionwinch.soak import _process
 from dandelionwinch.soak import _run
 
 # Seeds that failed once stay here, each with its cause:
@@ -40,3 +41,12 @@
     judged._record.late.append(('safe-1', 10.0))
     assert len(judged._judge().broken) == broken
     judged._lock.close()
+
+
+def test_two_soaks_at_once_have_blocks_of_their_own():
+    """Seed 141 did not start: another soak had the same addresses."""
+    first, block = _process.own_block()
+    second, other = _process.own_block()
+    assert block != other
+    first.close()
+    second.close()
