--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -3,7 +3,6 @@
 from dandelionwinch import dispatch
 from dandelionwinch.gateway import _request_handler
 from dandelionwinch.gateway import _upstream_exchange
-from dandelionwinch import quarantine
 
 
 class CallHandler(_request_handler.RequestHandler):
@@ -11,17 +10,6 @@
 
     __slots__ = ()
 
-    def _subjects(self):
-        """Returns the keys of the call, as any caller's and as this one's."""
-        req = self._req
-        return quarantine.call_keys(
-            req.method,
-            req.host,
-            req.target,
-            req.body,
-            self._caller_conn.address,
-        )
-
     def _choose(self):
         """Returns the Upstream of the next attempt, or None."""
         if self._suspicion.is_held():
@@ -63,5 +51,5 @@
             raise
         # An upstream that fails a call may not have begun to run it.
         if response.head.status < _request_handler.SERVER_ERROR_STATUS:
-            self._suspicion.answer_begins()
+            self._suspicion.answer_ends()
         self._accept_response(upstream, response, started_at)
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -34,7 +34,7 @@
         # Software version of the engine that began the stream.
         self._version = None
 
-    def _subjects(self):
+    def _prompt_parts(self):
         """Returns the keys of the parts that the prompt shares."""
         blocks = self._req.prompt.shared_blocks
         return [quarantine.subject_key(name) for name, _size in blocks]
@@ -112,9 +112,8 @@
         return {'begun': self._begun, **super()._attempt_details()}
 
     async def _note_failure(self, exc, upstream):
-        """Reports an attempt that its engine ended without an event."""
-        if not self._begun:
-            await self._suspicion.note_failure(exc, upstream)
+        """Reports an attempt that its engine ended before its answer did."""
+        await self._suspicion.note_failure(exc, upstream, begun=self._begun)
 
     def _missed_objective(self):
         """Tells whether the latency objective can no longer be met.
@@ -335,6 +334,7 @@
         if not self._streaming:
             self._caller_conn.start_stream(200, head.end_to_end())
         self._caller_conn.end_stream()
+        self._suspicion.answer_ends()
         placement.decode.record_success(
             placement.decode.excess_s, self._loop.time()
         )
@@ -382,4 +382,6 @@
                 attempts.AttemptOutcome.SERVER_ERROR,
                 f'status {head.status} on resumption',
             )
+        if head.status < _request_handler.SERVER_ERROR_STATUS:
+            self._suspicion.answer_ends()
         self._accept_response(upstream, response, self._loop.time())
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -16,6 +16,7 @@
 from dandelionwinch.gateway import _reservation
 from dandelionwinch.gateway import _suspicion
 from dandelionwinch.gateway import _upstream_exchange
+from dandelionwinch import quarantine
 from dandelionwinch import routes
 
 # No attempt starts with less time than this before the deadline.
@@ -134,7 +135,11 @@
         self._last_event_id = req.last_event_id
         self._streaming = False
         self._suspicion = _suspicion.Suspicion(
-            gateway.crash_guard, self._subjects()
+            gateway.crash_guard,
+            self._prompt_parts(),
+            quarantine.call_keys(
+                req.method, req.host, req.target, req.body, caller.address
+            ),
         )
         self.first_event_s = 0.0
         self.longest_gap_s = 0.0
@@ -194,9 +199,9 @@
             self._drop_prepared()
             self._reservation.release()
 
-    @abc.abstractmethod
-    def _subjects(self):
-        """Returns the keys of what upstreams may crash on."""
+    def _prompt_parts(self):
+        """Returns the keys of the parts that its prompt shares."""
+        return ()
 
     async def _find_refusal(self):
         """Returns why the request may not be sent at all, or ''."""
--- a/dandelionwinch/gateway/_suspicion.py
+++ b/dandelionwinch/gateway/_suspicion.py
@@ -11,21 +11,27 @@
 
     Args:
         guard: CrashGuard.
-        subjects: Keys of its subjects.
+        parts: Keys of the parts that its prompt shares with others.
+        whole: Keys of the request as a whole.
 
     Attributes:
         hold: The Hold by which it is refused, None without one.
-        subjects: Keys of its subjects.
     """
 
-    __slots__ = ('_crashes', '_guard', 'hold', 'subjects')
+    __slots__ = ('_crashes', '_guard', '_parts', '_whole', 'hold')
 
-    def __init__(self, guard, subjects):
+    def __init__(self, guard, parts, whole):
         self._guard = guard
+        self._parts = parts
+        self._whole = whole
         # Attempts under which the upstream crashed.
         self._crashes = 0
         self.hold = None
-        self.subjects = subjects
+
+    @property
+    def subjects(self):
+        """Returns the keys of all subjects."""
+        return [*self._parts, *self._whole]
 
     def is_held(self):
         """Tells whether upstreams are known to crash on a subject."""
@@ -33,22 +39,29 @@
         return self.hold is not None
 
     def answer_begins(self):
-        """Records that an upstream began to answer the request."""
-        self._guard.answer_begins(self.subjects)
+        """Records that an upstream began to answer; it has read the parts."""
+        self._guard.answer_begins(self._parts)
+
+    def answer_ends(self):
+        """Records that an upstream answered the whole request."""
+        self._guard.answer_begins(self._whole)
 
-    async def note_failure(self, exc, upstream):
-        """Reports an attempt that its upstream ended without an answer.
+    async def note_failure(self, exc, upstream, *, begun=False):
+        """Reports an attempt that its upstream ended without a whole answer.
 
         Args:
             exc: The AttemptFailed.
             upstream: The Upstream.
+            begun: Whether an answer had begun, for which the parts of the
+                prompt are not suspect.
         """
         lost = exc.__cause__
         if not isinstance(lost, _connection.ConnectionLost):
             return
         if lost.cause is not _connection.LossCause.CLOSED:
             return
-        if await self._guard.connection_lost(upstream, self.subjects):
+        subjects = self._whole if begun else self.subjects
+        if await self._guard.connection_lost(upstream, subjects):
             self._crashes += 1
 
     def forbids_retry(self):
--- a/dandelionwinch/quarantine/_quarantine.py
+++ b/dandelionwinch/quarantine/_quarantine.py
@@ -183,14 +183,29 @@
             self._lifted.get(subject, float('-inf')),
             now - EVIDENCE_S,
         )
-        return [
+        crashes = [
             crash
             for crash in self._crashes.values()
-            if crash.at > after
-            and subject in crash.suspects
-            and self._is_open(crash, subject)
+            if crash.at > after and subject in crash.suspects
+        ]
+        found = [crash for crash in crashes if self._is_open(crash, subject)]
+        if not found or _subjects.is_call(subject):
+            return found
+        # A part that crashed an upstream under another request, too, is
+        # the likelier explanation of those put down to a whole request.
+        return [
+            crash for crash in crashes if self._may_be_part(crash, subject)
         ]
 
+    @staticmethod
+    def _may_be_part(crash, subject):
+        """Tells whether only whole requests, if any, explain a crash."""
+        if not crash.explained_by:
+            return True
+        if crash.suspects[subject].answered:
+            return False
+        return all(map(_subjects.is_call, crash.explained_by))
+
     @staticmethod
     def _is_open(crash, subject):
         """Tells whether a crash may still be put down to a subject.
--- a/dandelionwinch/quarantine/_subjects.py
+++ b/dandelionwinch/quarantine/_subjects.py
@@ -1,7 +1,7 @@
 """Subjects of suspicion, as instances name them to each other.
 
-A subject is a part of a prompt, or a whole call: whoever sends it, or from
-one caller only. Of a call only a digest is told.
+A subject is a part of a prompt, or a request as a whole, called a call here:
+whoever sends it, or from one caller only. Of a call only a digest is told.
 """
 
 import hashlib
@@ -11,6 +11,7 @@
 MAX_KEY_CHARS = 48
 DIGEST_BYTES = 16
 CALLER_BYTES = 8
+_CALL_KINDS = ('call', 'caller')
 
 
 def subject_key(name):
@@ -22,7 +23,7 @@
 
 
 def call_keys(method, host, target, body, caller):
-    """Returns the keys of a call, whoever sends it and from this caller.
+    """Returns the keys of a whole request, of any caller and of this one.
 
     Args:
         method: Method of the request.
@@ -40,12 +41,17 @@
     return [f'call/{key}', f'caller/{key}/{address.hexdigest()}']
 
 
+def is_call(key):
+    """Tells whether a key is that of a whole request."""
+    return key.partition('/')[0] in _CALL_KINDS
+
+
 def are_other_calls(key, other):
     """Tells whether two keys are those of two different calls."""
-    kind, _, call = key.partition('/')
-    other_kind, _, other_call = other.partition('/')
-    if not {kind, other_kind} <= {'call', 'caller'}:
+    if not (is_call(key) and is_call(other)):
         return False
+    call = key.partition('/')[2]
+    other_call = other.partition('/')[2]
     return call.partition('/')[0] != other_call.partition('/')[0]
 
 
--- a/dandelionwinch/tests/test_prompt_crashes.py
+++ b/dandelionwinch/tests/test_prompt_crashes.py
@@ -1,6 +1,9 @@
 """Tests of prompts that crash engines, and of prompts read once."""
 
+import asyncio
+
 import attrs
+import pytest
 
 from dandelionwinch.platform import samples
 from dandelionwinch.standins import scripted
@@ -16,6 +19,8 @@
 # and how many.
 KNOWN_AFTER = 5
 MAX_MORE = 3
+# The same of a request that comes again and was never answered.
+KNOWN_AFTER_SAME = 3
 
 
 def _parts(req):
@@ -52,6 +57,53 @@
     assert set(sound) == {200}
 
 
+@pytest.mark.parametrize('route', ['resume', 'stream'])
+def test_the_repeats_of_a_generation_that_crashes_engines_are_held(route):
+    """Issue 32: answers on the same parts cleared it between its crashes."""
+
+    async def scenario(harness):
+        poisoned, sound = [], []
+        for number in range(12):
+            request_id = f'b{number}'
+            harness.generate_on(f'/{route}/bad', request_id, 'first', 'bad1')
+            poisoned.append((await harness.read_response())[0])
+            sound.append((await _send(harness, number, 'first'))[0])
+        sent = [r for r in harness.requests if r.target.endswith('/bad')]
+        return poisoned, sound, len(sent)
+
+    poisoned, sound, sent = gateway_harness.run_scenario(
+        [[ONE_EVENT]] * 14, scenario, poison='bad'
+    )
+    assert sent <= KNOWN_AFTER_SAME + MAX_MORE
+    assert set(poisoned[-5:]) == {503}
+    assert set(sound) == {200}
+
+
+def test_a_generation_that_crashes_engines_in_its_stream_is_held():
+    """An event is no answer to the whole request, only on its parts."""
+    begun = [
+        gateway_harness.STREAM_HEAD,
+        gateway_harness.chunk(gateway_harness.event(1)),
+        scripted.CRASH,
+    ]
+
+    async def scenario(harness):
+        statuses = []
+        for number in range(8):
+            harness.generate_on('/stream/bad', f'b{number}', 'first', 'own')
+            try:
+                statuses.append((await harness.read_response())[0])
+            except asyncio.IncompleteReadError:
+                statuses.append(0)
+            harness.writer.close()
+            await harness.connect()
+        return statuses, len(harness.requests)
+
+    statuses, sent = gateway_harness.run_scenario([[begun]] * 8, scenario)
+    assert sent <= KNOWN_AFTER_SAME + MAX_MORE
+    assert set(statuses[-2:]) == {503}
+
+
 def test_a_prompt_is_read_once_though_its_decode_engine_is_out_of_reach():
     """Incident: prompts were read up to four times, unpaid."""
     handle = samples.prefill_body('h1')
