--- a/dandelionwinch/control/__init__.py
+++ b/dandelionwinch/control/__init__.py
@@ -1,5 +1,7 @@
 """Runs one instance: store sync, registration, orders and shutdown."""
 
+from dandelionwinch.control._config import Duty
+from dandelionwinch.control._config import DutySettings
 from dandelionwinch.control._config import InstanceConfig
 from dandelionwinch.control._config import READS_PER_S
 from dandelionwinch.control._config import WRITES_PER_S
@@ -26,6 +28,8 @@
     'READS_PER_S',
     'WRITES_PER_S',
     'Conflict',
+    'Duty',
+    'DutySettings',
     'EntryInvalid',
     'EpochChanged',
     'EpochTracker',
--- a/dandelionwinch/control/_config.py
+++ b/dandelionwinch/control/_config.py
@@ -1,5 +1,7 @@
 """Start-up configuration of one instance."""
 
+import enum
+
 import attrs
 
 # Cost of one request, by which instances are compared to share limits.
@@ -12,6 +14,38 @@
 READS_PER_S = 2000.0
 
 
+class Duty(enum.Enum):
+    """A duty of one instance at a time, performed at the duty API."""
+
+    USAGE = 'usage'
+    CAPACITY = 'capacity'
+
+
+@attrs.frozen
+class DutySettings:
+    """Where duties are performed, and their bounds.
+
+    Attributes:
+        address: Address of the duty API, or ''.
+        duties: The Duty items that are to be performed.
+        calls_per_s: Calls that the duty API accepts from all instances.
+        report_window_s: Length of a window of usage.
+        usage_late_s: Time after the end of a window at which its report is
+            due.
+    """
+
+    address: str = ''
+    duties: frozenset[Duty] = frozenset()
+    calls_per_s: float = 50.0
+    report_window_s: float = 5.0
+    usage_late_s: float = 10.0
+
+    @property
+    def enabled(self):
+        """Whether there is any duty to perform."""
+        return bool(self.address and self.duties)
+
+
 @attrs.frozen
 class InstanceConfig:
     """Addresses, bounds and limits of one instance.
@@ -36,6 +70,10 @@
         max_ttl_s: Longest time for which resolved addresses may be valid.
         writes_per_s: Write calls that the store grants to all instances.
         reads_per_s: Read calls that it grants to them.
+        strict_revoke: Whether an instance that is out of contact with the
+            store refuses requests that need a key.
+        revoke_s: Time out of contact after which it does so.
+        duty_settings: DutySettings.
         findings: Fields that were replaced by defaults, with the reason.
     """
 
@@ -59,6 +97,9 @@
     max_ttl_s: float
     writes_per_s: float = WRITES_PER_S
     reads_per_s: float = READS_PER_S
+    strict_revoke: bool = False
+    revoke_s: float = 5.0
+    duty_settings: DutySettings = DutySettings()
     findings: tuple[str, ...] = ()
 
     @property
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -9,6 +9,11 @@
 SETTINGS_VARIABLE = 'DANDELIONWINCH_BOOT'
 # Lowest rate of store calls that is divided by.
 MIN_CALLS_PER_S = 1.0
+MIN_REPORT_WINDOW_S = 0.1
+_DUTIES = {
+    'usage_report': control.Duty.USAGE,
+    'autoscale': control.Duty.CAPACITY,
+}
 
 
 class SettingsInvalid(errors.DandelionwinchError):
@@ -24,10 +29,26 @@
         self._data = data
         self.findings = []
 
-    def get(self, path, type_, default):
+    def _find(self, path):
         value = self._data
         for name in path.split('.'):
             value = value.get(name) if isinstance(value, dict) else None
+        return value
+
+    def has(self, path):
+        """Tells whether a field has a value."""
+        return self._find(path) is not None
+
+    def get_flag(self, path):
+        """Returns a truth value; one of another type is false."""
+        value = self._find(path)
+        if not isinstance(value, bool):
+            self.findings.append(f'field "{path}" is not of type "bool"')
+        return value is True
+
+    def get(self, path, type_, default):
+        """Returns a field, or a default if it is missing or malformed."""
+        value = self._find(path)
         if value is None:
             self.findings.append(f'field "{path}" is missing')
             return default
@@ -46,6 +67,46 @@
     return ports[0] if ports and type(ports[0]) is int else 0
 
 
+def _read_optional(reader, path, default):
+    """Returns a number that a settings file may leave out."""
+    if not reader.has(path):
+        return default
+    return reader.get(path, float, default)
+
+
+def _read_flag(reader, path):
+    return reader.has(path) and reader.get_flag(path)
+
+
+def _read_duties(reader):
+    """Returns the DutySettings; without a table `cloud` there are none."""
+    default = control.DutySettings()
+    if not reader.has('cloud.address'):
+        return default
+    duties = set()
+    for name in reader.get('cloud.duties', list, []):
+        duty = _DUTIES.get(name) if isinstance(name, str) else None
+        if duty is None:
+            reader.findings.append(f'duty {name!r} is not known')
+        else:
+            duties.add(duty)
+    return control.DutySettings(
+        reader.get('cloud.address', str, ''),
+        frozenset(duties),
+        max(
+            MIN_CALLS_PER_S,
+            _read_optional(reader, 'cloud.dutyPerS', default.calls_per_s),
+        ),
+        max(
+            MIN_REPORT_WINDOW_S,
+            _read_optional(
+                reader, 'bounds.reportWindowS', default.report_window_s
+            ),
+        ),
+        _read_optional(reader, 'bounds.usageLateS', default.usage_late_s),
+    )
+
+
 def read(text):
     """Parses a settings file.
 
@@ -95,6 +156,9 @@
             MIN_CALLS_PER_S,
             get('platform.readsPerS', float, control.READS_PER_S),
         ),
+        _read_flag(reader, 'bounds.strictRevoke'),
+        _read_optional(reader, 'bounds.revokeMs', 5000.0) / 1e3,
+        _read_duties(reader),
         tuple(reader.findings),
     )
     if not cfg.store or not cfg.instance:
--- a/dandelionwinch/tests/test_boot.py
+++ b/dandelionwinch/tests/test_boot.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from dandelionwinch import control
 from dandelionwinch.platform import _boot
 from dandelionwinch.platform import samples
 
@@ -46,6 +47,35 @@
     assert _boot.read(text).writes_per_s == expected
 
 
+_DUTIES = """
+strictRevoke = true
+revokeMs = 4000
+reportWindowS = 5
+usageLateS = 10
+[cloud]
+address = "10.200.0.3:8789"
+duties = ["usage_report", "autoscale", "brew"]
+dutyPerS = 40.0
+"""
+
+
+def test_duties_are_read_and_unknown_ones_reported():
+    cfg = _boot.read(
+        SETTINGS.replace('ttl_max_s = 5', 'ttl_max_s = 5' + _DUTIES)
+    )
+    assert cfg.duty_settings == control.DutySettings(
+        '10.200.0.3:8789', frozenset(control.Duty), 40.0, 5.0, 10.0
+    )
+    assert (cfg.strict_revoke, cfg.revoke_s) == (True, 4.0)
+    assert cfg.findings == ("duty 'brew' is not known",)
+
+
+def test_without_an_address_there_are_no_duties():
+    cfg = _boot.read(SETTINGS)
+    assert not cfg.duty_settings.enabled
+    assert not cfg.strict_revoke
+
+
 @pytest.mark.parametrize(
     'text', ['not = [toml', SETTINGS.replace('10.200.1.7:8142', '')]
 )
