--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -143,10 +143,15 @@
             head, body = await _connection.read_response(
                 conn, WAIT_S + RESPONSE_MARGIN_S
             )
+            events = self._read_events(head, body)
         except BaseException:
+            # Its response may still come, if this was one to another request.
             pool.discard(conn)
             raise
         pool.release(conn)
+        return events
+
+    def _read_events(self, head, body):
         events = self._wire_codec.parse_cache_events(body)
         if head.status != 200 or events is None:
             raise _connection.ConnectionLost(
--- a/dandelionwinch/tests/test_caches.py
+++ b/dandelionwinch/tests/test_caches.py
@@ -201,6 +201,38 @@
     assert names.count('cache.unknown') == 1
 
 
+def test_a_connection_with_another_response_is_not_used_again():
+    """The response to the call still came, for the next caller's request."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        server, _targets = await _serve([b'nonsense'])
+        port = server.sockets[0].getsockname()[1]
+        fleet = gateway.Fleet(loop)
+        entry = upstreams.Entry(
+            'e1',
+            's',
+            f'127.0.0.1:{port}',
+            'dc',
+            1,
+            True,
+            upstreams.Role.PREFILL,
+            4,
+        )
+        fleet.registry.apply(entry)
+        engine = fleet.registry.get('e1')
+        log = recorder.Recorder()
+        watch = _cache_watch.CacheWatch(loop, fleet, _Placer(), CODEC, log)
+        with pytest.raises(gateway.ConnectionLost):
+            await watch._fetch(engine, 0)
+        left = fleet.pool(engine).open
+        fleet.close()
+        server.close()
+        return left
+
+    assert asyncio.run(scenario()) == 0
+
+
 def test_the_gateway_starts_the_watch_without_any_engine():
     """The first look once failed, as there were neither engines nor calls."""
 
