--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -270,8 +270,11 @@
         most = _sse.max_events(self._req.answer_tokens, self._route.timeout_s)
         splitter = _sse.EventSplitter(most)
         last_at = None
+        # Bytes that complete no event are no progress of a stream.
+        progress_at = self._loop.time()
         while True:
-            item = await exchange.read_item(read_timeout_s)
+            waited_s = self._loop.time() - progress_at
+            item = await exchange.read_item(read_timeout_s - waited_s)
             if isinstance(item, _connection.End):
                 break
             for event in self._split(splitter, item.data):
@@ -286,6 +289,8 @@
                     )
                 last_at = now
                 await self._relay_event(head, event)
+                # A caller that reads slowly is no stall of the upstream.
+                progress_at = self._loop.time()
         if splitter.incomplete:
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.UNKNOWN, 'a torn event'
--- a/dandelionwinch/standins/scripted.py
+++ b/dandelionwinch/standins/scripted.py
@@ -11,6 +11,8 @@
 HANG = 'hang'
 HOLD = 'hold'
 CRASH = 'crash'
+TRICKLE = 'trickle'
+TRICKLE_INTERVAL_S = 0.005
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -30,8 +32,9 @@
     The first request gets the first script, and so on; the last script
     serves all further requests. A step is bytes to send, RESET or CLOSE
     of the connection, HANG (sends nothing until the caller closes the
-    connection), HOLD (waits until `release` is set) or CRASH (resets all
-    connections and refuses new ones). In bytes, `{id}` is replaced by the
+    connection), HOLD (waits until `release` is set), CRASH (resets all
+    connections and refuses new ones) or TRICKLE (sends chunks of one byte
+    that complete no event, until the caller closes the connection). In bytes, `{id}` is replaced by the
     request id.
 
     Args:
@@ -136,6 +139,9 @@
             if step == HANG:
                 await reader.read()
                 return False
+            if step == TRICKLE:
+                await _trickle(writer)
+                return False
             writer.write(step.replace(b'{id}', request_id))
             await writer.drain()
         return True
@@ -185,6 +191,14 @@
         return super()._take_script(req)
 
 
+async def _trickle(writer):
+    """Sends chunks of one byte until the connection is closed."""
+    while not writer.is_closing():
+        writer.write(b'1\r\n:\r\n')
+        await writer.drain()
+        await asyncio.sleep(TRICKLE_INTERVAL_S)
+
+
 def _reset(writer):
     """Closes a connection with a reset."""
     writer.get_extra_info('socket').setsockopt(
--- a/dandelionwinch/tests/test_streams.py
+++ b/dandelionwinch/tests/test_streams.py
@@ -195,6 +195,30 @@
     assert (status, got) == (200, events)
 
 
+def test_a_stalled_stream_that_sends_bytes_goes_on_elsewhere(monkeypatch):
+    """Each byte restarted the read timeout, so it lasted to its deadline."""
+    monkeypatch.setattr(_request_handler, 'MIN_READ_TIMEOUT_S', 0.05)
+    monkeypatch.setattr(_request_handler, 'READ_TIMEOUT_FACTOR', 0.0)
+    head = gateway_harness.STREAM_HEAD
+    first = gateway_harness.chunk(gateway_harness.event(1))
+    second = gateway_harness.chunk(gateway_harness.event(2))
+    scripts = [
+        [[head, first, scripted.TRICKLE]],
+        [[head, second, gateway_harness.LAST_CHUNK]],
+    ]
+
+    async def scenario(harness):
+        _set_ready(harness, 'u1', False)
+        harness.generate('/resume/1')
+        await harness.log.wait_until(lambda: harness.requests)
+        _set_ready(harness, 'u1', True)
+        return await harness.read_response()
+
+    status, _headers, got = gateway_harness.run_scenario(scripts, scenario)
+    events = gateway_harness.event(1) + gateway_harness.event(2)
+    assert (status, got) == (200, events)
+
+
 def _set_ready(harness, upstream_id, ready):
     registry = harness.gateway.fleet.registry
     entry = registry.get(upstream_id).entry
