--- a/dandelionwinch/control/__init__.py
+++ b/dandelionwinch/control/__init__.py
@@ -1,8 +1,10 @@
 """Runs one instance: store sync, registration, orders and shutdown."""
 
+from dandelionwinch.control._config import BYTES_PER_MEGABYTE
 from dandelionwinch.control._config import Duty
 from dandelionwinch.control._config import DutySettings
 from dandelionwinch.control._config import InstanceConfig
+from dandelionwinch.control._config import MEMORY_BYTES
 from dandelionwinch.control._config import READS_PER_S
 from dandelionwinch.control._config import WRITES_PER_S
 from dandelionwinch.control._epoch import EpochTracker
@@ -25,6 +27,8 @@
 from dandelionwinch.control._sync import StoreSync
 
 __all__ = [
+    'BYTES_PER_MEGABYTE',
+    'MEMORY_BYTES',
     'READS_PER_S',
     'WRITES_PER_S',
     'Conflict',
--- a/dandelionwinch/control/_config.py
+++ b/dandelionwinch/control/_config.py
@@ -12,6 +12,11 @@
 # state other rates.
 WRITES_PER_S = 400.0
 READS_PER_S = 2000.0
+BYTES_PER_MEGABYTE = 1 << 20
+MEMORY_BYTES = 160.0 * BYTES_PER_MEGABYTE
+# Part of the memory for bytes that are held for callers. Each of them is held
+# up to three times: as received, as parsed and as sent.
+HELD_BYTES_RATIO = 0.125
 
 
 class Duty(enum.Enum):
@@ -70,6 +75,7 @@
         max_ttl_s: Longest time for which resolved addresses may be valid.
         writes_per_s: Write calls that the store grants to all instances.
         reads_per_s: Read calls that it grants to them.
+        memory_bytes: Memory that the process may use.
         strict_revoke: Whether an instance that is out of contact with the
             store refuses requests that need a key.
         revoke_s: Time out of contact after which it does so.
@@ -97,6 +103,7 @@
     max_ttl_s: float
     writes_per_s: float = WRITES_PER_S
     reads_per_s: float = READS_PER_S
+    memory_bytes: float = MEMORY_BYTES
     strict_revoke: bool = False
     revoke_s: float = 5.0
     duty_settings: DutySettings = DutySettings()
@@ -110,6 +117,11 @@
             self.cores / CORE_S_PER_REQUEST, link_bits_per_s / BITS_PER_REQUEST
         )
 
+    @property
+    def max_held_bytes(self):
+        """Bytes that may be held for callers at a time."""
+        return int(HELD_BYTES_RATIO * self.memory_bytes)
+
     @property
     def region(self):
         """Region of the instance, or ''."""
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -101,6 +101,8 @@
             self._gateway.handle,
             routes.Limits(),
             self._gateway.log_early_rejection,
+            cfg.max_held_bytes,
+            self._gateway.log_stalled_caller,
         )
         if cfg.callers:
             self._servers['callers'] = (cfg.callers, self._caller_server)
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -279,6 +279,10 @@
         """Logs a request that was rejected before it was complete."""
         self.log.event('request.refused', status=status, reason=reason)
 
+    def log_stalled_caller(self, unread_bytes):
+        """Logs a connection that was aborted as its caller does not read."""
+        self.log.event('caller.stalled', unread_bytes=unread_bytes)
+
     def set_capacity_ratio(self, capacity_ratio):
         """Sets the ratio by which this instance divides shared limits.
 
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -74,6 +74,14 @@
     return reader.get(path, float, default)
 
 
+def _read_memory(reader):
+    """Returns the bytes of memory that the process may use."""
+    unit = control.BYTES_PER_MEGABYTE
+    default_mb = control.MEMORY_BYTES / unit
+    memory_mb = _read_optional(reader, 'limits.memoryMb', default_mb)
+    return unit * (memory_mb if memory_mb > 0 else default_mb)
+
+
 def _read_flag(reader, path):
     return reader.has(path) and reader.get_flag(path)
 
@@ -156,6 +164,7 @@
             MIN_CALLS_PER_S,
             get('platform.readsPerS', float, control.READS_PER_S),
         ),
+        _read_memory(reader),
         _read_flag(reader, 'bounds.strictRevoke'),
         _read_optional(reader, 'bounds.revokeMs', 5000.0) / 1e3,
         _read_duties(reader),
--- a/dandelionwinch/standins/scripted.py
+++ b/dandelionwinch/standins/scripted.py
@@ -34,8 +34,8 @@
     of the connection, HANG (sends nothing until the caller closes the
     connection), HOLD (waits until `release` is set), CRASH (resets all
     connections and refuses new ones) or TRICKLE (sends chunks of one byte
-    that complete no event, until the caller closes the connection). In bytes, `{id}` is replaced by the
-    request id.
+    that complete no event, until the caller closes the connection). In
+    bytes, `{id}` is replaced by the request id.
 
     Args:
         id_header: Name of the header with the request id, in lower case.
