--- a/dandelionwinch/gateway/_codec.py
+++ b/dandelionwinch/gateway/_codec.py
@@ -32,6 +32,7 @@
     200: 'OK',
     204: 'No Content',
     400: 'Bad Request',
+    401: 'Unauthorized',
     404: 'Not Found',
     408: 'Request Timeout',
     413: 'Content Too Large',
@@ -86,7 +87,8 @@
         method: Method of a request, '' in responses.
         target: Target of a request with its query, '' in responses.
         status: Status of a response, 0 in requests.
-        headers: Pairs of lower-case name and value, in order of receipt.
+        headers: Pairs of lower-case name and value, in order of receipt;
+            not in its repr, as keys of callers are among them.
         keep_alive: Whether the connection persists after this message.
         size: Its bytes as counted against the limit of a head.
     """
@@ -94,7 +96,7 @@
     method: str
     target: str
     status: int
-    headers: tuple[tuple[str, str], ...]
+    headers: tuple[tuple[str, str], ...] = attrs.field(repr=False)
     keep_alive: bool
     size: int
 
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -1,12 +1,14 @@
 """Connects routing, upstream state, placement and retry budgets."""
 
 import asyncio
+import json
 import random
 import traceback
 
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
 from dandelionwinch import errors
+from dandelionwinch.gateway import _authenticator
 from dandelionwinch.gateway import _cache_watch
 from dandelionwinch.gateway import _call_handler
 from dandelionwinch.gateway import _crash_guard
@@ -38,6 +40,7 @@
 
     Attributes:
         active: Number of requests in progress.
+        authenticator: The Authenticator.
         budget: The SharedRetryBudget.
         crash_guard: The CrashGuard.
         distances: Round-trip times to data centres.
@@ -57,6 +60,7 @@
         '_sweep_timer',
         '_tasks',
         'active',
+        'authenticator',
         'budget',
         'crash_guard',
         'distances',
@@ -112,6 +116,7 @@
         self.crash_guard = _crash_guard.CrashGuard(
             loop, self.fleet, self.peers, log, self.metrics, self.rng
         )
+        self.authenticator = _authenticator.Authenticator(loop, cfg)
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -155,6 +160,11 @@
         self.active += 1
         try:
             await self._serve(incoming, caller)
+        except errors.Unauthorized as exc:
+            self._reject_unauthorized(caller, incoming, exc)
+        except _authenticator.OutOfContact as exc:
+            headers = self.wire_codec.retry_after_headers(exc.retry_after_s)
+            self._reject(caller, incoming, exc.status, exc.message, headers)
         except errors.DandelionwinchError as exc:
             self._reject(caller, incoming, exc.status, exc.message)
         except Exception:
@@ -180,7 +190,13 @@
         if route is None:
             self._reject(caller, incoming, 404, 'no route matches')
             return
+        team = None
+        if table.teams is not None:
+            key = self.wire_codec.parse_key(head)
+            team = self.authenticator.authenticate(table, route, key)
         req = self.wire_codec.parse_request(head, bytes(incoming.body))
+        if table.teams is not None:
+            req = self.wire_codec.with_team(req, team)
         if not self._ends_in_time(req, route):
             headers = self.wire_codec.retry_after_headers(
                 STOPPING_RETRY_AFTER_S
@@ -265,6 +281,10 @@
     def _reject(
         self, caller, incoming, status, reason, headers=(), request_id=''
     ):
+        self._log_refused(incoming, status, reason, request_id)
+        caller.respond(status, headers, reason.encode())
+
+    def _log_refused(self, incoming, status, reason, request_id=''):
         self.log.event(
             'request.refused',
             request=request_id,
@@ -273,7 +293,17 @@
             status=status,
             reason=reason,
         )
-        caller.respond(status, headers, reason.encode())
+
+    def _reject_unauthorized(self, caller, incoming, exc):
+        self.metrics.unauthorized_requests.inc()
+        self._log_refused(incoming, exc.status, exc.message)
+        headers = [
+            ('Content-Type', 'application/json'),
+            *self.wire_codec.unauthorized_headers(),
+        ]
+        error = {'code': exc.code, 'message': exc.message}
+        body = json.dumps({'error': error}).encode()
+        caller.respond(exc.status, headers, body)
 
     def log_early_rejection(self, status, reason):
         """Logs a request that was rejected before it was complete."""
--- a/dandelionwinch/gateway/_messages.py
+++ b/dandelionwinch/gateway/_messages.py
@@ -14,24 +14,29 @@
     Attributes:
         id: Id of the request.
         target: Path and query.
-        headers: Headers to forward, as pairs.
+        headers: Headers to forward, as pairs; not in its repr, as without
+            teams a caller's credentials are among them.
         timeout_s: Timeout that the caller states, or None.
         prompt: The prompt of a generation, or None.
         last_event_id: Id of the last event that the caller received, or
             None.
         began_as: Id of the request that began the stream which this one
             takes up again, or ''.
+        team: Name of the team that sends it, or ''.
+        team_priority: Priority of that team, None for that of the route.
     """
 
     id: str
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...]
+    headers: tuple[tuple[str, str], ...] = attrs.field(repr=False)
     body: bytes
     timeout_s: float | None
     prompt: dispatch.Prompt | None = None
     last_event_id: int | None = None
     began_as: str = ''
+    team: str = ''
+    team_priority: int | None = None
 
     @property
     def host(self):
@@ -121,6 +126,15 @@
     def parse_request(self, head, body):
         """Parses a request to a CallerRequest, or raises BadRequest."""
 
+    def parse_key(self, head):
+        """Returns the key that a caller sends, as bytes, or None."""
+
+    def with_team(self, req, team):
+        """Returns a CallerRequest as that of a Team, or of none."""
+
+    def unauthorized_headers(self):
+        """Returns headers that ask for a key, as pairs."""
+
     def request_headers(self, req, params):
         """Returns the headers of a request to an upstream, as pairs."""
 
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -18,6 +18,7 @@
         'malformed_headers',
         'registry',
         'seconds',
+        'unauthorized_requests',
     )
 
     def __init__(self):
@@ -69,6 +70,12 @@
             registry=registry,
         )
 
+        self.unauthorized_requests = prometheus_client.Counter(
+            'dandelionwinch_gateway_unauthorized_requests',
+            'Requests refused as they had no valid key',
+            registry=registry,
+        )
+
     def record_response(self, route, status, outcome, stages):
         """Records the final response to a request.
 
--- a/dandelionwinch/platform/_store_codec.py
+++ b/dandelionwinch/platform/_store_codec.py
@@ -4,6 +4,7 @@
 
 from dandelionwinch import control
 from dandelionwinch import routes
+from dandelionwinch import teams
 from dandelionwinch import upstreams
 
 CONFIG_KEY = 'op/config'
@@ -11,6 +12,8 @@
 READY = 'ready'
 DRAINING = 'draining'
 STATES = (READY, DRAINING)
+MAX_NAME_CHARS = 128
+MAX_KEY_CHARS = 1024
 _ROLES = {
     'prefill': upstreams.Role.PREFILL,
     'decode': upstreams.Role.DECODE,
@@ -124,7 +127,70 @@
         for item in _read_field(data, 'services', list, CONFIG_KEY)
     ]
     limits = _read_limits(data.get('limits') or {})
-    return routes.RouteTable(version, table_routes, services, limits)
+    return routes.RouteTable(
+        version, table_routes, services, limits, _read_teams(data)
+    )
+
+
+def _read_teams(data):
+    """Returns the TeamDirectory, None if there are no teams.
+
+    A field may hold a key by mistake, so findings name no values.
+    """
+    items = data.get('tenants')
+    if items is None:
+        return None
+    if not isinstance(items, list):
+        raise control.EntryInvalid(f'"{CONFIG_KEY}.tenants" is not a list')
+    if not items:
+        return None
+    found = [_read_team(item, index) for index, item in enumerate(items)]
+    try:
+        return teams.TeamDirectory(found)
+    except teams.TeamsInvalid as exc:
+        raise control.EntryInvalid(
+            f'"{CONFIG_KEY}.tenants" is invalid: {exc}'
+        ) from exc
+
+
+def _read_team(item, index):
+    path = f'{CONFIG_KEY}.tenants[{index}]'
+    if not isinstance(item, dict):
+        raise control.EntryInvalid(f'"{path}" is not an object')
+    name = item.get('name')
+    if not _is_team_name(name):
+        raise control.EntryInvalid(f'field "name" of "{path}" is no name')
+    priority = item.get('priority')
+    if priority is not None and type(priority) is not int:
+        raise control.EntryInvalid(f'field "priority" of "{path}" is no int')
+    keys = item.get('apiKeys')
+    if keys is None:
+        keys = []
+    if not isinstance(keys, list) or not all(map(_is_key, keys)):
+        raise control.EntryInvalid(
+            f'field "apiKeys" of "{path}" is no list of keys'
+        )
+    return teams.Team(name, priority), [key.encode() for key in keys]
+
+
+def _is_team_name(name):
+    """Tells whether a name may be sent as the value of a header."""
+    return (
+        isinstance(name, str)
+        and 0 < len(name) <= MAX_NAME_CHARS
+        and name.isprintable()
+        and name.strip() == name
+    )
+
+
+def _is_key(key):
+    """Tells whether a key is text that a caller can send in a header."""
+    return (
+        isinstance(key, str)
+        and 0 < len(key) <= MAX_KEY_CHARS
+        and key.isprintable()
+        and key.strip() == key
+    )
 
 
 def _read_route(item):
@@ -148,9 +214,17 @@
         _read_field(item, 'maxAttempts', int, path),
         _read_shares(item, path),
         float(item.get('targetGapMs') or 0) / 1e3,
+        _read_flag(item, 'public', path),
     )
 
 
+def _read_flag(data, name, path):
+    value = data.get(name, False)
+    if not isinstance(value, bool):
+        raise control.EntryInvalid(f'field "{name}" of "{path}" is {value!r}')
+    return value
+
+
 def _read_shares(item, path):
     split = item.get('trafficSplit')
     if not split:
--- a/dandelionwinch/platform/_wire_codec.py
+++ b/dandelionwinch/platform/_wire_codec.py
@@ -5,6 +5,8 @@
 import math
 import re
 
+import attrs
+
 from dandelionwinch import dispatch
 from dandelionwinch import errors
 from dandelionwinch import gateway
@@ -27,7 +29,15 @@
 PRIORITY = 'x-dandelionwinch-request-priority'
 LAST_EVENT_ID = 'last-event-id'
 RESUMES = 'resumes'
-
+AUTHORIZATION = 'authorization'
+# The platform calls a team a tenant.
+TEAM = 'x-dandelionwinch-tenant'
+KEY_SCHEME = 'token'
+# Longer values are not parsed; no key of a configuration is as long.
+MAX_CREDENTIALS_CHARS = 4096
+
+# Removed from callers' requests where there are teams.
+CREDENTIAL_HEADERS = frozenset((AUTHORIZATION, TEAM))
 # Removed from callers' requests, as only the instance may set them for an
 # upstream. TIMEOUT_MS and LAST_EVENT_ID are read from the request and sent
 # anew with each attempt. The instance sets no header that has no constant.
@@ -91,6 +101,45 @@
             head.header(RESUMES),
         )
 
+    def parse_key(self, head):
+        """Returns the key that a caller sends, as bytes, or None.
+
+        It is None unless there is exactly one header of the known scheme
+        with a value.
+        """
+        values = [v for name, v in head.headers if name == AUTHORIZATION]
+        if len(values) != 1 or len(values[0]) > MAX_CREDENTIALS_CHARS:
+            return None
+        scheme, _, key = values[0].strip(' \t').partition(' ')
+        if scheme.lower() != KEY_SCHEME:
+            return None
+        return key.strip(' \t').encode('latin-1') or None
+
+    def with_team(self, req, team):
+        """Returns a CallerRequest as that of a team.
+
+        What its caller sent to identify itself is removed.
+
+        Args:
+            req: CallerRequest.
+            team: The Team, None for a caller without one.
+        """
+        headers = tuple(
+            pair for pair in req.headers if pair[0] not in CREDENTIAL_HEADERS
+        )
+        if team is None:
+            return attrs.evolve(req, headers=headers)
+        return attrs.evolve(
+            req,
+            headers=headers,
+            team=team.name,
+            team_priority=team.priority,
+        )
+
+    def unauthorized_headers(self):
+        """Returns the headers that tell a caller to send a key."""
+        return [('WWW-Authenticate', KEY_SCHEME.title())]
+
     def request_headers(self, req, params):
         """Returns the headers of a request to an upstream, as pairs.
 
@@ -101,6 +150,9 @@
         pairs = list(req.headers)
         pairs.append((UPSTREAM_ID, params.upstream_id))
         pairs.append((TIMEOUT_MS, str(max(1, int(params.timeout_s * 1e3)))))
+        if req.team:
+            # The bytes of a header are sent as latin-1.
+            pairs.append((TEAM, req.team.encode().decode('latin-1')))
         if params.last_event_id is not None:
             pairs.append((LAST_EVENT_ID, str(params.last_event_id)))
         if params.priority is not None:
--- a/dandelionwinch/platform/samples.py
+++ b/dandelionwinch/platform/samples.py
@@ -13,6 +13,7 @@
 UPSTREAM_ID = _wire_codec.UPSTREAM_ID
 LAST_EVENT_ID = _wire_codec.LAST_EVENT_ID
 TOKEN_USAGE = _wire_codec.TOKEN_USAGE
+TEAM = _wire_codec.TEAM
 PROMPT_PREFIX = _wire_codec.PROMPT_PREFIX
 LEAVING = _wire_codec.LEAVING
 RATE_LIMIT = _wire_codec.RATE_LIMIT
@@ -168,14 +169,32 @@
     return {**_SERVICE, **changes}
 
 
-def config(version, route_list, services=()):
-    """Returns the bytes of a configuration."""
+def team(name, *keys, **changes):
+    """Returns one team of a configuration.
+
+    Args:
+        name: Name of the team.
+        keys: Its keys.
+        changes: Further fields, by their wire names.
+    """
+    return {'name': name, 'apiKeys': list(keys), **changes}
+
+
+def key_header(key):
+    """Returns the header in which a caller sends its key, as a pair."""
+    return 'Authorization', f'Token {key}'
+
+
+def config(version, route_list, services=(), teams=None):
+    """Returns the bytes of a configuration; None for one without teams."""
     body = {
         'version': version,
         'routes': route_list,
         'services': list(services),
         'limits': _LIMITS,
     }
+    if teams is not None:
+        body['tenants'] = teams
     return json.dumps(body).encode()
 
 
--- a/dandelionwinch/routes/_table.py
+++ b/dandelionwinch/routes/_table.py
@@ -55,6 +55,7 @@
         shares: The services and their weights.
         token_gap_s: Objective of the inter-token latency, compared with
             the time between two events of a stream; 0 if there is none.
+        public: Whether its requests need no key where there are teams.
     """
 
     name: str
@@ -68,6 +69,7 @@
     max_upstreams: int
     shares: tuple[TrafficShare, ...]
     token_gap_s: float = 0.0
+    public: bool = False
 
     @property
     def patience_s(self):
@@ -157,14 +159,16 @@
     Attributes:
         limits: Limits on callers' requests and connections.
         services: Mapping of name to Service.
+        teams: The TeamDirectory, None if callers need no keys.
         version: Number that the configuration gives itself, higher in a
             newer one; not the revision of the store.
     """
 
-    __slots__ = ('_by_host', 'limits', 'services', 'version')
+    __slots__ = ('_by_host', 'limits', 'services', 'teams', 'version')
 
-    def __init__(self, version, routes, services, limits):
+    def __init__(self, version, routes, services, limits, teams=None):
         self.version = version
+        self.teams = teams
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._by_host = {}
