--- a/dandelionwinch/control/_store.py
+++ b/dandelionwinch/control/_store.py
@@ -151,8 +151,11 @@
     def key_of(self, upstream_id):
         """Returns the key of an upstream's entry."""
 
-    def read_config(self, value):
-        """Returns a RouteTable, or raises EntryInvalid."""
+    def read_config_in_steps(self, value):
+        """Generator that returns a RouteTable, or raises EntryInvalid.
+
+        It yields where other work may be done.
+        """
 
     def read_upstream(self, upstream_id, value):
         """Returns an Entry, or raises EntryInvalid."""
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -193,6 +193,7 @@
         for item in ordered:
             if not self._is_outdated(item):
                 self._apply(item, now)
+        await self._apply_config(listing.items)
         self._remove_upstreams(
             [
                 upstream.entry.id
@@ -260,6 +261,7 @@
             self._apply(item, now)
         if gone:
             self._remove_upstreams(gone, now)
+        await self._apply_config(listing.items)
         self._after_response(now)
         if listing.items:
             await asyncio.sleep(self._coalesce_s())
@@ -290,9 +292,7 @@
 
     def _apply(self, item, now):
         upstream_id = self._store_codec.upstream_of(item.key)
-        if item.key == self._store_codec.config_key:
-            self._apply_config(item)
-        elif upstream_id is not None:
+        if upstream_id is not None:
             self._apply_upstream(upstream_id, item, now)
         elif item.key.startswith(_registration.INSTANCE_PREFIX):
             self._apply_instance(item)
@@ -325,23 +325,38 @@
         self.lost_role_changes.pop(upstream_id, None)
         self._log.event('upstream.changing', upstream=upstream_id, role=role)
 
-    def _apply_config(self, item):
-        if item.value is None:
-            return
+    async def _apply_config(self, items):
+        """Applies the configuration if it is among items."""
+        key = self._store_codec.config_key
+        for item in items:
+            if item.key == key and item.value is not None:
+                await self._apply_table(item)
+
+    async def _apply_table(self, item):
         try:
-            table = self._store_codec.read_config(item.value)
+            table = await self._read_config(item.value)
         except _store.EntryInvalid as exc:
             self._log.event('config.invalid', finding=exc.message)
             return
-        fleet = self._gateway.fleet
-        if fleet.table is not None and table.version <= fleet.table.version:
+        current = self._gateway.fleet.table
+        if current is not None and table.version <= current.version:
             return
-        fleet.table = table
+        self._gateway.set_table(table)
         self._log.event(
             'config.applied', version=table.version, revision=item.revision
         )
         self.on_config(table)
 
+    async def _read_config(self, value):
+        """Decodes a configuration; a large one must delay no request."""
+        steps = self._store_codec.read_config_in_steps(value)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as exc:
+                return exc.value
+            await asyncio.sleep(0)
+
     def _apply_upstream(self, upstream_id, item, now):
         registry = self._gateway.fleet.registry
         try:
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -309,6 +309,14 @@
         """Logs a request that was rejected before it was complete."""
         self.log.event('request.refused', status=status, reason=reason)
 
+    def set_table(self, table):
+        """Puts a version of the configuration in force.
+
+        Args:
+            table: The RouteTable.
+        """
+        self.fleet.table = table
+
     def set_capacity_ratio(self, capacity_ratio):
         """Sets the ratio by which this instance divides shared limits.
 
--- a/dandelionwinch/platform/_store_codec.py
+++ b/dandelionwinch/platform/_store_codec.py
@@ -12,6 +12,8 @@
 READY = 'ready'
 DRAINING = 'draining'
 STATES = (READY, DRAINING)
+# Routes or teams that are decoded in one step.
+ITEMS_PER_STEP = 64
 MAX_NAME_CHARS = 128
 MAX_KEY_CHARS = 1024
 _ROLES = {
@@ -97,8 +99,23 @@
 
 
 def read_config(value):
+    """Decodes the operators' configuration at once.
+
+    See `read_config_in_steps`.
+    """
+    steps = read_config_in_steps(value)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as exc:
+            return exc.value
+
+
+def read_config_in_steps(value):
     """Decodes the operators' configuration.
 
+    It yields every few milliseconds, so that requests are served meanwhile.
+
     Args:
         value: Bytes of the configuration.
 
@@ -109,7 +126,7 @@
         EntryInvalid: If a field is missing or of another type.
     """
     try:
-        return _read_table(_read_object(value, CONFIG_KEY))
+        return (yield from _read_table(_read_object(value, CONFIG_KEY)))
     except (AttributeError, TypeError, ValueError) as exc:
         raise control.EntryInvalid(
             f'"{CONFIG_KEY}" is malformed: {exc}'
@@ -118,22 +135,26 @@
 
 def _read_table(data):
     version = _read_field(data, 'version', int, CONFIG_KEY)
-    table_routes = [
-        _read_route(item)
-        for item in _read_field(data, 'routes', list, CONFIG_KEY)
-    ]
+    yield
+    table_routes = []
+    for item in _read_field(data, 'routes', list, CONFIG_KEY):
+        table_routes.append(_read_route(item))
+        if len(table_routes) % ITEMS_PER_STEP == 0:
+            yield
     services = [
         _read_service(item)
         for item in _read_field(data, 'services', list, CONFIG_KEY)
     ]
     limits = _read_limits(data.get('limits') or {})
+    directory = yield from _read_teams(data)
+    yield
     return routes.RouteTable(
-        version, table_routes, services, limits, _read_teams(data)
+        version, table_routes, services, limits, directory
     )
 
 
 def _read_teams(data):
-    """Returns the TeamDirectory, None if there are no teams.
+    """Reads the TeamDirectory, None if there are no teams, in steps.
 
     A field may hold a key by mistake, so findings name no values.
     """
@@ -144,7 +165,11 @@
         raise control.EntryInvalid(f'"{CONFIG_KEY}.tenants" is not a list')
     if not items:
         return None
-    found = [_read_team(item, index) for index, item in enumerate(items)]
+    found = []
+    for index, item in enumerate(items):
+        found.append(_read_team(item, index))
+        if index % ITEMS_PER_STEP == 0:
+            yield
     try:
         return teams.TeamDirectory(found)
     except teams.TeamsInvalid as exc:
@@ -170,7 +195,8 @@
         raise control.EntryInvalid(
             f'field "apiKeys" of "{path}" is no list of keys'
         )
-    return teams.Team(name, priority), [key.encode() for key in keys]
+    digests = [teams.digest(key.encode()) for key in keys]
+    return teams.Team(name, priority), digests
 
 
 def _is_team_name(name):
@@ -280,7 +306,7 @@
     __slots__ = ()
 
     config_key = CONFIG_KEY
-    read_config = staticmethod(read_config)
+    read_config_in_steps = staticmethod(read_config_in_steps)
     read_upstream = staticmethod(read_upstream)
 
     @staticmethod
--- a/dandelionwinch/routes/_table.py
+++ b/dandelionwinch/routes/_table.py
@@ -153,6 +153,49 @@
     keep_alive_timeout_s: float = 15.0
 
 
+class _HostRoutes:
+    """The routes of one host.
+
+    A path is looked up once for each of its slashes, so the time does not
+    grow with the number of routes. The few prefixes that do not end with a
+    slash are compared one by one.
+    """
+
+    __slots__ = ('_by_prefix', '_longest', '_others')
+
+    def __init__(self):
+        self._by_prefix = {}
+        self._longest = 0
+        self._others = []
+
+    def add(self, route):
+        """Adds a route; the first one of a prefix is kept."""
+        if not route.prefix.endswith('/'):
+            self._others.append(route)
+            self._others.sort(key=lambda r: -len(r.prefix))
+            return
+        self._by_prefix.setdefault(route.prefix, route)
+        self._longest = max(self._longest, len(route.prefix))
+
+    def match(self, path):
+        """Returns the route with the longest matching prefix, or None."""
+        found = self._match_slash(path)
+        for route in self._others:
+            if path.startswith(route.prefix):
+                longer = not found or len(route.prefix) > len(found.prefix)
+                return route if longer else found
+        return found
+
+    def _match_slash(self, path):
+        end = path.rfind('/', 0, self._longest) + 1
+        while end:
+            route = self._by_prefix.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end - 1) + 1
+        return None
+
+
 class RouteTable:
     """Routes, services and limits of one version.
 
@@ -172,8 +215,9 @@
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._by_host = {}
-        for route in sorted(routes, key=lambda r: -len(r.prefix)):
-            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for route in routes:
+            name = route.host.lower()
+            self._by_host.setdefault(name, _HostRoutes()).add(route)
 
     def match(self, host, path):
         """Returns the route with the longest matching prefix.
@@ -186,10 +230,7 @@
             A Route, or None.
         """
         name = host.lower()
-        routes = self._by_host.get(name)
-        if routes is None:
-            routes = self._by_host.get(name.partition(':')[0], ())
-        for route in routes:
-            if path.startswith(route.prefix):
-                return route
-        return None
+        found = self._by_host.get(name)
+        if found is None:
+            found = self._by_host.get(name.partition(':')[0])
+        return found and found.match(path)
--- a/dandelionwinch/teams/_directory.py
+++ b/dandelionwinch/teams/_directory.py
@@ -58,7 +58,7 @@
     """The teams of one version of the configuration.
 
     Args:
-        teams: Pairs of a Team and the list of its keys, as bytes.
+        teams: Pairs of a Team and the digests of its keys.
 
     Raises:
         TeamsInvalid: If two teams have one name or one key. The message
@@ -70,12 +70,12 @@
     def __init__(self, teams=()):
         self._teams = {}
         self._by_digest = {}
-        for team, keys in teams:
+        for team, digests in teams:
             if team.name in self._teams:
                 raise TeamsInvalid(f'two teams are named {team.name!r}')
             self._teams[team.name] = team
-            for key in keys:
-                owner = self._by_digest.setdefault(digest(key), team)
+            for key_digest in digests:
+                owner = self._by_digest.setdefault(key_digest, team)
                 if owner is not team:
                     raise TeamsInvalid(
                         f'{owner.name!r} and {team.name!r} have the same key'
--- a/dandelionwinch/tests/test_routes.py
+++ b/dandelionwinch/tests/test_routes.py
@@ -1,5 +1,7 @@
 """Tests of prefix matching, and of weights that are stable by id."""
 
+import random
+
 import pytest
 
 from dandelionwinch import routes
@@ -45,6 +47,48 @@
     assert (route.name if route else None) == name
 
 
+@pytest.mark.parametrize(
+    ('path', 'name'),
+    [
+        ('/a/b/c', 'exact'),
+        ('/a/bc', 'open'),
+        ('/a/x', 'short'),
+        ('/a/b', 'open'),
+        ('/', None),
+        ('', None),
+    ],
+)
+def test_a_prefix_without_a_last_slash_matches_the_start_of_a_name(path, name):
+    table = routes.RouteTable(
+        1,
+        [
+            _route('short', '/a/'),
+            _route('open', '/a/b'),
+            _route('exact', '/a/b/'),
+        ],
+        [],
+        routes.Limits(),
+    )
+    route = table.match('desk.example', path)
+    assert (route.name if route else None) == name
+
+
+def test_matches_equal_a_search_of_all_routes():
+    """The look-up by slashes must find what a comparison with all finds."""
+    rng = random.Random(4)
+
+    def text():
+        return ''.join(rng.choices('ab/', k=rng.randrange(7)))
+
+    for _ in range(300):
+        found = [_route(str(n), '/' + text()) for n in range(6)]
+        table = routes.RouteTable(1, found, [], routes.Limits())
+        path = '/' + text()
+        matching = [r for r in found if path.startswith(r.prefix)]
+        best = max(matching, key=lambda r: len(r.prefix), default=None)
+        assert table.match('desk.example', path) is best
+
+
 def test_weights_share_requests_and_an_id_keeps_its_service():
     route = _route('split', '/s/', shares=(('a', 9.0), ('b', 1.0)))
     found = [route.service_for(f'request-{n}') for n in range(2000)]
