--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -11,6 +11,8 @@
 
 ALL_KEYS = ''
 WATCH_TIMEOUT_S = 3.0
+# Part of the bound on the age of the view that a watch may take.
+STRICT_WATCH_RATIO = 0.5
 # Pause between watches, so that each one returns several changes.
 COALESCE_S = 0.4
 COALESCE_PER_INSTANCE_S = 0.01
@@ -193,6 +195,7 @@
         for item in ordered:
             if not self._is_outdated(item):
                 self._apply(item, now)
+        await self._apply_config(listing.items)
         self._remove_upstreams(
             [
                 upstream.entry.id
@@ -242,9 +245,9 @@
 
     async def _watch(self):
         due_s = self._guard.next_due_s(self._loop.time())
-        wait_s = (
-            WATCH_TIMEOUT_S if due_s is None else min(WATCH_TIMEOUT_S, due_s)
-        )
+        wait_s = self._watch_timeout_s()
+        if due_s is not None:
+            wait_s = min(wait_s, due_s)
         listing = await self._call_watch(wait_s)
         now = self._loop.time()
         self._revision = max(self._revision, listing.revision)
@@ -260,10 +263,21 @@
             self._apply(item, now)
         if gone:
             self._remove_upstreams(gone, now)
+        await self._apply_config(listing.items)
         self._after_response(now)
         if listing.items:
             await asyncio.sleep(self._coalesce_s())
 
+    def _watch_timeout_s(self):
+        """Returns the time after which a watch without changes ends.
+
+        With strict revocation of keys the view of the store must not age
+        beyond a bound while nothing changes.
+        """
+        if not self._cfg.strict_revoke:
+            return WATCH_TIMEOUT_S
+        return min(WATCH_TIMEOUT_S, STRICT_WATCH_RATIO * self._cfg.revoke_s)
+
     async def _call_watch(self, wait_s):
         self._watch_call = self._loop.create_task(
             self._store.watch(ALL_KEYS, self._revision, wait_s)
@@ -290,9 +304,7 @@
 
     def _apply(self, item, now):
         upstream_id = self._store_codec.upstream_of(item.key)
-        if item.key == self._store_codec.config_key:
-            self._apply_config(item)
-        elif upstream_id is not None:
+        if upstream_id is not None:
             self._apply_upstream(upstream_id, item, now)
         elif item.key.startswith(_registration.INSTANCE_PREFIX):
             self._apply_instance(item)
@@ -325,23 +337,38 @@
         self.lost_role_changes.pop(upstream_id, None)
         self._log.event('upstream.changing', upstream=upstream_id, role=role)
 
-    def _apply_config(self, item):
-        if item.value is None:
-            return
+    async def _apply_config(self, items):
+        """Applies the configuration if it is among items."""
+        key = self._store_codec.config_key
+        for item in items:
+            if item.key == key and item.value is not None:
+                await self._apply_table(item)
+
+    async def _apply_table(self, item):
         try:
-            table = self._store_codec.read_config(item.value)
+            table = await self._read_config(item.value)
         except _store.EntryInvalid as exc:
             self._log.event('config.invalid', finding=exc.message)
             return
-        fleet = self._gateway.fleet
-        if fleet.table is not None and table.version <= fleet.table.version:
+        current = self._gateway.fleet.table
+        if current is not None and table.version <= current.version:
             return
-        fleet.table = table
+        self._gateway.set_table(table)
         self._log.event(
             'config.applied', version=table.version, revision=item.revision
         )
         self.on_config(table)
 
+    async def _read_config(self, value):
+        """Decodes a configuration; a large one must delay no request."""
+        steps = self._store_codec.read_config_in_steps(value)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as exc:
+                return exc.value
+            await asyncio.sleep(0)
+
     def _apply_upstream(self, upstream_id, item, now):
         registry = self._gateway.fleet.registry
         try:
