--- a/dandelionwinch/control/_config.py
+++ b/dandelionwinch/control/_config.py
@@ -45,6 +45,11 @@
         """Whether there is any duty to perform."""
         return bool(self.address and self.duties)
 
+    @property
+    def reports_usage(self):
+        """Whether the usage of teams is to be reported."""
+        return self.enabled and Duty.USAGE in self.duties
+
 
 @attrs.frozen
 class InstanceConfig:
--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -1,5 +1,6 @@
 """Serves calls of plain services, which have one complete response."""
 
+from dandelionwinch import attempts
 from dandelionwinch import dispatch
 from dandelionwinch.gateway import _request_handler
 from dandelionwinch.gateway import _upstream_exchange
@@ -37,19 +38,42 @@
         pool, conn = await self._begin_attempt(upstream)
         started_at = self._loop.time()
         begun = False
+        counting = self._begin_counting(upstream)
         try:
             async with self._open_exchange(upstream, pool, conn) as exchange:
                 exchange.send(params)
                 head = await exchange.read_head(self._read_timeout_s())
                 begun = True
+                counting.answer_arrives()
                 response = await exchange.read_response(
                     head, self._read_timeout_s()
                 )
         except _upstream_exchange.AttemptFailed as exc:
+            self._end_counting(counting, exc.outcome)
             if not begun:
                 await self._suspicion.note_failure(exc, upstream)
             raise
+        except BaseException:
+            # The caller left, or the instance stops.
+            self._end_counting(counting, attempts.AttemptOutcome.UNKNOWN)
+            raise
+        self._end_counting(counting, None)
         # An upstream that fails a call may not have begun to run it.
         if response.head.status < _request_handler.SERVER_ERROR_STATUS:
             self._suspicion.answer_ends()
         self._accept_response(upstream, response, started_at)
+
+    def _begin_counting(self, upstream):
+        return self._gateway.usage_meter.open_call(
+            '' if self._counted else self._req.team, self._service, upstream
+        )
+
+    def _end_counting(self, counting, outcome):
+        """Counts the call, unless this or an earlier attempt did not run it.
+
+        Args:
+            counting: What `_begin_counting` returned.
+            outcome: AttemptOutcome, None after a complete response.
+        """
+        if counting.end(outcome):
+            self._counted = True
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import traceback
 
 from dandelionwinch import attempts
@@ -18,6 +19,9 @@
 from dandelionwinch.gateway import _peer_link
 from dandelionwinch.gateway import _response_observer
 from dandelionwinch.gateway import _stream_versions
+from dandelionwinch.gateway import _usage_meter
+from dandelionwinch.gateway import _usage_sharing
+from dandelionwinch import usage
 
 NO_ROUTES_RETRY_AFTER_S = 0.5
 # Other instances serve at once what this one can't end before it stops.
@@ -26,6 +30,10 @@
 SUCCESS_STATUS = 200
 
 
+def _boot_time():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Gateway:
     """Serves callers' requests.
 
@@ -46,6 +54,8 @@
         placer: Chooses the engines of a generation.
         stop_began_at: Loop time at which a graceful stop began, or None.
         streams: The StreamVersions.
+        usage: The UsageSharing with other instances.
+        usage_meter: The UsageMeter.
     """
 
     __slots__ = (
@@ -69,6 +79,8 @@
         'rng',
         'stop_began_at',
         'streams',
+        'usage',
+        'usage_meter',
         'wire_codec',
     )
 
@@ -123,6 +135,26 @@
         self._cache_watch = _cache_watch.CacheWatch(
             loop, self.fleet, self.placer, wire_codec, log
         )
+        self._init_usage(cfg)
+
+    def _init_usage(self, cfg):
+        duties = cfg.duty_settings
+        clock = usage.TrueClock(time.time, _boot_time)
+        counts = usage.WindowCounts(duties.report_window_s)
+        self.usage_meter = _usage_meter.UsageMeter(
+            self.loop, clock, counts, self.distances, self.metrics
+        )
+        self.usage_meter.enabled = duties.reports_usage
+        self.usage = _usage_sharing.UsageSharing(
+            self.loop,
+            clock,
+            counts,
+            self.usage_meter,
+            self.peers,
+            cfg.instance,
+            self.log,
+            self.rng,
+        )
 
     def start(self):
         """Starts the periodic work."""
@@ -130,6 +162,8 @@
         self.crash_guard.start()
         self._limits.start()
         self._cache_watch.start()
+        if self.usage_meter.enabled:
+            self.usage.start()
 
     def close(self):
         """Stops the periodic work and closes idle connections."""
@@ -138,6 +172,7 @@
         self._cache_watch.close()
         self.crash_guard.close()
         self._limits.close()
+        self.usage.close()
         self.peers.close()
         self.fleet.close()
 
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -279,6 +279,7 @@
                 if last_at is None:
                     self._bind_version(placement.decode.entry)
                     self._record_first_event(placement, started_at)
+                    self._count_stream(placement.decode)
                 else:
                     self.longest_gap_s = max(self.longest_gap_s, now - last_at)
                     self._gateway.placer.record_token_gap(
@@ -371,6 +372,12 @@
             placement, now - started_at, now
         )
 
+    def _count_stream(self, upstream):
+        """Counts the request, unless an earlier attempt brought an event."""
+        if not self._counted:
+            self._counted = True
+            self._gateway.usage_meter.stream_begins(self._req.team, upstream)
+
     async def _handle_error(self, exchange, head, upstream, read_timeout_s):
         """Relays an error response, unless a stream has begun already."""
         response = _upstream_exchange.UpstreamResponse(
--- a/dandelionwinch/gateway/_messages.py
+++ b/dandelionwinch/gateway/_messages.py
@@ -21,6 +21,7 @@
             None.
         began_as: Id of the request that began the stream which this one
             takes up again, or ''.
+        team: Name of the team that sent it, or ''.
     """
 
     id: str
@@ -32,6 +33,7 @@
     prompt: dispatch.Prompt | None = None
     last_event_id: int | None = None
     began_as: str = ''
+    team: str = ''
 
     @property
     def host(self):
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -2,6 +2,9 @@
 
 import prometheus_client
 
+# Teams with a series of their own; all others share one.
+MAX_TEAMS = 100
+OTHER_TEAMS = 'others'
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5, 15)
 
 
@@ -9,15 +12,18 @@
     """Metrics of one gateway, in a Prometheus registry of their own."""
 
     __slots__ = (
+        '_teams',
         'answers',
         'attempts',
         'engine_crashes',
         'held_requests',
         'holds',
+        'late_usage',
         'limited_upstreams',
         'malformed_headers',
         'registry',
         'seconds',
+        'usage',
     )
 
     def __init__(self):
@@ -69,6 +75,28 @@
             registry=registry,
         )
 
+        self.usage = prometheus_client.Counter(
+            'dandelionwinch_usage_requests',
+            'Requests of teams that began to run',
+            ['team'],
+            registry=registry,
+        )
+        self.late_usage = prometheus_client.Counter(
+            'dandelionwinch_usage_late_requests',
+            'Requests that were seen after the report of their window',
+            registry=registry,
+        )
+        self._teams = set()
+
+    def record_usage(self, team):
+        """Records a request of a team that began to run."""
+        if team not in self._teams:
+            if len(self._teams) < MAX_TEAMS:
+                self._teams.add(team)
+            else:
+                team = OTHER_TEAMS
+        self.usage.labels(team).inc()
+
     def record_response(self, route, status, outcome, stages):
         """Records the final response to a request.
 
--- a/dandelionwinch/gateway/_peer_link.py
+++ b/dandelionwinch/gateway/_peer_link.py
@@ -9,6 +9,10 @@
 
 from dandelionwinch import errors
 
+# Time for which an instance is known after its entry has gone. It may stop
+# gracefully, or serve while it is cut off from the store.
+KNOWN_AFTER_END_S = 600.0
+
 
 class PeerLink(asyncio.DatagramProtocol):
     """Sends and receives the datagrams of one instance.
@@ -27,6 +31,10 @@
         self._handlers = {}
         # IP and port of each other instance, by its name.
         self._peers = {}
+        # Name of each instance by its IP and port, and the time up to which
+        # those that have gone are known.
+        self._names = {}
+        self._known_until = {}
         self._invalid_logged = False
 
     async def start(self, ip, port):
@@ -63,6 +71,34 @@
         self._peers = {
             name: addr for name, addr in peers.items() if name != self._name
         }
+        names = {tuple(addr): name for name, addr in self._peers.items()}
+        if names != self._names:
+            self._set_names(names)
+
+    def _set_names(self, names):
+        now = self._loop.time()
+        for addr in self._names.keys() - names.keys():
+            self._known_until.setdefault(addr, now + KNOWN_AFTER_END_S)
+            names[addr] = self._names[addr]
+        for addr in list(self._known_until):
+            if names.get(addr) in self._peers:
+                del self._known_until[addr]
+            elif self._known_until[addr] <= now:
+                del self._known_until[addr], names[addr]
+        self._names = names
+
+    def name_of(self, addr):
+        """Returns the name of the instance at an address.
+
+        It may have gone up to KNOWN_AFTER_END_S ago.
+
+        Raises:
+            ValueError: If no instance is known there.
+        """
+        name = self._names.get(tuple(addr[:2]))
+        if name is None:
+            raise ValueError(f'{addr[0]} is no instance')
+        return name
 
     @property
     def peers(self):
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -79,6 +79,7 @@
         '_sent_count',
         '_failed_outcomes',
         '_caller_conn',
+        '_counted',
         '_deadline',
         '_error_response',
         '_fleet',
@@ -131,6 +132,8 @@
         # Tokens of rate limits for the attempt that is being made.
         self._reservation = _reservation.Reservation(self._loop)
         self._silence_noted = False
+        # Whether the request counts as usage of its team.
+        self._counted = False
         self._error_response = None
         self._last_event_id = req.last_event_id
         self._streaming = False
--- /dev/null
+++ b/dandelionwinch/gateway/_usage_link.py
@@ -0,0 +1,139 @@
+"""Messages by which instances tell the holder what their teams used.
+
+    ["usage", name, incarnation, window, final, total, reported, rows]
+    ["usage?", reported]
+    ["clock?", time]
+    ["clock", time of the question, time]
+
+The incarnation and all times are in ms since the start of 1970. A "usage"
+has the running total of one window or a part of it: rows of a team and its
+requests, and the sum of all rows. The name is not the sender's if that sends
+on what it holds of an instance that may have ended. Reported is the last
+window of which the sender saw a report. Datagrams of unknown senders are
+dropped.
+"""
+
+from dandelionwinch import usage
+
+# Teams in one datagram; more of them take several.
+ROWS_PER_DATAGRAM = 20
+MAX_TEXT_CHARS = 128
+# Numbers up to which parsers with floating-point numbers are exact.
+MAX_NUMBER = (1 << 53) - 1
+
+
+class UsageLink:
+    """Encodes, checks and decodes the messages of a UsageSharing.
+
+    Args:
+        link: PeerLink.
+        receiver: Object with `take_total(total, relayed)`,
+            `take_reported(window)`, `take_question(addr)`,
+            `take_clock_question(asked_ms, addr)` and
+            `take_clock(asked_ms, time_ms, sender)`.
+    """
+
+    __slots__ = ('_link', '_receiver')
+
+    def __init__(self, link, receiver):
+        self._link = link
+        self._receiver = receiver
+        link.register('usage', self._take_total)
+        link.register('usage?', self._take_question)
+        link.register('clock?', self._take_clock_question)
+        link.register('clock', self._take_clock)
+
+    @property
+    def peers(self):
+        """Returns the address of each other instance, by its name."""
+        return self._link.peers
+
+    def send_total(self, total, reported, addresses):
+        """Sends a RunningTotal, in as many datagrams as it takes.
+
+        Args:
+            total: RunningTotal.
+            reported: Last window of which a report was seen, -1 without one.
+            addresses: Addresses of the receivers.
+        """
+        rows = total.rows
+        for first in range(0, max(1, len(rows)), ROWS_PER_DATAGRAM):
+            message = [
+                'usage',
+                total.name,
+                total.incarnation,
+                total.window,
+                int(total.final),
+                total.total,
+                reported,
+                rows[first : first + ROWS_PER_DATAGRAM],
+            ]
+            self._link.send_all(message, addresses)
+
+    def ask_totals(self, reported, addresses):
+        """Asks instances for what they hold of windows without a report."""
+        self._link.send_all(['usage?', reported], addresses)
+
+    def ask_clock(self, time_ms, addresses):
+        """Asks instances for their time."""
+        self._link.send_all(['clock?', time_ms], addresses)
+
+    def send_clock(self, asked_ms, time_ms, addr):
+        """Answers a question for the time."""
+        self._link.send(['clock', asked_ms, time_ms], addr)
+
+    def _take_total(self, items, addr):
+        sender = self._link.name_of(addr)
+        name, incarnation, window, final, total, reported, rows = items
+        if final not in (0, 1) or not isinstance(rows, list):
+            raise ValueError('not a running total')
+        if len(rows) > ROWS_PER_DATAGRAM:
+            raise ValueError(f'{len(rows)} rows')
+        taken = usage.RunningTotal(
+            _checked_text(name),
+            _checked_number(incarnation),
+            _checked_number(window),
+            bool(final),
+            _checked_number(total),
+            tuple(_read_row(*row) for row in rows),
+        )
+        self._receiver.take_reported(_checked_window(reported))
+        self._receiver.take_total(taken, relayed=name != sender)
+
+    def _take_question(self, items, addr):
+        self._link.name_of(addr)
+        (reported,) = items
+        self._receiver.take_reported(_checked_window(reported))
+        self._receiver.take_question(addr)
+
+    def _take_clock_question(self, items, addr):
+        self._link.name_of(addr)
+        (asked_ms,) = items
+        self._receiver.take_clock_question(_checked_number(asked_ms), addr)
+
+    def _take_clock(self, items, addr):
+        sender = self._link.name_of(addr)
+        asked_ms, time_ms = items
+        self._receiver.take_clock(
+            _checked_number(asked_ms), _checked_number(time_ms), sender
+        )
+
+
+def _read_row(team, count):
+    return _checked_text(team), _checked_number(count)
+
+
+def _checked_text(text):
+    if not isinstance(text, str) or not 0 < len(text) <= MAX_TEXT_CHARS:
+        raise ValueError(f'text {str(text)[:MAX_TEXT_CHARS]!r}')
+    return text
+
+
+def _checked_number(number):
+    if type(number) is not int or not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f'number {str(number)[:MAX_TEXT_CHARS]!r}')
+    return number
+
+
+def _checked_window(window):
+    return -1 if window == -1 else _checked_number(window)
--- /dev/null
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -0,0 +1,342 @@
+"""Sends what this instance counted to the holder of the usage duty.
+
+The totals go to the holder and to the instances that would follow it, so
+that they survive the holder. What others send is kept here for a report.
+"""
+
+import attrs
+
+from dandelionwinch.gateway import _usage_link
+from dandelionwinch import usage
+
+TICK_S = 0.25
+# Time between two running totals of an open window.
+RUNNING_INTERVAL_S = 1.0
+# Time after the end of a window in which first events that were made before
+# still arrive.
+FINAL_DELAY_S = 0.25
+# Finals of many instances at once would overflow the receiver's socket, so
+# they are spread over this time for each instance.
+SPREAD_PER_INSTANCE_S = 0.003
+MAX_SPREAD_S = 1.5
+# Time after the end of a window up to which calls without an answer delay
+# its final total. The report is made 4.5 s after that end.
+FINAL_LATEST_S = 3.0
+# Times after which a final total is sent again while no report is known.
+MIN_REPEAT_S = 2.0
+MAX_REPEAT_S = 60.0
+# Instances that are asked for their time at the start, and the time for
+# which their answers are awaited.
+CLOCK_PEERS = 9
+CLOCK_WAIT_S = 1.0
+# Time for which an instance that knows no other waits for one to ask.
+ALONE_S = 3.0
+MS = 1000.0
+
+
+@attrs.define
+class _Sending:
+    """What was sent of one window.
+
+    Attributes:
+        counts: Counts as they were sent last.
+        next_at: Time of the next running total.
+        final_total: Sum of the final total that was sent, None before.
+        repeat_at: Time at which it is sent again.
+        repeat_s: Interval after that.
+    """
+
+    counts: dict = attrs.Factory(dict)
+    next_at: float = float('-inf')
+    final_total: int | None = None
+    repeat_at: float = float('inf')
+    repeat_s: float = MIN_REPEAT_S
+
+
+class UsageSharing:
+    """Exchanges running totals with other instances.
+
+    Args:
+        loop: The event loop.
+        clock: TrueClock.
+        counts: WindowCounts of this instance.
+        meter: UsageMeter of this instance.
+        link: PeerLink.
+        name: Name of this instance.
+        log: EventLog.
+        rng: Source of randomness.
+
+    Attributes:
+        in_use: Whether there are teams, without which nothing is sent.
+        receivers: Function that returns the names of the instances that get
+            the totals: the holder, and those that would follow it.
+        totals: Totals of all instances, as far as they were received.
+    """
+
+    __slots__ = (
+        '_asked_at',
+        '_clock',
+        '_counts',
+        '_incarnation',
+        '_link',
+        '_log',
+        '_loop',
+        '_meter',
+        '_name',
+        '_offsets_s',
+        '_phase',
+        '_receivers',
+        '_rng',
+        '_sendings',
+        '_settled',
+        '_started_at',
+        '_timer',
+        'in_use',
+        'receivers',
+        'totals',
+    )
+
+    def __init__(self, loop, clock, counts, meter, link, name, log, rng):
+        self._loop = loop
+        self._clock = clock
+        self._counts = counts
+        self._meter = meter
+        self._link = _usage_link.UsageLink(link, self)
+        self._name = name
+        self._log = log
+        self._rng = rng
+        self._phase = rng.random()
+        self._incarnation = 0
+        self._sendings = {}
+        self._receivers = ()
+        # Offsets of other instances' clocks, by name.
+        self._offsets_s = {}
+        self._asked_at = None
+        self._started_at = None
+        self._settled = False
+        self._timer = None
+        self.in_use = False
+        self.receivers = tuple
+        self.totals = usage.Totals(counts.window_s)
+
+    @property
+    def settled(self):
+        """Whether the clock was compared with those of other instances."""
+        return self._settled
+
+    @property
+    def reported(self):
+        """Returns the last window of which a report is known."""
+        return self._counts.reported
+
+    def start(self):
+        """Starts the periodic work."""
+        self._started_at = self._loop.time()
+        self._incarnation = round(self._clock.now() * MS)
+        self._tick()
+
+    def close(self):
+        """Sends what is left, and stops the periodic work."""
+        if self._timer is None:
+            return
+        self._timer.cancel()
+        self._timer = None
+        if self._settled and self.in_use:
+            now = self._clock.now()
+            self._meter.presume_begun(now)
+            for window in self._pending(now):
+                self._send_final(window, now)
+
+    def now(self):
+        """Returns the seconds since the start of 1970."""
+        return self._clock.now()
+
+    def answer_time_s(self):
+        """Returns the time in which all instances answer a question."""
+        return 2 * TICK_S + self._spread_s()
+
+    def _spread_s(self):
+        instances = 1 + len(self._link.peers)
+        return min(MAX_SPREAD_S, SPREAD_PER_INSTANCE_S * instances)
+
+    def _tick(self):
+        self._timer = self._loop.call_later(TICK_S, self._tick)
+        if not self.in_use:
+            return
+        if not self._settled:
+            self._settle()
+            return
+        now = self._clock.now()
+        self._follow_receivers()
+        self._counts.forget(now)
+        self.totals.forget(self._counts.reported, now)
+        for window in self._pending(now):
+            self._send_due(window, now)
+
+    def _follow_receivers(self):
+        """Has all totals sent in full to receivers that are new."""
+        receivers = tuple(self.receivers())
+        if receivers != self._receivers:
+            self._receivers = receivers
+            self._sendings.clear()
+
+    def _pending(self, now):
+        """Returns the windows whose report is not known, up to now."""
+        current = self._counts.window_of(now)
+        first = max(
+            self._counts.window_of(self._incarnation / MS),
+            self._counts.reported + 1,
+            current - usage.KEPT_WINDOWS,
+        )
+        for window in [w for w in self._sendings if w < first]:
+            del self._sendings[window]
+        return range(first, current + 1)
+
+    def _send_due(self, window, now):
+        sending = self._sendings.setdefault(window, _Sending())
+        end_at = self._counts.end_of(window)
+        if not self._is_final(end_at, now):
+            self._send_running(window, sending, now)
+            return
+        self._meter.presume_begun(end_at)
+        total = sum(self._counts.counts(window).values())
+        if sending.final_total != total or now >= sending.repeat_at:
+            self._send_final(window, now)
+
+    def _is_final(self, end_at, now):
+        due_at = end_at + FINAL_DELAY_S + self._phase * self._spread_s()
+        if now < due_at:
+            return False
+        return now >= end_at + FINAL_LATEST_S or not self._meter.has_open(
+            end_at
+        )
+
+    def _send_running(self, window, sending, now):
+        counts = self._counts.counts(window)
+        if now < sending.next_at or counts == sending.counts:
+            return
+        rows = [
+            (team, count)
+            for team, count in counts.items()
+            if sending.counts.get(team) != count
+        ]
+        sending.next_at = now + RUNNING_INTERVAL_S
+        sending.counts = dict(counts)
+        self._send(self._total(window, rows, final=False))
+
+    def _send_final(self, window, now):
+        sending = self._sendings.setdefault(window, _Sending())
+        counts = self._counts.counts(window)
+        sending.final_total = sum(counts.values())
+        sending.repeat_at = now + sending.repeat_s
+        sending.repeat_s = min(MAX_REPEAT_S, 2 * sending.repeat_s)
+        self._send(self._total(window, counts.items(), final=True))
+
+    def _total(self, window, rows, *, final):
+        total = sum(self._counts.counts(window).values())
+        return usage.RunningTotal(
+            self._name, self._incarnation, window, final, total, tuple(rows)
+        )
+
+    def _send(self, total):
+        self.totals.take(total, self._clock.now())
+        peers = self._link.peers
+        addresses = [peers[name] for name in self._receivers if name in peers]
+        self._link.send_total(total, self._counts.reported, addresses)
+
+    def saw_report(self, report):
+        """Records a report that was seen in the store."""
+        self._counts.set_reported(report.window)
+
+    def ask(self, names=None):
+        """Asks instances for what they hold of windows without a report.
+
+        Args:
+            names: Names of the instances, None for all.
+        """
+        peers = self._link.peers
+        addresses = [
+            addr
+            for name, addr in peers.items()
+            if names is None or name in names
+        ]
+        self._link.ask_totals(self._counts.reported, addresses)
+
+    def take_total(self, total, relayed):
+        """Takes in a total of another process."""
+        if (total.name, total.incarnation) == (self._name, self._incarnation):
+            return
+        self.totals.take(total, self._clock.now(), relayed=relayed)
+
+    def take_reported(self, window):
+        """Takes in up to which window another instance knows of reports."""
+        if window <= self._counts.window_of(self._clock.now()):
+            self._counts.set_reported(window)
+
+    def take_question(self, addr):
+        """Answers an instance that has become the holder, after a pause."""
+        if self._settled and self.in_use:
+            pause_s = self._rng.random() * self._spread_s()
+            self._loop.call_later(pause_s, self._tell, addr)
+
+    def _tell(self, addr):
+        if self._timer is None:
+            return
+        now = self._clock.now()
+        reported = self._counts.reported
+        for window in self._pending(now):
+            counts = self._counts.counts(window)
+            sending = self._sendings.get(window)
+            final = sending is not None and sending.final_total is not None
+            total = self._total(window, counts.items(), final=final)
+            self._link.send_total(total, reported, [addr])
+        for total in self.totals.of_silent(now, self._name):
+            self._link.send_total(total, reported, [addr])
+
+    def _settle(self):
+        """Compares the clock with those of others before any total is sent.
+
+        A process may start while the wall clock of its machine is wrong.
+        """
+        now = self._loop.time()
+        peers = self._link.peers
+        if self._asked_at is None:
+            if peers:
+                self._asked_at = now
+                chosen = self._rng.sample(
+                    list(peers.values()), min(CLOCK_PEERS, len(peers))
+                )
+                self._link.ask_clock(round(self._clock.now() * MS), chosen)
+            elif now - self._started_at > ALONE_S:
+                self._set_settled(0.0)
+            return
+        if now - self._asked_at < CLOCK_WAIT_S:
+            return
+        offset_s = usage.median_offset(self._offsets_s.values())
+        if offset_s:
+            self._clock.correct(offset_s)
+            self._meter.shift(offset_s)
+            self._incarnation += round(offset_s * MS)
+            self._log.event(
+                'usage.clock',
+                offset_s=round(offset_s, 3),
+                answers=len(self._offsets_s),
+            )
+        self._set_settled(offset_s)
+
+    def _set_settled(self, offset_s):
+        self._settled = True
+        self._counts.settle(offset_s)
+
+    def take_clock_question(self, asked_ms, addr):
+        """Answers an instance that compares its clock."""
+        if self._timer is not None:
+            time_ms = round(self._clock.now() * MS)
+            self._link.send_clock(asked_ms, time_ms, addr)
+
+    def take_clock(self, asked_ms, time_ms, sender):
+        """Takes in the time of another instance."""
+        if not self._settled:
+            answered_ms = self._clock.now() * MS
+            middle_ms = (asked_ms + answered_ms) / 2
+            self._offsets_s[sender] = (time_ms - middle_ms) / MS
--- a/dandelionwinch/tests/gateway_harness.py
+++ b/dandelionwinch/tests/gateway_harness.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from dandelionwinch import control
 from dandelionwinch import gateway
 from dandelionwinch.platform import _wire_codec
 from dandelionwinch.platform import samples
@@ -57,6 +58,7 @@
     retry_ratio: float = 20.0
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
+    duty_settings: control.DutySettings = control.DutySettings()
 
 
 def route(name, retry_policy, streaming=False, max_upstreams=2, **changes):
