--- a/dandelionwinch/control/__init__.py
+++ b/dandelionwinch/control/__init__.py
@@ -5,6 +5,15 @@
 from dandelionwinch.control._config import InstanceConfig
 from dandelionwinch.control._config import READS_PER_S
 from dandelionwinch.control._config import WRITES_PER_S
+from dandelionwinch.control._duty import Accepted
+from dandelionwinch.control._duty import Authority
+from dandelionwinch.control._duty import CapacityOrder
+from dandelionwinch.control._duty import DutyApi
+from dandelionwinch.control._duty import NotSent
+from dandelionwinch.control._duty import Refused
+from dandelionwinch.control._duty import Throttled
+from dandelionwinch.control._duty import Unanswered
+from dandelionwinch.control._duty import UsageReport
 from dandelionwinch.control._epoch import EpochTracker
 from dandelionwinch.control._epoch import Lease
 from dandelionwinch.control._epoch import Revision
@@ -27,8 +36,12 @@
 __all__ = [
     'READS_PER_S',
     'WRITES_PER_S',
+    'Accepted',
+    'Authority',
+    'CapacityOrder',
     'Conflict',
     'Duty',
+    'DutyApi',
     'DutySettings',
     'EntryInvalid',
     'EpochChanged',
@@ -40,6 +53,8 @@
     'Lease',
     'LeaseEnded',
     'Listing',
+    'NotSent',
+    'Refused',
     'RegisteredInstances',
     'Registration',
     'Revision',
@@ -48,4 +63,7 @@
     'StoreFailed',
     'StoreRefused',
     'StoreSync',
+    'Throttled',
+    'Unanswered',
+    'UsageReport',
 ]
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -38,15 +38,26 @@
         wire_codec: WireCodec of the requests and responses.
         store_codec: StoreCodec of the entries in the store.
         log: EventLog, or None for a new one.
+        duty_api: DutyApi, or None if the settings name no duty.
 
     Attributes:
         log: The EventLog.
     """
 
-    def __init__(self, loop, cfg, store, wire_codec, store_codec, log=None):
+    def __init__(
+        self,
+        loop,
+        cfg,
+        store,
+        wire_codec,
+        store_codec,
+        log=None,
+        duty_api=None,
+    ):
         self._loop = loop
         self._cfg = cfg
         self._store = store
+        self._duty_api = duty_api
         self.log = log or eventlog.EventLog(cfg.instance)
         self._rng = rng = random.Random()
         self._gateway = gateway.Gateway(loop, wire_codec, self.log, cfg, rng)
@@ -95,6 +106,9 @@
         )
         store.epochs.on_change = self._on_epoch
         store.epochs.on_invalid = self._on_invalid_epoch
+        self._duties = []
+        if cfg.duty_settings.enabled and duty_api is not None:
+            self._duties = self._create_duties()
         self._servers = {}
         self._caller_server = gateway.Server(
             loop,
@@ -109,6 +123,14 @@
         self._stopping = False
         self._stopped = loop.create_future()
 
+    def _create_duties(self):
+        """Returns the duties that this instance performs as the holder.
+
+        Each is created for its item in `cfg.duty_settings.duties`.
+        """
+        duties = []
+        return duties
+
     def add_server(self, name, address, handler):
         """Adds a server beside that for callers, such as a probe.
 
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -7,6 +7,7 @@
 from dandelionwinch.control import _registered
 from dandelionwinch.control import _registration
 from dandelionwinch.control import _store
+from dandelionwinch import leadership
 from dandelionwinch import upstreams
 
 ALL_KEYS = ''
@@ -40,6 +41,8 @@
         holder: Name of the holder of the order lease, or ''.
         holder_revision: Number of the revision of the holder's key, 0
             without a holder.
+        last_holder: Name of the last holder that was seen, or ''.
+        last_holder_revision: Number of the revision of its key.
         lost_role_changes: Latest time and role of announced role changes
             that a restored store has lost, by upstream.
         registered: The RegisteredInstances.
@@ -63,6 +66,8 @@
         '_watch_call',
         'holder',
         'holder_revision',
+        'last_holder',
+        'last_holder_revision',
         'lost_role_changes',
         'on_config',
         'registered',
@@ -89,6 +94,8 @@
         self._store_reached_at = float('-inf')
         self.holder = ''
         self.holder_revision = 0
+        self.last_holder = ''
+        self.last_holder_revision = 0
         self.lost_role_changes = {}
         self.registered = _registered.RegisteredInstances(cfg.writes_per_s)
         self.on_config = on_config
@@ -124,6 +131,18 @@
             and self._revision.epoch == self._store.epochs.current
         )
 
+    def candidates(self):
+        """Returns names of the instances that may follow the last holder.
+
+        They try in this order, which is the same at all instances that know
+        the same holder and instances.
+        """
+        return leadership.candidate_order(
+            [entry.name for entry in self.registered.entries.values()],
+            self.last_holder,
+            self.last_holder_revision,
+        )
+
     @property
     def has_routes(self):
         """Whether a valid configuration was received."""
@@ -299,6 +318,9 @@
         elif item.key == _order_leader.HOLDER_KEY:
             self.holder = (item.value or b'').decode(errors='replace')
             self.holder_revision = item.revision if self.holder else 0
+            if self.holder:
+                self.last_holder = self.holder
+                self.last_holder_revision = item.revision
         elif item.key == _order_leader.CAPACITY_KEY:
             self._apply_capacity(item)
         elif _is_role_change(item):
