--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -6,10 +6,12 @@
 import prometheus_client
 
 from dandelionwinch import addresses
+from dandelionwinch.control import _config
 from dandelionwinch.control import _order_leader
 from dandelionwinch.control import _order_sender
 from dandelionwinch.control import _registration
 from dandelionwinch.control import _sync
+from dandelionwinch.control import _usage_duty
 from dandelionwinch import eventlog
 from dandelionwinch import gateway
 from dandelionwinch import routes
@@ -24,6 +26,8 @@
 SEND_TIMEOUT_S = 0.25
 DRAIN_POLL_S = 0.1
 SEND_POLL_S = 0.02
+# Instances beside the holder that get the totals of usage.
+USAGE_SUCCESSORS = 2
 # Characters of a malformed epoch that are logged.
 MAX_LOGGED_EPOCH = 40
 
@@ -129,8 +133,35 @@
         Each is created for its item in `cfg.duty_settings.duties`.
         """
         duties = []
+        wanted = self._cfg.duty_settings.duties
+        if _config.Duty.USAGE in wanted:
+            duties.append(self._create_usage_duty())
         return duties
 
+    def _create_usage_duty(self):
+        duty = _usage_duty.UsageDuty(
+            self._store,
+            self._gateway.usage,
+            self._duty_api,
+            self._instance_names,
+            self.log,
+            self._gateway.metrics.registry,
+        )
+        self._gateway.usage.receivers = self._usage_receivers
+        self._sync.on_usage_report = duty.saw
+        return duty
+
+    def _instance_names(self):
+        return [e.name for e in self._sync.registered.entries.values()]
+
+    def _usage_receivers(self):
+        """Returns the holder and the instances that would follow it."""
+        holder = self._sync.holder
+        candidates = self._sync.candidates()
+        if not holder:
+            return candidates[: USAGE_SUCCESSORS + 1]
+        return [holder, *candidates[:USAGE_SUCCESSORS]]
+
     def add_server(self, name, address, handler):
         """Adds a server beside that for callers, such as a probe.
 
@@ -170,11 +201,16 @@
 
     def _on_config(self, table):
         self._caller_server.limits = table.limits
+        self._gateway.usage.in_use = self._usage_in_use(table)
         if not self._registered and not self._stopping:
             self._registered = True
             self._registration.start()
             self._order_leader.start()
 
+    def _usage_in_use(self, table):
+        reports_usage = self._cfg.duty_settings.reports_usage
+        return reports_usage and getattr(table, 'teams', None) is not None
+
     def _on_epoch(self, previous, epoch):
         self._epoch_changes.inc()
         self.log.event('store.era', previous=previous, epoch=epoch)
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -7,6 +7,7 @@
 from dandelionwinch.control import _registered
 from dandelionwinch.control import _registration
 from dandelionwinch.control import _store
+from dandelionwinch.control import _usage_duty
 from dandelionwinch import leadership
 from dandelionwinch import upstreams
 
@@ -45,6 +46,8 @@
         last_holder_revision: Number of the revision of its key.
         lost_role_changes: Latest time and role of announced role changes
             that a restored store has lost, by upstream.
+        on_usage_report: Function that is called with each Item of the report
+            of usage.
         registered: The RegisteredInstances.
     """
 
@@ -70,6 +73,7 @@
         'last_holder_revision',
         'lost_role_changes',
         'on_config',
+        'on_usage_report',
         'registered',
     )
 
@@ -99,6 +103,7 @@
         self.lost_role_changes = {}
         self.registered = _registered.RegisteredInstances(cfg.writes_per_s)
         self.on_config = on_config
+        self.on_usage_report = _ignore
 
     def start(self):
         """Starts following the store."""
@@ -323,6 +328,8 @@
                 self.last_holder_revision = item.revision
         elif item.key == _order_leader.CAPACITY_KEY:
             self._apply_capacity(item)
+        elif item.key == _usage_duty.REPORT_KEY:
+            self.on_usage_report(item)
         elif _is_role_change(item):
             self._apply_role_change(item)
 
@@ -456,5 +463,9 @@
             self._log.event('instance.gone', key=key)
 
 
+def _ignore(_item):
+    pass
+
+
 def _is_role_change(item):
     return item.key.startswith(_order_leader.ROLE_CHANGE_PREFIX)
--- a/dandelionwinch/control/_usage_duty.py
+++ b/dandelionwinch/control/_usage_duty.py
@@ -2,10 +2,18 @@
 
 import prometheus_client
 
+from dandelionwinch.control import _duty
 from dandelionwinch.control import _store
 from dandelionwinch import usage
 
 REPORT_KEY = 'dandelionwinch/usage/report'
+_RESULTS = {
+    _duty.Accepted: 'accepted',
+    _duty.Refused: 'refused',
+    _duty.Throttled: 'throttled',
+    _duty.Unanswered: 'unanswered',
+    _duty.NotSent: 'not sent',
+}
 # Steps of one call, so that reports that were delayed follow each other.
 MAX_STEPS = 12
 
@@ -16,12 +24,14 @@
     Args:
         store: Store.
         sharing: UsageSharing of the gateway.
-        api: Client of the duty API, with `report_usage`.
+        api: DutyApi.
         names: Function that returns the names of the registered instances.
         log: EventLog.
         registry: Registry of metrics.
     """
 
+    name = 'usage'
+
     __slots__ = (
         '_api',
         '_epoch',
@@ -150,13 +160,16 @@
 
     async def _send(self, report, authority):
         result = await self._api.report_usage(
-            authority.name, authority.token, report
+            authority.name,
+            authority.token,
+            _duty.UsageReport(report.window, report.counts),
+            lambda: self._may_act(authority),
         )
         return self._record_result(report, result)
 
     def _record_result(self, report, result):
         now = self._sharing.now()
-        kind = type(result).__name__.lower()
+        kind = _RESULTS[type(result)]
         self._reports.labels(kind).inc()
         self._log.event(
             'usage.reported',
@@ -166,18 +179,18 @@
             result=kind,
             late_s=round(now - self._end_of(report), 3),
         )
-        match kind:
-            case 'accepted':
+        match result:
+            case _duty.Accepted():
                 self._reporter.accepted(report)
-            case 'refused':
+                return True
+            case _duty.Refused():
                 if self._reporter.refused(now):
                     self._log.event('usage.given_up', window=report.window)
-            case 'throttled':
-                wait_s = getattr(result, 'retry_after_s', None) or 0.0
-                self._reporter.send_failed(now, wait_s)
+            case _duty.Throttled(retry_after_s):
+                self._reporter.send_failed(now, retry_after_s or 0.0)
             case _:
                 self._reporter.send_failed(now)
-        return kind == 'accepted'
+        return False
 
     def _end_of(self, report):
         return (report.window + 1) * self._sharing.totals.window_s
--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -10,6 +10,8 @@
 from dandelionwinch import usage
 
 TICK_S = 0.25
+# Time between two looks at who gets the totals.
+RECEIVERS_INTERVAL_S = 1.0
 # Time between two running totals of an open window.
 RUNNING_INTERVAL_S = 1.0
 # Time after the end of a window in which first events that were made before
@@ -25,6 +27,8 @@
 # Times after which a final total is sent again while no report is known.
 MIN_REPEAT_S = 2.0
 MAX_REPEAT_S = 60.0
+# Reports that are kept for operators.
+SHOWN_REPORTS = 12
 # Instances that are asked for their time at the start, and the time for
 # which their answers are awaited.
 CLOCK_PEERS = 9
@@ -86,6 +90,8 @@
         '_offsets_s',
         '_phase',
         '_receivers',
+        '_receivers_at',
+        '_reports',
         '_rng',
         '_sendings',
         '_settled',
@@ -109,6 +115,9 @@
         self._incarnation = 0
         self._sendings = {}
         self._receivers = ()
+        self._receivers_at = float('-inf')
+        # The last Reports that were seen, by window.
+        self._reports = {}
         # Offsets of other instances' clocks, by name.
         self._offsets_s = {}
         self._asked_at = None
@@ -175,6 +184,10 @@
 
     def _follow_receivers(self):
         """Has all totals sent in full to receivers that are new."""
+        now = self._loop.time()
+        if now < self._receivers_at:
+            return
+        self._receivers_at = now + RECEIVERS_INTERVAL_S
         receivers = tuple(self.receivers())
         if receivers != self._receivers:
             self._receivers = receivers
@@ -247,6 +260,32 @@
     def saw_report(self, report):
         """Records a report that was seen in the store."""
         self._counts.set_reported(report.window)
+        self._reports[report.window] = report
+        while len(self._reports) > SHOWN_REPORTS:
+            del self._reports[min(self._reports)]
+
+    def view(self):
+        """Returns what is known of the last windows.
+
+        Returns:
+            For each window: its number, the own counts, the counts of its
+            report or None, and the seconds since its end.
+        """
+        now = self._clock.now()
+        windows = {*self._counts.windows(), *self._reports}
+        return [
+            (
+                window,
+                self._counts.counts(window),
+                self._reported_counts(window),
+                now - self._counts.end_of(window),
+            )
+            for window in sorted(windows)
+        ]
+
+    def _reported_counts(self, window):
+        report = self._reports.get(window)
+        return None if report is None else report.counts
 
     def ask(self, names=None):
         """Asks instances for what they hold of windows without a report.
