--- a/dandelionwinch/control/_usage_duty.py
+++ b/dandelionwinch/control/_usage_duty.py
@@ -16,6 +16,9 @@
 }
 # Steps of one call, so that reports that were delayed follow each other.
 MAX_STEPS = 12
+# Time after the end of a window at which instances whose final total is
+# missing are asked for it, beside the time in which all send theirs.
+ASK_MISSING_S = 1.0
 
 
 class UsageDuty:
@@ -99,7 +102,16 @@
                 now,
             )
             if step is None or not await self._take(step, authority):
-                return
+                break
+        self._ask_missing()
+
+    def _ask_missing(self):
+        """Asks for final totals that may have been lost, at each call."""
+        awaited = self._reporter.awaited
+        end_at = (self._reporter.last + 2) * self._sharing.totals.window_s
+        due_at = end_at + ASK_MISSING_S + self._sharing.answer_time_s()
+        if awaited and self._sharing.now() >= due_at:
+            self._sharing.ask(awaited)
 
     def _begin(self, authority):
         """Starts anew as a new holder, and after a restore of the store."""
--- a/dandelionwinch/usage/_reporter.py
+++ b/dandelionwinch/usage/_reporter.py
@@ -58,6 +58,8 @@
         window_s: Length of a window in seconds.
 
     Attributes:
+        awaited: Names of the instances whose final total of the next window
+            is missing, empty before its end.
         last: Number of the last window that is reported or skipped, -1
             without one.
     """
@@ -74,6 +76,7 @@
         '_sent',
         '_unsent',
         '_window_s',
+        'awaited',
         'last',
     )
 
@@ -82,12 +85,14 @@
         # Latest report that was seen in the store, whatever its epoch.
         self._known = None
         self._sent = None
+        self.awaited = set()
         self.last = -1
         self.begin(float('-inf'))
 
     def begin(self, now):
         """Starts anew, as the store may hold another report than known."""
         self._holding_since = now
+        self.awaited = set()
         self._read = False
         self._revision = 0
         # Report that a restored store has lost.
@@ -144,10 +149,11 @@
         while True:
             window = self.last + 1
             end_at = (window + 1) * self._window_s
+            self.awaited = set()
             if now < end_at:
                 return None
-            awaited = totals.missing(window, names, now)
-            if awaited and now < end_at + REPORT_LATEST_S:
+            self.awaited = totals.missing(window, names, now)
+            if self.awaited and now < end_at + REPORT_LATEST_S:
                 return None
             counts = totals.counts(window)
             if counts:
@@ -187,6 +193,7 @@
         """Records that a report was written, with a revision number."""
         self._revision = revision
         self._rewrite = None
+        self.awaited = set()
         self.saw(report)
         if report != self._sent:
             self._unsent = report
