--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -209,7 +209,7 @@
 
     def _usage_in_use(self, table):
         reports_usage = self._cfg.duty_settings.reports_usage
-        return reports_usage and getattr(table, 'teams', None) is not None
+        return reports_usage and table.teams is not None
 
     def _on_epoch(self, previous, epoch):
         self._epoch_changes.inc()
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -23,6 +23,7 @@
         'malformed_headers',
         'registry',
         'seconds',
+        'unauthorized_requests',
         'usage',
     )
 
@@ -86,6 +87,11 @@
             'Requests that were seen after the report of their window',
             registry=registry,
         )
+        self.unauthorized_requests = prometheus_client.Counter(
+            'dandelionwinch_gateway_unauthorized_requests',
+            'Requests refused as they had no valid key',
+            registry=registry,
+        )
         self._teams = set()
 
     def record_usage(self, team):
