--- a/dandelionwinch/control/_duty.py
+++ b/dandelionwinch/control/_duty.py
@@ -93,6 +93,9 @@
     def may_send_order(self, token):
         """Returns whether a role order may be sent now."""
 
+    async def renew(self, token):
+        """Renews the lease with this token."""
+
 
 class Authority:
     """Permission to act under one acquisition of the lease.
@@ -131,6 +134,14 @@
         """Returns whether a role order may be sent now; see `may_act`."""
         return self._state.may_send_order(self.token)
 
+    async def renew(self):
+        """Renews the lease beside the regular renewals.
+
+        Raises:
+            StoreFailed: If it may not have been renewed.
+        """
+        await self._state.renew(self.token)
+
 
 class Duty(typing.Protocol):
     """A duty of the holder.
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -6,10 +6,13 @@
 import prometheus_client
 
 from dandelionwinch import addresses
-from dandelionwinch.control import _order_leader
+from dandelionwinch.control import _duty_calls
+from dandelionwinch.control import _lease_holder
 from dandelionwinch.control import _order_sender
 from dandelionwinch.control import _registration
+from dandelionwinch.control import _role_orders
 from dandelionwinch.control import _sync
+from dandelionwinch.control import _workers
 from dandelionwinch import eventlog
 from dandelionwinch import gateway
 from dandelionwinch import routes
@@ -57,7 +60,6 @@
         self._loop = loop
         self._cfg = cfg
         self._store = store
-        self._duty_api = duty_api
         self.log = log or eventlog.EventLog(cfg.instance)
         self._rng = rng = random.Random()
         self._gateway = gateway.Gateway(loop, wire_codec, self.log, cfg, rng)
@@ -86,14 +88,16 @@
             max(_registration.LEASE_S, cfg.min_lease_s),
             self._restore_delay_s,
         )
-        self._order_leader = _order_leader.OrderLeader(
+        self._calls = None
+        if cfg.duty_settings.enabled and duty_api is not None:
+            self._calls = _duty_calls.DutyCalls(
+                loop, duty_api, self.log, self._gateway.metrics.registry
+            )
+        self._holder = _lease_holder.LeaseHolder(
             loop,
             store,
             self._sync,
-            self._gateway,
-            _order_sender.OrderSender(
-                self._gateway.fleet, wire_codec, cfg.instance
-            ),
+            self._create_worker(wire_codec),
             self.log,
             rng,
             cfg,
@@ -106,9 +110,6 @@
         )
         store.epochs.on_change = self._on_epoch
         store.epochs.on_invalid = self._on_invalid_epoch
-        self._duties = []
-        if cfg.duty_settings.enabled and duty_api is not None:
-            self._duties = self._create_duties()
         self._servers = {}
         self._caller_server = gateway.Server(
             loop,
@@ -123,10 +124,28 @@
         self._stopping = False
         self._stopped = loop.create_future()
 
+    def _create_worker(self, wire_codec):
+        """Returns what the holder of the lease has to do."""
+        role_orders = _role_orders.RoleOrders(
+            self._loop,
+            self._store,
+            self._sync,
+            self._gateway,
+            _order_sender.OrderSender(
+                self._gateway.fleet, wire_codec, self._cfg.instance
+            ),
+            self.log,
+        )
+        if self._calls is None:
+            return _workers.InlineWorker(role_orders)
+        duties = [role_orders, *self._create_duties()]
+        return _workers.DutyRunner(self._loop, duties, self._calls, self.log)
+
     def _create_duties(self):
-        """Returns the duties that this instance performs as the holder.
+        """Returns the duties that are performed at the duty API.
 
-        Each is created for its item in `cfg.duty_settings.duties`.
+        Each is created for its item in `cfg.duty_settings.duties`, and makes
+        its calls through `self._calls`, a DutyApi.
         """
         duties = []
         return duties
@@ -173,7 +192,7 @@
         if not self._registered and not self._stopping:
             self._registered = True
             self._registration.start()
-            self._order_leader.start()
+            self._holder.start()
 
     def _on_epoch(self, previous, epoch):
         self._epoch_changes.inc()
@@ -241,7 +260,7 @@
     async def _drain(self, began, stop_at):
         """Ends a graceful stop when no request is left or time is up."""
         self._loop.create_task(self._registration.withdraw())
-        self._loop.create_task(self._order_leader.resign())
+        self._loop.create_task(self._holder.resign())
         self._caller_server.drain()
         while self._loop.time() < stop_at:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -270,8 +289,10 @@
         """Stops all tasks and closes all sockets."""
         self._sync.close()
         self._registration.close()
-        self._order_leader.close()
+        self._holder.close()
         self._gateway.close()
+        if self._calls is not None:
+            self._calls.close()
         if self._flusher is not None:
             self._flusher.cancel()
         for _address, server in self._servers.values():
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -3,9 +3,10 @@
 import asyncio
 import traceback
 
-from dandelionwinch.control import _order_leader
+from dandelionwinch.control import _lease_holder
 from dandelionwinch.control import _registered
 from dandelionwinch.control import _registration
+from dandelionwinch.control import _role_orders
 from dandelionwinch.control import _store
 from dandelionwinch import leadership
 from dandelionwinch import upstreams
@@ -204,7 +205,7 @@
         keys = {item.key for item in listing.items}
         if previous is not None and previous.epoch != listing.revision.epoch:
             self._store_restored(keys, now)
-        if _order_leader.HOLDER_KEY not in keys:
+        if _lease_holder.HOLDER_KEY not in keys:
             self.holder, self.holder_revision = '', 0
         # An announced role change is compared with its engine's entry, so
         # entries come first.
@@ -244,7 +245,7 @@
             upstream_id: (until, role)
             for upstream_id, (until, role) in self._role_changes.items()
             if until > now
-            and _order_leader.ROLE_CHANGE_PREFIX + upstream_id not in keys
+            and _role_orders.ROLE_CHANGE_PREFIX + upstream_id not in keys
         }
 
     def _is_outdated(self, item):
@@ -315,13 +316,13 @@
             self._apply_upstream(upstream_id, item, now)
         elif item.key.startswith(_registration.INSTANCE_PREFIX):
             self._apply_instance(item)
-        elif item.key == _order_leader.HOLDER_KEY:
+        elif item.key == _lease_holder.HOLDER_KEY:
             self.holder = (item.value or b'').decode(errors='replace')
             self.holder_revision = item.revision if self.holder else 0
             if self.holder:
                 self.last_holder = self.holder
                 self.last_holder_revision = item.revision
-        elif item.key == _order_leader.CAPACITY_KEY:
+        elif item.key == _role_orders.CAPACITY_KEY:
             self._apply_capacity(item)
         elif _is_role_change(item):
             self._apply_role_change(item)
@@ -334,15 +335,15 @@
     def _apply_role_change(self, item):
         if item.value is None:
             return
-        upstream_id = item.key.removeprefix(_order_leader.ROLE_CHANGE_PREFIX)
+        upstream_id = item.key.removeprefix(_role_orders.ROLE_CHANGE_PREFIX)
         role = item.value.decode(errors='replace')
         upstream = self._gateway.fleet.registry.get(upstream_id)
         if upstream is None or upstream.entry.role.value == role:
             return
         self._gateway.begin_role_change(
-            upstream_id, _order_leader.ROLE_CHANGE_S
+            upstream_id, _role_orders.ROLE_CHANGE_S
         )
-        until = self._loop.time() + _order_leader.ROLE_CHANGE_S
+        until = self._loop.time() + _role_orders.ROLE_CHANGE_S
         self._role_changes[upstream_id] = (until, role)
         self.lost_role_changes.pop(upstream_id, None)
         self._log.event('upstream.changing', upstream=upstream_id, role=role)
@@ -457,4 +458,4 @@
 
 
 def _is_role_change(item):
-    return item.key.startswith(_order_leader.ROLE_CHANGE_PREFIX)
+    return item.key.startswith(_role_orders.ROLE_CHANGE_PREFIX)
--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import enum
+import socket
+import struct
 import typing
 
 import attrs
@@ -31,6 +33,8 @@
 # has about 1 MB.
 MAX_CALL_BODY_BYTES = 1 << 24
 NO_BODY_STATUSES = (204, 304)
+# Value of SO_LINGER by which a close resets the connection.
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 class LossCause(enum.Enum):
@@ -246,6 +250,21 @@
         self._skipped_responses = 0
         self._transport.write(data)
 
+    def limit_delivery(self, timeout_s):
+        """Drops sent bytes that the peer does not acknowledge in time.
+
+        Without this, the system may deliver them long after they were sent,
+        once the network works again, also after `abort`.
+
+        Args:
+            timeout_s: Time after which the connection fails.
+        """
+        sock = self._transport.get_extra_info('socket')
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_s * 1e3)
+        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     async def next_item(self, timeout_s):
         """Returns the next Head, Data or End of the response.
 
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -12,6 +12,7 @@
 
 from dandelionwinch import control
 from dandelionwinch.platform import _boot
+from dandelionwinch.platform import _duty_api
 from dandelionwinch.platform import _holds
 from dandelionwinch.platform import _store
 from dandelionwinch.platform import _store_codec
@@ -46,6 +47,7 @@
             _wire_codec.WireCodec(),
             _store_codec.StoreCodec(),
             log,
+            _create_duty_api(loop, cfg.duty_settings),
         )
         add = self.instance.add_server
         add('readiness', cfg.readiness, self._answer_readiness)
@@ -101,6 +103,11 @@
         self.instance.close()
 
 
+def _create_duty_api(loop, settings):
+    """Returns the client of the duty API, None if there is no duty."""
+    return _duty_api.DutyApi(loop, settings) if settings.enabled else None
+
+
 async def _serve(path):
     loop = asyncio.get_running_loop()
     process = PlatformProcess(loop, _boot.load(path), path)
