--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -164,7 +164,6 @@
             self._calls,
             self._instance_names,
             self.log,
-            self._gateway.metrics.registry,
         )
         self._gateway.usage.receivers = self._usage_receivers
         self._sync.on_usage_report = duty.saw
--- a/dandelionwinch/control/_usage_duty.py
+++ b/dandelionwinch/control/_usage_duty.py
@@ -1,7 +1,5 @@
 """The duty of reporting what teams used, at the duty API."""
 
-import prometheus_client
-
 from dandelionwinch.control import _duty
 from dandelionwinch.control import _store
 from dandelionwinch import usage
@@ -30,7 +28,6 @@
         api: DutyApi.
         names: Function that returns the names of the registered instances.
         log: EventLog.
-        registry: Registry of metrics.
     """
 
     name = 'usage'
@@ -41,13 +38,12 @@
         '_log',
         '_names',
         '_reporter',
-        '_reports',
         '_sharing',
         '_store',
         '_token',
     )
 
-    def __init__(self, store, sharing, api, names, log, registry):
+    def __init__(self, store, sharing, api, names, log):
         self._store = store
         self._sharing = sharing
         self._api = api
@@ -56,12 +52,6 @@
         self._reporter = usage.Reporter(sharing.totals.window_s)
         self._token = 0
         self._epoch = None
-        self._reports = prometheus_client.Counter(
-            'dandelionwinch_usage_reports',
-            'Calls that report usage',
-            ['result'],
-            registry=registry,
-        )
 
     def saw(self, item):
         """Takes in the report in the store, from the watch.
@@ -182,7 +172,6 @@
     def _record_result(self, report, result):
         now = self._sharing.now()
         kind = _RESULTS[type(result)]
-        self._reports.labels(kind).inc()
         self._log.event(
             'usage.reported',
             window=report.window,
