--- a/dandelionwinch/control/__init__.py
+++ b/dandelionwinch/control/__init__.py
@@ -7,6 +7,15 @@
 from dandelionwinch.control._config import MEMORY_BYTES
 from dandelionwinch.control._config import READS_PER_S
 from dandelionwinch.control._config import WRITES_PER_S
+from dandelionwinch.control._duty import Accepted
+from dandelionwinch.control._duty import Authority
+from dandelionwinch.control._duty import CapacityOrder
+from dandelionwinch.control._duty import DutyApi
+from dandelionwinch.control._duty import NotSent
+from dandelionwinch.control._duty import Refused
+from dandelionwinch.control._duty import Throttled
+from dandelionwinch.control._duty import Unanswered
+from dandelionwinch.control._duty import UsageReport
 from dandelionwinch.control._epoch import EpochTracker
 from dandelionwinch.control._epoch import Lease
 from dandelionwinch.control._epoch import Revision
@@ -31,8 +40,12 @@
     'MEMORY_BYTES',
     'READS_PER_S',
     'WRITES_PER_S',
+    'Accepted',
+    'Authority',
+    'CapacityOrder',
     'Conflict',
     'Duty',
+    'DutyApi',
     'DutySettings',
     'EntryInvalid',
     'EpochChanged',
@@ -44,6 +57,8 @@
     'Lease',
     'LeaseEnded',
     'Listing',
+    'NotSent',
+    'Refused',
     'RegisteredInstances',
     'Registration',
     'Revision',
@@ -52,4 +67,7 @@
     'StoreFailed',
     'StoreRefused',
     'StoreSync',
+    'Throttled',
+    'Unanswered',
+    'UsageReport',
 ]
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -6,10 +6,15 @@
 import prometheus_client
 
 from dandelionwinch import addresses
-from dandelionwinch.control import _order_leader
+from dandelionwinch.control import _config
+from dandelionwinch.control import _duty_calls
+from dandelionwinch.control import _lease_holder
 from dandelionwinch.control import _order_sender
 from dandelionwinch.control import _registration
+from dandelionwinch.control import _role_orders
 from dandelionwinch.control import _sync
+from dandelionwinch.control import _usage_duty
+from dandelionwinch.control import _workers
 from dandelionwinch import eventlog
 from dandelionwinch import gateway
 from dandelionwinch import routes
@@ -24,6 +29,8 @@
 SEND_TIMEOUT_S = 0.25
 DRAIN_POLL_S = 0.1
 SEND_POLL_S = 0.02
+# Instances beside the holder that get the totals of usage.
+USAGE_SUCCESSORS = 2
 # Characters of a malformed epoch that are logged.
 MAX_LOGGED_EPOCH = 40
 
@@ -38,12 +45,22 @@
         wire_codec: WireCodec of the requests and responses.
         store_codec: StoreCodec of the entries in the store.
         log: EventLog, or None for a new one.
+        duty_api: DutyApi, or None if the settings name no duty.
 
     Attributes:
         log: The EventLog.
     """
 
-    def __init__(self, loop, cfg, store, wire_codec, store_codec, log=None):
+    def __init__(
+        self,
+        loop,
+        cfg,
+        store,
+        wire_codec,
+        store_codec,
+        log=None,
+        duty_api=None,
+    ):
         self._loop = loop
         self._cfg = cfg
         self._store = store
@@ -76,14 +93,16 @@
             max(_registration.LEASE_S, cfg.min_lease_s),
             self._restore_delay_s,
         )
-        self._order_leader = _order_leader.OrderLeader(
+        self._calls = None
+        if cfg.duty_settings.enabled and duty_api is not None:
+            self._calls = _duty_calls.DutyCalls(
+                loop, duty_api, self.log, self._gateway.metrics.registry
+            )
+        self._holder = _lease_holder.LeaseHolder(
             loop,
             store,
             self._sync,
-            self._gateway,
-            _order_sender.OrderSender(
-                self._gateway.fleet, wire_codec, cfg.instance
-            ),
+            self._create_worker(wire_codec),
             self.log,
             rng,
             cfg,
@@ -112,6 +131,58 @@
         self._stopping = False
         self._stopped = loop.create_future()
 
+    def _create_worker(self, wire_codec):
+        """Returns what the holder of the lease has to do."""
+        role_orders = _role_orders.RoleOrders(
+            self._loop,
+            self._store,
+            self._sync,
+            self._gateway,
+            _order_sender.OrderSender(
+                self._gateway.fleet, wire_codec, self._cfg.instance
+            ),
+            self.log,
+        )
+        if self._calls is None:
+            return _workers.InlineWorker(role_orders)
+        duties = [role_orders, *self._create_duties()]
+        return _workers.DutyRunner(self._loop, duties, self._calls, self.log)
+
+    def _create_duties(self):
+        """Returns the duties that are performed at the duty API.
+
+        Each is created for its item in `cfg.duty_settings.duties`, and makes
+        its calls through `self._calls`, a DutyApi.
+        """
+        duties = []
+        wanted = self._cfg.duty_settings.duties
+        if _config.Duty.USAGE in wanted:
+            duties.append(self._create_usage_duty())
+        return duties
+
+    def _create_usage_duty(self):
+        duty = _usage_duty.UsageDuty(
+            self._store,
+            self._gateway.usage,
+            self._calls,
+            self._instance_names,
+            self.log,
+        )
+        self._gateway.usage.receivers = self._usage_receivers
+        self._sync.on_usage_report = duty.saw
+        return duty
+
+    def _instance_names(self):
+        return [e.name for e in self._sync.registered.entries.values()]
+
+    def _usage_receivers(self):
+        """Returns the holder and the instances that would follow it."""
+        holder = self._sync.holder
+        candidates = self._sync.candidates()
+        if not holder:
+            return candidates[: USAGE_SUCCESSORS + 1]
+        return [holder, *candidates[:USAGE_SUCCESSORS]]
+
     def add_server(self, name, address, handler):
         """Adds a server beside that for callers, such as a probe.
 
@@ -151,10 +222,15 @@
 
     def _on_config(self, table):
         self._caller_server.limits = table.limits
+        self._gateway.usage.in_use = self._usage_in_use(table)
         if not self._registered and not self._stopping:
             self._registered = True
             self._registration.start()
-            self._order_leader.start()
+            self._holder.start()
+
+    def _usage_in_use(self, table):
+        reports_usage = self._cfg.duty_settings.reports_usage
+        return reports_usage and table.teams is not None
 
     def _on_epoch(self, previous, epoch):
         self._epoch_changes.inc()
@@ -222,7 +298,7 @@
     async def _drain(self, began, stop_at):
         """Ends a graceful stop when no request is left or time is up."""
         self._loop.create_task(self._registration.withdraw())
-        self._loop.create_task(self._order_leader.resign())
+        self._loop.create_task(self._holder.resign())
         self._caller_server.drain()
         while self._loop.time() < stop_at:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -251,8 +327,10 @@
         """Stops all tasks and closes all sockets."""
         self._sync.close()
         self._registration.close()
-        self._order_leader.close()
+        self._holder.close()
         self._gateway.close()
+        if self._calls is not None:
+            self._calls.close()
         if self._flusher is not None:
             self._flusher.cancel()
         for _address, server in self._servers.values():
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -3,10 +3,13 @@
 import asyncio
 import traceback
 
-from dandelionwinch.control import _order_leader
+from dandelionwinch.control import _lease_holder
 from dandelionwinch.control import _registered
 from dandelionwinch.control import _registration
+from dandelionwinch.control import _role_orders
 from dandelionwinch.control import _store
+from dandelionwinch.control import _usage_duty
+from dandelionwinch import leadership
 from dandelionwinch import upstreams
 
 ALL_KEYS = ''
@@ -42,8 +45,12 @@
         holder: Name of the holder of the order lease, or ''.
         holder_revision: Number of the revision of the holder's key, 0
             without a holder.
+        last_holder: Name of the last holder that was seen, or ''.
+        last_holder_revision: Number of the revision of its key.
         lost_role_changes: Latest time and role of announced role changes
             that a restored store has lost, by upstream.
+        on_usage_report: Function that is called with each Item of the report
+            of usage.
         registered: The RegisteredInstances.
     """
 
@@ -65,8 +72,11 @@
         '_watch_call',
         'holder',
         'holder_revision',
+        'last_holder',
+        'last_holder_revision',
         'lost_role_changes',
         'on_config',
+        'on_usage_report',
         'registered',
     )
 
@@ -91,9 +101,12 @@
         self._store_reached_at = float('-inf')
         self.holder = ''
         self.holder_revision = 0
+        self.last_holder = ''
+        self.last_holder_revision = 0
         self.lost_role_changes = {}
         self.registered = _registered.RegisteredInstances(cfg.writes_per_s)
         self.on_config = on_config
+        self.on_usage_report = _ignore
 
     def start(self):
         """Starts following the store."""
@@ -126,6 +139,18 @@
             and self._revision.epoch == self._store.epochs.current
         )
 
+    def candidates(self):
+        """Returns names of the instances that may follow the last holder.
+
+        They try in this order, which is the same at all instances that know
+        the same holder and instances.
+        """
+        return leadership.candidate_order(
+            [entry.name for entry in self.registered.entries.values()],
+            self.last_holder,
+            self.last_holder_revision,
+        )
+
     @property
     def has_routes(self):
         """Whether a valid configuration was received."""
@@ -187,7 +212,7 @@
         keys = {item.key for item in listing.items}
         if previous is not None and previous.epoch != listing.revision.epoch:
             self._store_restored(keys, now)
-        if _order_leader.HOLDER_KEY not in keys:
+        if _lease_holder.HOLDER_KEY not in keys:
             self.holder, self.holder_revision = '', 0
         # An announced role change is compared with its engine's entry, so
         # entries come first.
@@ -228,7 +253,7 @@
             upstream_id: (until, role)
             for upstream_id, (until, role) in self._role_changes.items()
             if until > now
-            and _order_leader.ROLE_CHANGE_PREFIX + upstream_id not in keys
+            and _role_orders.ROLE_CHANGE_PREFIX + upstream_id not in keys
         }
 
     def _is_outdated(self, item):
@@ -308,11 +333,16 @@
             self._apply_upstream(upstream_id, item, now)
         elif item.key.startswith(_registration.INSTANCE_PREFIX):
             self._apply_instance(item)
-        elif item.key == _order_leader.HOLDER_KEY:
+        elif item.key == _lease_holder.HOLDER_KEY:
             self.holder = (item.value or b'').decode(errors='replace')
             self.holder_revision = item.revision if self.holder else 0
-        elif item.key == _order_leader.CAPACITY_KEY:
+            if self.holder:
+                self.last_holder = self.holder
+                self.last_holder_revision = item.revision
+        elif item.key == _role_orders.CAPACITY_KEY:
             self._apply_capacity(item)
+        elif item.key == _usage_duty.REPORT_KEY:
+            self.on_usage_report(item)
         elif _is_role_change(item):
             self._apply_role_change(item)
 
@@ -324,15 +354,15 @@
     def _apply_role_change(self, item):
         if item.value is None:
             return
-        upstream_id = item.key.removeprefix(_order_leader.ROLE_CHANGE_PREFIX)
+        upstream_id = item.key.removeprefix(_role_orders.ROLE_CHANGE_PREFIX)
         role = item.value.decode(errors='replace')
         upstream = self._gateway.fleet.registry.get(upstream_id)
         if upstream is None or upstream.entry.role.value == role:
             return
         self._gateway.begin_role_change(
-            upstream_id, _order_leader.ROLE_CHANGE_S
+            upstream_id, _role_orders.ROLE_CHANGE_S
         )
-        until = self._loop.time() + _order_leader.ROLE_CHANGE_S
+        until = self._loop.time() + _role_orders.ROLE_CHANGE_S
         self._role_changes[upstream_id] = (until, role)
         self.lost_role_changes.pop(upstream_id, None)
         self._log.event('upstream.changing', upstream=upstream_id, role=role)
@@ -461,5 +491,9 @@
             self._log.event('instance.gone', key=key)
 
 
+def _ignore(_item):
+    pass
+
+
 def _is_role_change(item):
-    return item.key.startswith(_order_leader.ROLE_CHANGE_PREFIX)
+    return item.key.startswith(_role_orders.ROLE_CHANGE_PREFIX)
