--- /dev/null
+++ b/dandelionwinch/capacity/_places.py
@@ -0,0 +1,88 @@
+"""Counts of upstreams by data centre and kind."""
+
+import collections
+import enum
+
+import attrs
+
+from dandelionwinch import upstreams
+
+
+class Kind(enum.Enum):
+    """Kind of an upstream.
+
+    A RECLAIMABLE one is cheap and may be taken away at short notice.
+    """
+
+    ORDINARY = 'ordinary'
+    RECLAIMABLE = 'reclaimable'
+
+
+@attrs.frozen
+class Place:
+    """A data centre and a kind, whose upstreams one order counts."""
+
+    data_centre: str
+    kind: Kind
+
+
+@attrs.frozen
+class View:
+    """The upstreams of a service, by their entries in the store.
+
+    Attributes:
+        serving: Number of upstreams that accept requests, by Place. Those
+            that drain are no capacity.
+        draining: Ids of the upstreams that drain, by Place.
+        roles: Number of serving upstreams by data centre and Role.
+    """
+
+    serving: dict
+    draining: dict
+    roles: dict
+
+    @property
+    def total(self):
+        """Number of upstreams that accept requests."""
+        return sum(self.serving.values())
+
+    def in_data_centre(self, data_centre):
+        """Returns the number that accepts requests in a data centre."""
+        return sum(
+            self.serving.get(Place(data_centre, kind), 0) for kind in Kind
+        )
+
+    def spare_of_role(self, data_centre):
+        """Returns how many may leave without a role being lost.
+
+        An order states a number only, so whichever upstreams leave, one of
+        each role that the data centre has must remain.
+        """
+        counts = [
+            count
+            for (place, role), count in self.roles.items()
+            if place == data_centre and role is not upstreams.Role.PLAIN
+        ]
+        if len(counts) < 2:
+            return self.in_data_centre(data_centre)
+        return min(counts) - 1
+
+
+def view_of(entries):
+    """Returns the View of a service.
+
+    Args:
+        entries: Entries of its upstreams that are in the store.
+    """
+    serving = collections.Counter()
+    draining = {}
+    roles = collections.Counter()
+    for entry in entries:
+        kind = Kind.RECLAIMABLE if entry.reclaimable else Kind.ORDINARY
+        place = Place(entry.data_centre, kind)
+        if entry.ready:
+            serving[place] += 1
+            roles[entry.data_centre, entry.role] += 1
+        else:
+            draining.setdefault(place, set()).add(entry.id)
+    return View(dict(serving), draining, dict(roles))
--- a/dandelionwinch/platform/_store_codec.py
+++ b/dandelionwinch/platform/_store_codec.py
@@ -1,6 +1,7 @@
 """Decodes the platform's store: configuration and entries of upstreams."""
 
 import json
+import math
 
 from dandelionwinch import control
 from dandelionwinch import routes
@@ -85,9 +86,29 @@
         _read_field(data, 'slots', int, path),
         _read_field(data, 'version', str, path),
         _read_sequence(data),
+        _read_reclaimable(data, path),
+        _read_leaves_in_s(data, path),
     )
 
 
+def _read_reclaimable(data, path):
+    value = data.get('spot', False)
+    if not isinstance(value, bool):
+        raise control.EntryInvalid(f'field "spot" of "{path}" is {value!r}')
+    return value
+
+
+def _read_leaves_in_s(data, path):
+    if data.get('leaves_ms') is None:
+        return None
+    value = _read_field(data, 'leaves_ms', (int, float), path)
+    if not math.isfinite(value):
+        raise control.EntryInvalid(
+            f'field "leaves_ms" of "{path}" is {value!r}'
+        )
+    return max(0.0, value / 1e3)
+
+
 def _read_sequence(data):
     sequence = data.get('sequence')
     return sequence if type(sequence) is int else 0
@@ -173,9 +194,39 @@
         _read_field(item, 'name', str, path),
         _read_field(item, 'maxConnections', int, path),
         _read_engine(engine, path) if engine else None,
+        _read_scaling(item.get('scaling'), path + '.scaling'),
     )
 
 
+def _read_scaling(item, path):
+    if item is None:
+        return None
+    least = _read_field(item, 'minReplicas', int, path)
+    most = _read_field(item, 'maxReplicas', int, path)
+    if not 0 <= least <= most:
+        raise control.EntryInvalid(
+            f'"{path}" allows {least} to {most} replicas'
+        )
+    price = None
+    if item.get('spotPrice') is not None:
+        price = _read_number(item, 'spotPrice', path)
+    prices = item.get('zonePrices') or {}
+    return routes.Scaling(
+        least,
+        most,
+        _read_number(item, 'bootS', path),
+        price,
+        {name: _read_number(prices, name, path) for name in prices},
+    )
+
+
+def _read_number(data, name, path):
+    value = float(_read_field(data, name, (int, float), path))
+    if not 0 <= value < math.inf:
+        raise control.EntryInvalid(f'field "{name}" of "{path}" is {value}')
+    return value
+
+
 def _read_engine(item, path):
     return routes.EngineSpec(
         _read_field(item, 'slots', int, path),
--- a/dandelionwinch/routes/__init__.py
+++ b/dandelionwinch/routes/__init__.py
@@ -5,6 +5,7 @@
 from dandelionwinch.routes._table import RetryPolicy
 from dandelionwinch.routes._table import Route
 from dandelionwinch.routes._table import RouteTable
+from dandelionwinch.routes._table import Scaling
 from dandelionwinch.routes._table import Service
 from dandelionwinch.routes._table import TrafficShare
 
@@ -14,6 +15,7 @@
     'RetryPolicy',
     'Route',
     'RouteTable',
+    'Scaling',
     'Service',
     'TrafficShare',
 ]
--- a/dandelionwinch/routes/_table.py
+++ b/dandelionwinch/routes/_table.py
@@ -117,6 +117,30 @@
     role_switch_s: float
 
 
+@attrs.frozen
+class Scaling:
+    """Within which limits, and at which prices, upstreams are ordered.
+
+    Attributes:
+        least: Smallest number of upstreams of both kinds in a data centre.
+        most: Largest number of them.
+        boot_s: Time from an order until a new upstream serves.
+        reclaimable_price: Price of a reclaimable upstream over that of an
+            ordinary one, None if there are no reclaimable ones.
+        prices: Price of a second of an ordinary upstream by data centre.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    reclaimable_price: float | None
+    prices: dict
+
+    def price(self, data_centre):
+        """Returns the price of an ordinary upstream's second."""
+        return self.prices.get(data_centre, 1.0)
+
+
 @attrs.frozen
 class Service:
     """A service.
@@ -125,11 +149,13 @@
         max_connections: Maximum number of connections to one upstream,
             from all instances together.
         engine: Properties of its engines, None for a plain service.
+        scaling: Scaling, None if its upstreams are not ordered.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    scaling: Scaling | None = None
 
 
 @attrs.frozen
--- a/dandelionwinch/tools/bench.py
+++ b/dandelionwinch/tools/bench.py
@@ -18,6 +18,7 @@
 from dandelionwinch.bench import _plot
 from dandelionwinch.bench import _policies
 from dandelionwinch.bench import _relay
+from dandelionwinch.bench import _scaling
 from dandelionwinch.bench import _simulation
 from dandelionwinch.bench import _takeover
 from dandelionwinch.bench import _trace
@@ -205,6 +206,13 @@
     _print_rows(_capacity.measure(seed), as_json)
 
 
+@bench.command()
+@_common_options
+def scaling(seed, as_json):
+    """Compare ordered capacity with the fleet of the start and an oracle."""
+    _print_rows(_scaling.measure(seed), as_json)
+
+
 @bench.command()
 @click.option(
     '--matter',
--- a/dandelionwinch/upstreams/_registry.py
+++ b/dandelionwinch/upstreams/_registry.py
@@ -48,6 +48,9 @@
         software_version: Version of its software, not of its weights. A
             stream can't be resumed at another one.
         sequence: Number that rises with the entries of one incarnation.
+        reclaimable: Whether it may be taken away at short notice.
+        leaves_in_s: Time from the write of this entry until a draining
+            upstream ends, None if it is not stated.
     """
 
     id: str
@@ -60,6 +63,8 @@
     slots: int
     software_version: str = ''
     sequence: int = 0
+    reclaimable: bool = False
+    leaves_in_s: float | None = None
 
     @property
     def incarnation(self):
