--- a/dandelionwinch/capacity/_places.py
+++ b/dandelionwinch/capacity/_places.py
@@ -52,20 +52,17 @@
             self.serving.get(Place(data_centre, kind), 0) for kind in Kind
         )
 
-    def spare_of_role(self, data_centre):
-        """Returns how many may leave without a role being lost.
+    def spare_decoders(self, data_centre):
+        """Returns how many may leave while one that decodes remains.
 
-        An order states a number only, so whichever upstreams leave, one of
-        each role that the data centre has must remain.
+        An order states a number only, so the platform may choose any of
+        them. A data centre without a prefill engine still reads prompts, as
+        engines that decode then do both; one without an engine that decodes
+        sends its answers elsewhere until a role order is in effect.
         """
-        counts = [
-            count
-            for (place, role), count in self.roles.items()
-            if place == data_centre and role is not upstreams.Role.PLAIN
-        ]
-        if len(counts) < 2:
-            return self.in_data_centre(data_centre)
-        return min(counts) - 1
+        total = self.in_data_centre(data_centre)
+        prefill = self.roles.get((data_centre, upstreams.Role.PREFILL), 0)
+        return total if not prefill else total - prefill - 1
 
 
 def view_of(entries):
--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -237,4 +237,4 @@
         """Returns how many a data centre can give up now."""
         planned = sum(self._count(name, kind) for kind in _places.Kind)
         in_place = self._view.in_data_centre(name) - planned
-        return min(in_place, self._view.spare_of_role(name))
+        return min(in_place, self._view.spare_decoders(name))
--- a/dandelionwinch/dispatch/_engine_knowledge.py
+++ b/dandelionwinch/dispatch/_engine_knowledge.py
@@ -89,6 +89,10 @@
         read_s = self._model.read_s(engine.entry, tokens)
         return self._round_trip_s(engine) + read_s
 
+    def work_s(self, engine, tokens):
+        """Returns the learnt time in which an engine reads tokens."""
+        return self._model.read_s(engine.entry, tokens)
+
     def _prefill_rate(self, engine):
         return self._prefill_rates.get(engine.entry)
 
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -10,6 +10,8 @@
 from dandelionwinch.gateway import _cache_watch
 from dandelionwinch.gateway import _call_handler
 from dandelionwinch.gateway import _crash_guard
+from dandelionwinch.gateway import _demand_link
+from dandelionwinch.gateway import _demand_meter
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
 from dandelionwinch.gateway import _leaving_notices
@@ -40,6 +42,7 @@
         active: Number of requests in progress.
         budget: The SharedRetryBudget.
         crash_guard: The CrashGuard.
+        demand: The DemandLink.
         distances: Round-trip times to data centres.
         fleet: Upstreams and their connection pools.
         peers: The PeerLink to other instances.
@@ -50,6 +53,7 @@
 
     __slots__ = (
         '_cache_watch',
+        '_demand_meter',
         '_durations',
         '_ended',
         '_limits',
@@ -59,6 +63,7 @@
         'active',
         'budget',
         'crash_guard',
+        'demand',
         'distances',
         'fleet',
         'log',
@@ -112,6 +117,12 @@
         self.crash_guard = _crash_guard.CrashGuard(
             loop, self.fleet, self.peers, log, self.metrics, self.rng
         )
+        self._demand_meter = _demand_meter.DemandMeter(
+            loop, self.fleet, self.placer
+        )
+        self.demand = _demand_link.DemandLink(
+            loop, self.peers, self._demand_meter, cfg.instance
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -137,6 +148,7 @@
             self._sweep_timer.cancel()
         self._cache_watch.close()
         self.crash_guard.close()
+        self.demand.close()
         self._limits.close()
         self.peers.close()
         self.fleet.close()
@@ -341,6 +353,7 @@
             reason: Why the last attempt failed, '' if it succeeded.
         """
         elapsed_s = handler.elapsed_s()
+        self._demand_meter.record(handler, status)
         name = handler.route.name
         stages = {
             'prefill': handler.prefill_s,
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -91,6 +91,7 @@
         self._begun = False
         prompt = self._req.prompt
         placement = self._take_choice()
+        self.placement = placement
         self._gateway.log_placement(self._req.id, placement)
         self._gateway.placer.record_sent(prompt, placement, now)
         try:
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -71,6 +71,8 @@
         longest_gap_s: Longest time between two events of a stream.
         prefill_s: Duration of a prefill at a separate engine, 0 if there
             was none.
+        placement: Placement of the last attempt, None if there was none or
+            for a plain call.
         outcome: Outcome of the request for the log and the metrics.
         upstream_id: Id of the upstream of the last attempt.
     """
@@ -100,6 +102,7 @@
         'first_event_s',
         'longest_gap_s',
         'outcome',
+        'placement',
         'prefill_s',
         'upstream_id',
     )
@@ -144,6 +147,7 @@
         self.first_event_s = 0.0
         self.longest_gap_s = 0.0
         self.prefill_s = 0.0
+        self.placement = None
         self.outcome = ''
         self.upstream_id = ''
 
@@ -152,6 +156,16 @@
         """Returns the route of the request."""
         return self._route
 
+    @property
+    def service(self):
+        """Returns the name of the service."""
+        return self._service
+
+    @property
+    def prompt(self):
+        """Returns the Prompt, None for a plain call."""
+        return self._req.prompt
+
     @property
     def request_id(self):
         """Returns the id of the request."""
