--- a/dandelionwinch/capacity/__init__.py
+++ b/dandelionwinch/capacity/__init__.py
@@ -5,6 +5,7 @@
 from dandelionwinch.capacity._orders import Order
 from dandelionwinch.capacity._orders import Orders
 from dandelionwinch.capacity._orders import Outcome
+from dandelionwinch.capacity._orders import RETRY_S
 from dandelionwinch.capacity._places import Kind
 from dandelionwinch.capacity._places import Place
 from dandelionwinch.capacity._places import View
@@ -15,6 +16,7 @@
 from dandelionwinch.capacity._reports import DemandReports
 
 __all__ = [
+    'RETRY_S',
     'Demand',
     'DemandReports',
     'Forecast',
--- a/dandelionwinch/capacity/_forecast.py
+++ b/dandelionwinch/capacity/_forecast.py
@@ -20,6 +20,9 @@
 WINDOW_S = 40.0
 # Time over which the present demand is averaged.
 PRESENT_S = 3.0
+# Number of samples after which the demand counts for ordinary upstreams too;
+# a single one may be far off, and they are dear.
+MIN_SAMPLES = 5
 # Observed time after which the demand may lower the number at the start.
 KNOWN_AFTER_S = 30.0
 # Bounds of the mean excess of the demand over its mean, as a ratio. Bursts
@@ -27,16 +30,17 @@
 MIN_SPREAD = 0.15
 MAX_SPREAD = 0.6
 # Part of an upstream's time that is used if no work is to wait, before it
-# was observed, and its bounds.
+# was observed, and its bounds. They are wide, as the learnt times of engines
+# may be off by a factor.
 USE_RATIO = 0.65
-MIN_USE_RATIO = 0.3
-MAX_USE_RATIO = 0.9
+MIN_USE_RATIO = 0.05
+MAX_USE_RATIO = 3.0
 # Part of the work that is refused or late, above which the use at that time
 # is what the upstreams can bear.
 SHORTAGE_RATIO = 0.05
 # Gains a second of the moving average of that use, and of its return.
-USE_GAIN = 0.05
-USE_RETURN_GAIN = 0.005
+USE_GAIN = 0.1
+USE_RETURN_GAIN = 0.002
 # Refused work that counts, as a multiple of the work done; callers retry.
 MAX_SHORT_RATIO = 1.0
 # Part of the work that is urgent, and the quantile of the demand that is its
@@ -46,6 +50,10 @@
 # Smallest usual demand as a part of the number at the start, before any
 # demand is known.
 START_LEAST_RATIO = 0.4
+# Part of the number at the start below which no need sinks. Reclaimable ones
+# cost little, and the work may be measured as too little by a factor: without
+# this, a fourth of the real work let 1.3 to 2.3 % be refused.
+FLOOR_RATIO = 0.75
 # A lower need counts after this time, and by one such step at a time.
 SHRINK_AFTER_S = 10.0
 SHRINK_RATIO = 0.75
@@ -102,20 +110,25 @@
     Args:
         start: Number of upstreams that stand before any demand is known.
         cheap_price: Price of a reclaimable upstream over an ordinary one.
+        most: Largest number of upstreams in all data centres.
     """
 
     __slots__ = (
         '_cheap',
         '_cheap_price',
         '_dear',
+        '_floor',
+        '_most',
         '_samples',
         '_since',
         '_urgent',
         '_use_ratio',
     )
 
-    def __init__(self, start, cheap_price):
+    def __init__(self, start, cheap_price, most):
         self._cheap_price = cheap_price
+        self._most = most
+        self._floor = FLOOR_RATIO * start
         self._cheap = _SteadyLevel(start)
         self._dear = _SteadyLevel(start)
         self._urgent = _SteadyLevel(URGENT_RATIO * START_LEAST_RATIO * start)
@@ -147,6 +160,10 @@
             self._samples.popleft()
         self._learn_use(demand, serving)
         self._update_levels(now)
+        if _is_shortage(demand):
+            # Whatever the work is measured as, these are too few.
+            level = serving * (1.0 + demand.short / demand.total)
+            self._cheap.update(min(self._most, level), now, False)
 
     def need(self):
         """Returns the Need."""
@@ -169,7 +186,7 @@
             return
         use = demand.done / serving
         ratio = self._use_ratio
-        if demand.short > SHORTAGE_RATIO * demand.total:
+        if _is_shortage(demand):
             if use < ratio:
                 ratio += USE_GAIN * (use - ratio)
         else:
@@ -179,11 +196,15 @@
 
     def _update_levels(self, now):
         known = now - self._since >= KNOWN_AFTER_S
-        use = self._use_ratio
-        self._cheap.update(self._peak(self._cheap_price) / use, now, known)
-        self._dear.update(self._peak(1.0) / use, now, known)
-        urgent = URGENT_RATIO * self._least() / use
-        self._urgent.update(urgent, now, known)
+
+        def update(level, work, floor=0.0):
+            count = min(self._most, work / self._use_ratio)
+            level.update(max(floor, count), now, known)
+
+        update(self._cheap, self._peak(self._cheap_price), self._floor)
+        if len(self._samples) >= MIN_SAMPLES:
+            update(self._dear, self._peak(1.0))
+            update(self._urgent, URGENT_RATIO * self._least())
 
     def _peak(self, price):
         """Returns the demand up to which capacity of a price pays."""
@@ -191,7 +212,7 @@
         mean, spread = self._distribution()
         usual = mean * (1.0 + spread * reach)
         present = self._present(self._samples[-1][0])
-        return max(usual, present * (1.0 + MIN_SPREAD * reach))
+        return max(usual, present * (1.0 + MIN_SPREAD))
 
     def _distribution(self):
         """Returns the mean and the mean excess as a ratio of the mean."""
@@ -204,11 +225,13 @@
         return mean, min(MAX_SPREAD, max(MIN_SPREAD, spread))
 
     def _present(self, now):
-        recent = [
-            total for at, total in self._samples if at > now - PRESENT_S
-        ]
+        recent = [total for at, total in self._samples if at > now - PRESENT_S]
         return sum(recent) / len(recent)
 
     def _least(self):
         totals = sorted(total for _at, total in self._samples)
         return totals[int(LEAST_QUANTILE * (len(totals) - 1))]
+
+
+def _is_shortage(demand):
+    return demand.short > SHORTAGE_RATIO * demand.total
--- a/dandelionwinch/capacity/_places.py
+++ b/dandelionwinch/capacity/_places.py
@@ -25,6 +25,11 @@
     data_centre: str
     kind: Kind
 
+    @property
+    def reclaimable(self):
+        """Whether its upstreams may be taken away."""
+        return self.kind is Kind.RECLAIMABLE
+
 
 @attrs.frozen
 class View:
--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -63,6 +63,7 @@
         self._trim_reclaimable()
         self._replace_missing()
         self._hold_back()
+        self._fit()
         return dict(self._counts)
 
     def _price_key(self, data_centre):
@@ -94,6 +95,11 @@
     def _has_room(self, name):
         return self._in_data_centre(name) < self._scaling.most
 
+    def _has_ordinary_room(self, name):
+        """Tells whether there is room beside what is planned."""
+        total = self._count(name, _ORDINARY) + self._count(name, _RECLAIMABLE)
+        return total < self._scaling.most
+
     def _obtainable(self, name, kind):
         return _places.Place(name, kind) not in self._refused
 
@@ -127,7 +133,8 @@
         stands = self._count(name, _ORDINARY) < self._before(name, _ORDINARY)
         if stands:
             return True
-        return self._has_room(name) and self._obtainable(name, _ORDINARY)
+        has_room = self._has_ordinary_room(name)
+        return has_room and self._obtainable(name, _ORDINARY)
 
     def _ordinary_key(self, name):
         stands = self._count(name, _ORDINARY) < self._before(name, _ORDINARY)
@@ -233,6 +240,20 @@
                 spare -= drop
                 self._set(name, kind, before - drop)
 
+    def _fit(self):
+        """Lets a kind grow only into the room that the other one has left."""
+        for name in self._data_centres:
+            for kind, other in (
+                (_ORDINARY, _RECLAIMABLE),
+                (_RECLAIMABLE, _ORDINARY),
+            ):
+                taken = max(
+                    self._count(name, other), self._before(name, other)
+                )
+                before = self._before(name, kind)
+                most = max(before, self._scaling.most - taken)
+                self._set(name, kind, min(self._count(name, kind), most))
+
     def _spare_in(self, name):
         """Returns how many a data centre can give up now."""
         planned = sum(self._count(name, kind) for kind in _places.Kind)
--- a/dandelionwinch/capacity/_planner.py
+++ b/dandelionwinch/capacity/_planner.py
@@ -60,10 +60,7 @@
         if self._forecast is None:
             if not view.total:
                 return []
-            price = self.scaling.reclaimable_price
-            self._forecast = _forecast.Forecast(
-                _start_need(view), 1.0 if price is None else price
-            )
+            self._forecast = self._start_forecast(view)
         self._orders.observe(view, now)
         self._forecast.observe(demand, view.total, now)
         self._planned = _plan.plan(
@@ -75,6 +72,16 @@
         )
         return self._orders.due(self._planned, now)
 
+    def _start_forecast(self, view):
+        price = self.scaling.reclaimable_price
+        data_centres = {place.data_centre for place in view.serving}
+        data_centres.update(self.scaling.prices)
+        return _forecast.Forecast(
+            _start_need(view),
+            1.0 if price is None else price,
+            self.scaling.most * len(data_centres),
+        )
+
 
 def _start_need(view):
     """Returns the number to keep before any demand is known.
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -6,6 +6,8 @@
 import prometheus_client
 
 from dandelionwinch import addresses
+from dandelionwinch.control import _capacity_duty
+from dandelionwinch.control import _config
 from dandelionwinch.control import _order_leader
 from dandelionwinch.control import _order_sender
 from dandelionwinch.control import _registration
@@ -106,6 +108,7 @@
         )
         store.epochs.on_change = self._on_epoch
         store.epochs.on_invalid = self._on_invalid_epoch
+        self._capacity_duty = None
         self._duties = []
         if cfg.duty_settings.enabled and duty_api is not None:
             self._duties = self._create_duties()
@@ -129,6 +132,16 @@
         Each is created for its item in `cfg.duty_settings.duties`.
         """
         duties = []
+        if _config.Duty.CAPACITY in self._cfg.duty_settings.duties:
+            self._capacity_duty = _capacity_duty.CapacityDuty(
+                self._loop,
+                self._gateway,
+                self._sync,
+                self._duty_api,
+                self.log,
+                self._cfg.instance,
+            )
+            duties.append(self._capacity_duty)
         return duties
 
     def add_server(self, name, address, handler):
@@ -227,6 +240,12 @@
         """Lifts a hold at all instances; tells whether it was held here."""
         return self._gateway.crash_guard.lift(subject)
 
+    def capacity(self):
+        """Returns the plan of capacity as data, None without that duty."""
+        if self._capacity_duty is None:
+            return None
+        return self._capacity_duty.report()
+
     def stop(self):
         """Begins a graceful stop."""
         if self._stopping:
--- a/dandelionwinch/dispatch/_roles.py
+++ b/dandelionwinch/dispatch/_roles.py
@@ -4,6 +4,9 @@
 their initial role. Each data centre needs a decode engine, and may have one
 prefill engine more than decode engines. Half of its engines prefill if the
 other half has slots for the decodes.
+
+Reclaimable engines may be taken away at short notice, all of a data centre at
+once. Of the ordinary ones, which remain, one decodes.
 """
 
 import attrs
@@ -41,7 +44,7 @@
         prefill = [e for e in group if _is_prefill(e)]
         decode_count = len(group) - len(prefill)
         if prefill and (not decode_count or len(prefill) > decode_count + 1):
-            return RoleChange(_least_busy(prefill), upstreams.Role.DECODE)
+            return RoleChange(_first_to_decode(prefill), upstreams.Role.DECODE)
     decode = [e for e in engines if not _is_prefill(e)]
     if not _has_spare_slots(decode, decodes):
         return None
@@ -49,7 +52,22 @@
         prefill = [e for e in group if _is_prefill(e)]
         if len(prefill) < len(group) // 2:
             candidates = [e for e in group if not _is_prefill(e)]
-            return RoleChange(_least_busy(candidates), upstreams.Role.PREFILL)
+            return RoleChange(
+                _first_to_prefill(candidates), upstreams.Role.PREFILL
+            )
+    return _plan_lasting_decoder(data_centres.values())
+
+
+def _plan_lasting_decoder(groups):
+    """Plans that an ordinary engine decodes where none does.
+
+    A reclaimable one then prefills in its place.
+    """
+    for group in sorted(groups, key=len, reverse=True):
+        lasting = [e for e in group if not e.entry.reclaimable]
+        mixed = lasting and len(lasting) < len(group)
+        if mixed and all(_is_prefill(e) for e in lasting):
+            return RoleChange(_least_busy(lasting), upstreams.Role.DECODE)
     return None
 
 
@@ -64,6 +82,16 @@
     return engine.entry.role is upstreams.Role.PREFILL
 
 
+def _first_to_prefill(group):
+    reclaimable = [e for e in group if e.entry.reclaimable]
+    return _least_busy(reclaimable or group)
+
+
+def _first_to_decode(group):
+    lasting = [e for e in group if not e.entry.reclaimable]
+    return _least_busy(lasting or group)
+
+
 def _least_busy(group):
     """Returns the id of the least busy engine; ties are broken by id."""
     return min(group, key=lambda e: (e.active, e.entry.id)).entry.id
--- a/dandelionwinch/gateway/_demand_meter.py
+++ b/dandelionwinch/gateway/_demand_meter.py
@@ -50,7 +50,7 @@
         service = self._fleet.table.services.get(handler.service)
         if service is None or service.scaling is None:
             return
-        if _is_callers_fault(status):
+        if _is_callers_fault(status) or handler.held:
             return
         served = status == SUCCESS_STATUS
         work_s = self._work_s(handler, served)
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -11,6 +11,10 @@
     __slots__ = (
         'answers',
         'attempts',
+        'capacity_demand',
+        'capacity_needed',
+        'capacity_orders',
+        'capacity_planned',
         'engine_crashes',
         'held_requests',
         'holds',
@@ -69,6 +73,35 @@
             registry=registry,
         )
 
+        self._add_capacity(registry)
+
+    def _add_capacity(self, registry):
+        """Adds what the holder of the order lease plans and orders."""
+        self.capacity_demand = prometheus_client.Gauge(
+            'dandelionwinch_gateway_capacity_demand',
+            'Work asked for, in engine seconds a second, at the holder',
+            ['service'],
+            registry=registry,
+        )
+        self.capacity_needed = prometheus_client.Gauge(
+            'dandelionwinch_gateway_capacity_needed',
+            'Upstreams that the forecast needs, at the holder',
+            ['service'],
+            registry=registry,
+        )
+        self.capacity_planned = prometheus_client.Gauge(
+            'dandelionwinch_gateway_capacity_planned',
+            'Upstreams that are planned, at the holder',
+            ['service', 'kind'],
+            registry=registry,
+        )
+        self.capacity_orders = prometheus_client.Counter(
+            'dandelionwinch_gateway_capacity_orders',
+            'Orders of capacity by what became of them',
+            ['result'],
+            registry=registry,
+        )
+
     def record_response(self, route, status, outcome, stages):
         """Records the final response to a request.
 
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -162,9 +162,9 @@
         return self._service
 
     @property
-    def prompt(self):
-        """Returns the Prompt, None for a plain call."""
-        return self._req.prompt
+    def held(self):
+        """Tells whether it was refused as upstreams crash on it."""
+        return self._suspicion.hold is not None
 
     @property
     def request_id(self):
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -12,6 +12,7 @@
 
 from dandelionwinch import control
 from dandelionwinch.platform import _boot
+from dandelionwinch.platform import _capacity_page
 from dandelionwinch.platform import _holds
 from dandelionwinch.platform import _store
 from dandelionwinch.platform import _store_codec
@@ -70,6 +71,9 @@
             now = self._loop.time()
             _holds.respond(self.instance, now, incoming.head, caller)
             return
+        if _capacity_page.is_request(incoming.head):
+            _capacity_page.respond(self.instance, caller)
+            return
         caller.respond(200, (), self.instance.metrics())
 
     async def _answer_addresses(self, incoming, caller):
--- a/dandelionwinch/routes/_table.py
+++ b/dandelionwinch/routes/_table.py
@@ -140,6 +140,13 @@
         """Returns the price of an ordinary upstream's second."""
         return self.prices.get(data_centre, 1.0)
 
+    def price_of(self, place):
+        """Returns the price of a second at a capacity.Place."""
+        price = self.price(place.data_centre)
+        if place.reclaimable and self.reclaimable_price is not None:
+            price *= self.reclaimable_price
+        return price
+
 
 @attrs.frozen
 class Service:
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -23,6 +23,7 @@
 from dandelionwinch.standins import store
 from dandelionwinch.standins import upstream
 from dandelionwinch.tools import bench
+from dandelionwinch.tools import capacity
 from dandelionwinch.tools import console
 from dandelionwinch.tools import demo
 from dandelionwinch.tools import explain
@@ -154,6 +155,26 @@
     click.echo(f'lifted the hold of subject "{subject}"')
 
 
+@main.command('capacity')
+@click.argument('address', metavar='IP:PORT')
+def show_capacity(address):
+    """Show which capacity is needed, planned and ordered, and why.
+
+    IP:PORT is the metrics server of the instance that holds the order
+    lease; any other one tells its name, and the exit code is 1.
+    """
+    try:
+        holder, plans = capacity.fetch(address)
+    except errors.DandelionwinchError as exc:
+        _exit_with_error(exc)
+    for plan in plans:
+        for line in capacity.format_plan(plan):
+            click.echo(line)
+    if not plans:
+        click.echo(f'error: the plan is at holder "{holder}"', err=True)
+        sys.exit(1)
+
+
 @main.command('check-boot')
 @click.argument('path', type=click.Path(dir_okay=False))
 def check_boot(path):
