--- a/dandelionwinch/control/_capacity_duty.py
+++ b/dandelionwinch/control/_capacity_duty.py
@@ -1,6 +1,7 @@
 """Orders capacity at the duty API while this instance is the holder."""
 
 import asyncio
+import traceback
 
 import attrs
 
@@ -150,7 +151,6 @@
     async def _send(self, service, planner, order, authority):
         """Sends one order and records what became of it."""
         outcome, retry_s = capacity.Outcome.UNANSWERED, capacity.RETRY_S
-        result = None
         try:
             result = await self._api.order_capacity(
                 authority.name,
@@ -164,6 +164,11 @@
                 authority.may_act,
             )
             outcome, retry_s = _outcome(result)
+        except Exception:
+            # Nobody awaits this task; what was sent may be in effect.
+            self._log.event(
+                'duties.fault', duty=self.name, trace=traceback.format_exc()
+            )
         finally:
             now = self._loop.time()
             planner.orders.end(order, outcome, now, retry_s)
