--- a/dandelionwinch/capacity/_orders.py
+++ b/dandelionwinch/capacity/_orders.py
@@ -138,7 +138,7 @@
         return max(0.0, refusal.until - now) if refusal else 0.0
 
     def due(self, planned, now):
-        """Returns the orders that are to be sent now.
+        """Returns the orders that are to be sent now, in their order.
 
         There is at most one for a data centre. One for more upstreams goes
         before one for fewer.
@@ -161,7 +161,7 @@
             other = found.get(place.data_centre)
             if other is None or _growth(order) > _growth(other):
                 found[place.data_centre] = order
-        return list(found.values())
+        return sorted(found.values(), key=_urgency)
 
     def _waits(self, place, now):
         name = place.data_centre
@@ -211,3 +211,9 @@
 
 def _growth(order):
     return order.count - order.before
+
+
+def _urgency(order):
+    """Returns a sort key: what adds most first, then what drops most."""
+    growth = _growth(order)
+    return growth <= 0, -abs(growth), order.place.data_centre
--- a/dandelionwinch/capacity/_planner.py
+++ b/dandelionwinch/capacity/_planner.py
@@ -5,6 +5,9 @@
 from dandelionwinch.capacity import _places
 from dandelionwinch.capacity import _plan
 
+# Shortest time between two samples of the demand. A plan is made after each
+# answer to an order, too, while the instances report once a second.
+SAMPLE_INTERVAL_S = 0.8
 _ORDINARY = _places.Kind.ORDINARY
 _RECLAIMABLE = _places.Kind.RECLAIMABLE
 
@@ -16,12 +19,20 @@
         scaling: routes.Scaling of the service.
     """
 
-    __slots__ = ('_forecast', '_orders', '_planned', '_view', 'scaling')
+    __slots__ = (
+        '_forecast',
+        '_observed_at',
+        '_orders',
+        '_planned',
+        '_view',
+        'scaling',
+    )
 
     def __init__(self, scaling):
         self.scaling = scaling
         self._orders = _orders.Orders(scaling.boot_s)
         self._forecast = None
+        self._observed_at = float('-inf')
         self._planned = {}
         self._view = None
 
@@ -54,7 +65,8 @@
             now: Time in seconds.
 
         Returns:
-            List of the Orders that are to be sent now.
+            List of the Orders that are to be sent now, the most urgent one
+            first.
         """
         self._view = view
         if self._forecast is None:
@@ -62,7 +74,9 @@
                 return []
             self._forecast = self._start_forecast(view)
         self._orders.observe(view, now)
-        self._forecast.observe(demand, view.total, now)
+        if now - self._observed_at >= SAMPLE_INTERVAL_S:
+            self._forecast.observe(demand, view.total, now)
+            self._observed_at = now
         self._planned = _plan.plan(
             self.scaling,
             view,
--- a/dandelionwinch/control/_capacity_duty.py
+++ b/dandelionwinch/control/_capacity_duty.py
@@ -1,16 +1,12 @@
 """Orders capacity at the duty API while this instance is the holder."""
 
-import asyncio
-import traceback
-
 import attrs
 
 from dandelionwinch import capacity
 from dandelionwinch.control import _duty
 
-# Longest time for which one call of perform() awaits answers; a slow answer
-# to one order must not delay the plan nor the orders of other data centres.
-ANSWER_WAIT_S = 0.5
+# Most calls for one service in one turn, before the next service has one.
+MAX_CALLS = 32
 _DECIMALS = 3
 
 
@@ -40,7 +36,6 @@
         self._instance = name
         self._token = None
         self._planners = {}
-        self._tasks = set()
         gateway.demand.start(lambda: sync.holder)
 
     async def perform(self, authority):
@@ -50,23 +45,27 @@
             authority: Authority.
         """
         if authority.token != self._token:
-            self._restart(authority.token)
-        now = self._loop.time()
+            self._token, self._planners = authority.token, {}
         for service in self._scaled_services():
             planner = self._planner(service)
-            demand = self._gateway.demand.total(
-                service.name, max(1, len(self._sync.registered.entries))
-            )
-            due = planner.update(self._view(service.name), demand, now)
-            self._record(service.name, planner)
-            if not self._sync.current or not authority.may_act():
-                continue
-            for order in due:
-                planner.orders.begin(order)
-                self._start(
-                    self._send(service.name, planner, order, authority)
-                )
-        await self._await_answers()
+            # The plan follows each answer, as one may take a second.
+            for _call in range(MAX_CALLS):
+                due = self._plan(service.name, planner)
+                if not due or not self._sync.current:
+                    break
+                if not authority.may_act():
+                    break
+                await self._send(service.name, planner, due[0], authority)
+
+    def _plan(self, service, planner):
+        """Returns the orders of a service that are due."""
+        demand = self._gateway.demand.total(
+            service, max(1, len(self._sync.registered.entries))
+        )
+        view = self._view(service)
+        due = planner.update(view, demand, self._loop.time())
+        self._record(service, planner)
+        return due
 
     def report(self):
         """Returns the plan as data for operators.
@@ -84,14 +83,6 @@
             ],
         }
 
-    def _restart(self, token):
-        """Forgets what was planned under another token."""
-        for task in self._tasks:
-            task.cancel()
-        self._tasks = set()
-        self._planners = {}
-        self._token = token
-
     def _scaled_services(self):
         table = self._gateway.fleet.table
         services = table.services.values() if table is not None else ()
@@ -133,24 +124,10 @@
             )
             metrics.capacity_planned.labels(service, kind.value).set(planned)
 
-    def _start(self, coroutine):
-        task = self._loop.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _await_answers(self):
-        if not self._tasks:
-            return
-        try:
-            await asyncio.wait(list(self._tasks), timeout=ANSWER_WAIT_S)
-        except asyncio.CancelledError:
-            for task in list(self._tasks):
-                task.cancel()
-            raise
-
     async def _send(self, service, planner, order, authority):
         """Sends one order and records what became of it."""
         outcome, retry_s = capacity.Outcome.UNANSWERED, capacity.RETRY_S
+        planner.orders.begin(order)
         try:
             result = await self._api.order_capacity(
                 authority.name,
@@ -164,12 +141,8 @@
                 authority.may_act,
             )
             outcome, retry_s = _outcome(result)
-        except Exception:
-            # Nobody awaits this task; what was sent may be in effect.
-            self._log.event(
-                'duties.fault', duty=self.name, trace=traceback.format_exc()
-            )
         finally:
+            # If it is cancelled, what was sent may be in effect.
             now = self._loop.time()
             planner.orders.end(order, outcome, now, retry_s)
             self._log_order(service, planner, order, authority, outcome)
