--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -6,6 +6,7 @@
 import prometheus_client
 
 from dandelionwinch import addresses
+from dandelionwinch.control import _capacity_duty
 from dandelionwinch.control import _config
 from dandelionwinch.control import _duty_calls
 from dandelionwinch.control import _lease_holder
@@ -93,6 +94,7 @@
             max(_registration.LEASE_S, cfg.min_lease_s),
             self._restore_delay_s,
         )
+        self._capacity_duty = None
         self._calls = None
         if cfg.duty_settings.enabled and duty_api is not None:
             self._calls = _duty_calls.DutyCalls(
@@ -158,6 +160,16 @@
         wanted = self._cfg.duty_settings.duties
         if _config.Duty.USAGE in wanted:
             duties.append(self._create_usage_duty())
+        if _config.Duty.CAPACITY in wanted:
+            self._capacity_duty = _capacity_duty.CapacityDuty(
+                self._loop,
+                self._gateway,
+                self._sync,
+                self._calls,
+                self.log,
+                self._cfg.instance,
+            )
+            duties.append(self._capacity_duty)
         return duties
 
     def _create_usage_duty(self):
@@ -284,6 +296,12 @@
         """Lifts a hold at all instances; tells whether it was held here."""
         return self._gateway.crash_guard.lift(subject)
 
+    def capacity(self):
+        """Returns the plan of capacity as data, None without that duty."""
+        if self._capacity_duty is None:
+            return None
+        return self._capacity_duty.report()
+
     def stop(self):
         """Begins a graceful stop."""
         if self._stopping:
--- a/dandelionwinch/control/_role_orders.py
+++ b/dandelionwinch/control/_role_orders.py
@@ -11,8 +11,11 @@
 # How long an engine is excluded after an announced role change, unless its
 # entry has the new role before.
 ROLE_CHANGE_S = 16.0
-# Minimum time between two orders of the holder.
+# Minimum time between two orders of the holder, and that where capacity is
+# ordered: the roles of new engines must follow within seconds, as half of the
+# engines are replaced at once at the start.
 MIN_ORDER_INTERVAL_S = 5.0
+SCALED_ORDER_INTERVAL_S = 1.0
 
 
 class RoleOrders:
@@ -103,7 +106,16 @@
         await authority.renew()
         if self._gateway.fleet.serves(upstream):
             await self._send(upstream, role_change, authority)
-        self._next_order_at = self._loop.time() + MIN_ORDER_INTERVAL_S
+        interval_s = MIN_ORDER_INTERVAL_S
+        if self._is_scaled(upstream):
+            interval_s = SCALED_ORDER_INTERVAL_S
+        self._next_order_at = self._loop.time() + interval_s
+
+    def _is_scaled(self, upstream):
+        """Tells whether the upstreams of its service come and go on order."""
+        table = self._gateway.fleet.table
+        service = table.services.get(upstream.entry.service)
+        return service is not None and service.scaling is not None
 
     def _plan_role_change(self, now):
         fleet = self._gateway.fleet
@@ -126,10 +138,13 @@
         """Tells whether the engine of a role change may get an order now.
 
         Engines that are held off count in the plan, as they come back, but
-        get no order.
+        get no order. Nor does one that is about to leave, by its entry, its
+        own word or that of another instance.
         """
         fleet = self._gateway.fleet
-        return fleet.serves(fleet.registry.get(role_change.upstream_id))
+        upstream = fleet.registry.get(role_change.upstream_id)
+        told_leaving = upstream.told_leaving_until > self._loop.time()
+        return fleet.serves(upstream) and not told_leaving
 
     async def _send(self, upstream, role_change, authority):
         sent = await self._sender.send(
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -13,6 +13,8 @@
 from dandelionwinch.gateway import _cache_watch
 from dandelionwinch.gateway import _call_handler
 from dandelionwinch.gateway import _crash_guard
+from dandelionwinch.gateway import _demand_link
+from dandelionwinch.gateway import _demand_meter
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
 from dandelionwinch.gateway import _key_sharing
@@ -52,6 +54,7 @@
         authenticator: The Authenticator.
         budget: The SharedRetryBudget.
         crash_guard: The CrashGuard.
+        demand: The DemandLink.
         distances: Round-trip times to data centres.
         fleet: Upstreams and their connection pools.
         peers: The PeerLink to other instances.
@@ -64,6 +67,7 @@
 
     __slots__ = (
         '_cache_watch',
+        '_demand_meter',
         '_durations',
         '_ended',
         '_key_sharing',
@@ -75,6 +79,7 @@
         'authenticator',
         'budget',
         'crash_guard',
+        'demand',
         'distances',
         'fleet',
         'log',
@@ -134,6 +139,12 @@
         self._key_sharing = _key_sharing.KeySharing(
             loop, self.peers, self.fleet, self.authenticator, log, self.rng
         )
+        self._demand_meter = _demand_meter.DemandMeter(
+            loop, self.fleet, self.placer
+        )
+        self.demand = _demand_link.DemandLink(
+            loop, self.peers, self._demand_meter, cfg.instance
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -182,6 +193,7 @@
             self._sweep_timer.cancel()
         self._cache_watch.close()
         self.crash_guard.close()
+        self.demand.close()
         self._limits.close()
         self._key_sharing.close()
         self.usage.close()
@@ -258,6 +270,7 @@
             if self._ended and not caller.closed:
                 handler.respond_stopped()
                 return
+            self._demand_meter.record(handler, 0)
             self._log_left(req.id, exc, incoming)
             raise
         except BaseException as exc:
@@ -426,6 +439,7 @@
             reason: Why the last attempt failed, '' if it succeeded.
         """
         elapsed_s = handler.elapsed_s()
+        self._demand_meter.record(handler, status)
         name = handler.route.name
         stages = {
             'prefill': handler.prefill_s,
--- a/dandelionwinch/routes/_table.py
+++ b/dandelionwinch/routes/_table.py
@@ -119,6 +119,37 @@
     role_switch_s: float
 
 
+@attrs.frozen
+class Scaling:
+    """Within which limits, and at which prices, upstreams are ordered.
+
+    Attributes:
+        least: Smallest number of upstreams of both kinds in a data centre.
+        most: Largest number of them.
+        boot_s: Time from an order until a new upstream serves.
+        reclaimable_price: Price of a reclaimable upstream over that of an
+            ordinary one, None if there are no reclaimable ones.
+        prices: Price of a second of an ordinary upstream by data centre.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    reclaimable_price: float | None
+    prices: dict
+
+    def price(self, data_centre):
+        """Returns the price of an ordinary upstream's second."""
+        return self.prices.get(data_centre, 1.0)
+
+    def price_of(self, place):
+        """Returns the price of a second at a capacity.Place."""
+        price = self.price(place.data_centre)
+        if place.reclaimable and self.reclaimable_price is not None:
+            price *= self.reclaimable_price
+        return price
+
+
 @attrs.frozen
 class Service:
     """A service.
@@ -127,11 +158,13 @@
         max_connections: Maximum number of connections to one upstream,
             from all instances together.
         engine: Properties of its engines, None for a plain service.
+        scaling: Scaling, None if its upstreams are not ordered.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    scaling: Scaling | None = None
 
 
 @attrs.frozen
