--- a/dandelionwinch/control/_lease_holder.py
+++ b/dandelionwinch/control/_lease_holder.py
@@ -67,7 +67,7 @@
         self._name = cfg.instance
         self._lease_s = max(leadership.LEASE_S, cfg.min_lease_s)
         self._leadership = leadership.Leadership(
-            cfg.handover_s, cfg.min_lease_s
+            cfg.handover_s, cfg.handover_s
         )
         self._verifies = cfg.duty_settings.enabled
         self._lease = None
