--- a/dandelionwinch/bench/_scaling.py
+++ b/dandelionwinch/bench/_scaling.py
@@ -199,10 +199,11 @@
     def run(self):
         """Runs the load to its end; returns self."""
         for number in range(round(DURATION_S / STEP_S)):
-            self._advance(number * STEP_S)
+            self.advance(number * STEP_S)
         return self
 
-    def _advance(self, now):
+    def advance(self, now):
+        """Simulates one step, of STEP_S from a time."""
         self._cause_faults(now)
         self._take_effects(now)
         self.fleet.advance(now, STEP_S)
--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -109,7 +109,10 @@
         if self._scaling.reclaimable_price is None:
             least = max(1, self._scaling.least)
         for name in self._data_centres:
-            self._set(name, _ORDINARY, min(least, self._scaling.most))
+            count = min(least, self._scaling.most)
+            if not self._obtainable(name, _ORDINARY):
+                count = min(count, self._before(name, _ORDINARY))
+            self._set(name, _ORDINARY, count)
         self._add_ordinary(lambda: self._need.urgent)
 
     def _add_ordinary(self, missing):
