--- a/dandelionwinch/capacity/_places.py
+++ b/dandelionwinch/capacity/_places.py
@@ -74,17 +74,28 @@
     """Returns the View of a service.
 
     Args:
-        entries: Entries of its upstreams that are in the store.
+        entries: List of the entries of its upstreams in the store.
     """
-    serving = collections.Counter()
-    draining = {}
+    # Plain keys, as 1,600 entries are counted once a second.
+    serving = collections.Counter(
+        (entry.data_centre, entry.reclaimable, entry.role)
+        for entry in entries
+        if entry.ready
+    )
+    counts = collections.Counter()
     roles = collections.Counter()
+    for (name, reclaimable, role), count in serving.items():
+        counts[name, reclaimable] += count
+        roles[name, role] += count
+    draining = {}
     for entry in entries:
-        kind = Kind.RECLAIMABLE if entry.reclaimable else Kind.ORDINARY
-        place = Place(entry.data_centre, kind)
-        if entry.ready:
-            serving[place] += 1
-            roles[entry.data_centre, entry.role] += 1
-        else:
+        if not entry.ready:
+            place = _place(entry.data_centre, entry.reclaimable)
             draining.setdefault(place, set()).add(entry.id)
-    return View(dict(serving), draining, dict(roles))
+    serving = {_place(*key): count for key, count in counts.items()}
+    return View(serving, draining, dict(roles))
+
+
+def _place(data_centre, reclaimable):
+    kind = Kind.RECLAIMABLE if reclaimable else Kind.ORDINARY
+    return Place(data_centre, kind)
--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -32,15 +32,45 @@
     return _Draft(scaling, view, ordered, need, refused).finish()
 
 
+class _Counts:
+    """The upstreams of one kind, by the name of the data centre.
+
+    Attributes:
+        before: Numbers that are ordered now.
+        planned: Numbers that are planned.
+        refused: Names of the data centres where none can be obtained.
+        total: Sum of those planned.
+    """
+
+    __slots__ = ('before', 'planned', 'refused', 'total')
+
+    def __init__(self, kind, names, ordered, refused):
+        self.before = dict.fromkeys(names, 0)
+        self.planned = dict.fromkeys(names, 0)
+        self.total = 0
+        for place, count in ordered.items():
+            if place.kind is kind:
+                self.before[place.data_centre] = count
+        self.refused = {p.data_centre for p in refused if p.kind is kind}
+
+    def set(self, name, count):
+        """Plans a number."""
+        self.total += count - self.planned[name]
+        self.planned[name] = count
+
+    def standing(self, name):
+        """Returns the number that may stand: a drop comes later."""
+        return max(self.before[name], self.planned[name])
+
+
 class _Draft:
     """A plan that is being made."""
 
     __slots__ = (
-        '_counts',
-        '_data_centres',
         '_need',
-        '_ordered',
-        '_refused',
+        '_ordinary',
+        '_order',
+        '_reclaimable',
         '_scaling',
         '_view',
     )
@@ -48,217 +78,174 @@
     def __init__(self, scaling, view, ordered, need, refused):
         self._scaling = scaling
         self._view = view
-        self._ordered = ordered
         self._need = need
-        self._refused = refused
-        places = {*view.serving, *ordered}
-        names = {place.data_centre for place in places} | set(scaling.prices)
-        self._data_centres = sorted(names, key=self._price_key)
-        self._counts = {}
+        names = {place.data_centre for place in (*view.serving, *ordered)}
+        names.update(scaling.prices)
+        # Place of each data centre in the order of prices.
+        ranked = sorted(names, key=lambda name: (scaling.price(name), name))
+        self._order = {name: rank for rank, name in enumerate(ranked)}
+        self._ordinary = _Counts(_ORDINARY, ranked, ordered, refused)
+        self._reclaimable = _Counts(_RECLAIMABLE, ranked, ordered, refused)
 
     def finish(self):
         """Returns the counts by Place."""
-        self._set_ordinary_floor()
-        self._set_reclaimable()
+        self._plan_ordinary()
+        self._plan_reclaimable()
         self._trim_reclaimable()
         self._replace_missing()
         self._hold_back()
         self._fit()
-        return dict(self._counts)
-
-    def _price_key(self, data_centre):
-        return self._scaling.price(data_centre), data_centre
-
-    def _before(self, data_centre, kind):
-        """Returns the number that is ordered now."""
-        return self._ordered.get(_places.Place(data_centre, kind), 0)
-
-    def _count(self, data_centre, kind):
-        return self._counts.get(_places.Place(data_centre, kind), 0)
-
-    def _set(self, data_centre, kind, count):
-        self._counts[_places.Place(data_centre, kind)] = count
-
-    def _add(self, data_centre, kind):
-        self._set(data_centre, kind, self._count(data_centre, kind) + 1)
-
-    def _in_all(self, kind):
-        return sum(self._count(name, kind) for name in self._data_centres)
-
-    def _in_data_centre(self, name):
-        """Returns the upstreams that may stand in a data centre."""
-        ordinary = max(
-            self._count(name, _ORDINARY), self._before(name, _ORDINARY)
-        )
-        return ordinary + self._count(name, _RECLAIMABLE)
+        return {
+            _places.Place(name, kind): count
+            for kind, counts in (
+                (_ORDINARY, self._ordinary),
+                (_RECLAIMABLE, self._reclaimable),
+            )
+            for name, count in counts.planned.items()
+        }
 
-    def _has_room(self, name):
-        return self._in_data_centre(name) < self._scaling.most
+    def _planned(self, name):
+        """Returns the number of both kinds that is planned."""
+        return self._ordinary.planned[name] + self._reclaimable.planned[name]
 
-    def _has_ordinary_room(self, name):
-        """Tells whether there is room beside what is planned."""
-        total = self._count(name, _ORDINARY) + self._count(name, _RECLAIMABLE)
-        return total < self._scaling.most
+    def _total(self):
+        return self._ordinary.total + self._reclaimable.total
 
-    def _obtainable(self, name, kind):
-        return _places.Place(name, kind) not in self._refused
+    def _least(self):
+        """Returns the number in a data centre that keeps both roles."""
+        return min(max(MIN_ENGINES, self._scaling.least), self._scaling.most)
 
-    def _set_ordinary_floor(self):
+    def _plan_ordinary(self):
         """Plans the ordinary upstreams that are always there."""
+        counts = self._ordinary
         least = 1
         if self._scaling.reclaimable_price is None:
             least = max(1, self._scaling.least)
-        for name in self._data_centres:
+        for name, before in counts.before.items():
             count = min(least, self._scaling.most)
-            if not self._obtainable(name, _ORDINARY):
-                count = min(count, self._before(name, _ORDINARY))
-            self._set(name, _ORDINARY, count)
-        self._add_ordinary(lambda: self._need.urgent)
-
-    def _add_ordinary(self, missing):
-        """Adds ordinary upstreams, first those that stand already.
-
-        Args:
-            missing: Function that returns the number of ordinary upstreams
-                that are needed in all.
-        """
-        while self._in_all(_ORDINARY) < missing():
+            if name in counts.refused:
+                count = min(count, before)
+            counts.set(name, count)
+        self._add_ordinary(self._need.urgent)
+
+    def _add_ordinary(self, needed):
+        """Adds ordinary upstreams up to a sum, first those that stand."""
+        counts = self._ordinary
+        while counts.total < needed:
             name = min(
-                (n for n in self._data_centres if self._may_add_ordinary(n)),
+                filter(self._may_add_ordinary, self._order),
                 key=self._ordinary_key,
                 default=None,
             )
             if name is None:
                 return
-            self._add(name, _ORDINARY)
+            counts.set(name, counts.planned[name] + 1)
+
+    def _stands(self, name):
+        """Tells whether one more ordinary upstream stands already."""
+        return self._ordinary.planned[name] < self._ordinary.before[name]
 
     def _may_add_ordinary(self, name):
-        stands = self._count(name, _ORDINARY) < self._before(name, _ORDINARY)
-        if stands:
+        if self._stands(name):
             return True
-        has_room = self._has_ordinary_room(name)
-        return has_room and self._obtainable(name, _ORDINARY)
+        has_room = self._planned(name) < self._scaling.most
+        return has_room and name not in self._ordinary.refused
 
     def _ordinary_key(self, name):
-        stands = self._count(name, _ORDINARY) < self._before(name, _ORDINARY)
-        return (
-            not stands,
-            self._count(name, _ORDINARY),
-            self._price_key(name),
-        )
-
-    def _set_reclaimable(self):
+        count = self._ordinary.planned[name]
+        return not self._stands(name), count, self._order[name]
+
+    def _plan_reclaimable(self):
         """Plans reclaimable upstreams, those that stand and more."""
-        for name in self._data_centres:
-            self._set(name, _RECLAIMABLE, 0)
-            before = self._before(name, _RECLAIMABLE)
-            while self._count(name, _RECLAIMABLE) < before:
-                if not self._has_room(name):
-                    break
-                self._add(name, _RECLAIMABLE)
+        counts = self._reclaimable
+        for name, before in counts.before.items():
+            counts.set(name, max(0, min(before, self._room(name))))
         if self._scaling.reclaimable_price is None:
             return
-        for name in self._data_centres:
-            while self._lacks_minimum(name) and self._may_grow(name):
-                self._add(name, _RECLAIMABLE)
+        for name in self._order:
+            missing = self._least() - self._planned(name)
+            if missing > 0 and self._may_grow(name):
+                room = self._room(name) - counts.planned[name]
+                grown = counts.planned[name] + min(missing, room)
+                counts.set(name, grown)
         while self._safe_total() < self._need.cheap:
             name = min(
-                (n for n in self._data_centres if self._may_grow(n)),
-                key=lambda n: (
-                    self._count(n, _RECLAIMABLE),
-                    self._price_key(n),
-                ),
+                filter(self._may_grow, self._order),
+                key=lambda n: (counts.planned[n], self._order[n]),
                 default=None,
             )
             if name is None:
                 return
-            self._add(name, _RECLAIMABLE)
+            counts.set(name, counts.planned[name] + 1)
 
-    def _may_grow(self, name):
-        return self._has_room(name) and self._obtainable(name, _RECLAIMABLE)
+    def _room(self, name):
+        """Returns the largest number beside the ordinary upstreams."""
+        return self._scaling.most - self._ordinary.standing(name)
 
-    def _lacks_minimum(self, name):
-        least = max(MIN_ENGINES, self._scaling.least)
-        total = self._count(name, _ORDINARY) + self._count(name, _RECLAIMABLE)
-        return total < min(least, self._scaling.most)
+    def _may_grow(self, name):
+        if name in self._reclaimable.refused:
+            return False
+        return self._reclaimable.planned[name] < self._room(name)
 
     def _safe_total(self):
         """Returns what remains if one data centre loses its reclaimable."""
-        most = max(
-            (self._count(name, _RECLAIMABLE) for name in self._data_centres),
-            default=0,
-        )
+        most = max(self._reclaimable.planned.values(), default=0)
         return self._total() - most
 
-    def _total(self):
-        return self._in_all(_ORDINARY) + self._in_all(_RECLAIMABLE)
-
     def _trim_reclaimable(self):
         """Drops reclaimable upstreams that are too many, the dearest first."""
+        counts = self._reclaimable
         while True:
             name = max(
-                (n for n in self._data_centres if self._may_trim(n)),
-                key=lambda n: (
-                    self._count(n, _RECLAIMABLE),
-                    self._price_key(n),
-                ),
+                filter(self._may_trim, self._order),
+                key=lambda n: (counts.planned[n], self._order[n]),
                 default=None,
             )
             if name is None:
                 return
-            self._add_reclaimable(name, -1)
+            counts.set(name, counts.planned[name] - 1)
             if self._safe_total() < self._need.cheap:
-                self._add_reclaimable(name, 1)
+                counts.set(name, counts.planned[name] + 1)
                 return
 
-    def _add_reclaimable(self, name, delta):
-        count = self._count(name, _RECLAIMABLE)
-        self._set(name, _RECLAIMABLE, count + delta)
-
     def _may_trim(self, name):
-        if not self._count(name, _RECLAIMABLE):
+        if not self._reclaimable.planned[name]:
             return False
-        least = max(MIN_ENGINES, self._scaling.least)
-        total = self._count(name, _ORDINARY) + self._count(name, _RECLAIMABLE)
-        return total > least
+        return self._planned(name) > self._least()
 
     def _replace_missing(self):
         """Plans ordinary upstreams for what reclaimable ones can't do."""
-        for name in self._data_centres:
-            while self._lacks_minimum(name) and self._may_add_ordinary(name):
-                self._add(name, _ORDINARY)
-        missing = self._need.dear - self._in_all(_RECLAIMABLE)
-        self._add_ordinary(lambda: missing)
+        counts = self._ordinary
+        for name in self._order:
+            while self._planned(
+                name
+            ) < self._least() and self._may_add_ordinary(name):
+                counts.set(name, counts.planned[name] + 1)
+        self._add_ordinary(self._need.dear - self._reclaimable.total)
 
     def _hold_back(self):
         """Keeps what is to be given up until the others serve."""
         spare = self._view.total - math.ceil(self._need.dear)
-        for kind in (_ORDINARY, _RECLAIMABLE):
-            for name in reversed(self._data_centres):
-                before = self._before(name, kind)
-                drop = before - self._count(name, kind)
+        for counts in (self._ordinary, self._reclaimable):
+            for name in reversed(self._order):
+                before = counts.before[name]
+                drop = before - counts.planned[name]
                 if drop <= 0:
                     continue
                 drop = max(0, min(drop, spare, self._spare_in(name)))
                 spare -= drop
-                self._set(name, kind, before - drop)
-
-    def _fit(self):
-        """Lets a kind grow only into the room that the other one has left."""
-        for name in self._data_centres:
-            for kind, other in (
-                (_ORDINARY, _RECLAIMABLE),
-                (_RECLAIMABLE, _ORDINARY),
-            ):
-                taken = max(
-                    self._count(name, other), self._before(name, other)
-                )
-                before = self._before(name, kind)
-                most = max(before, self._scaling.most - taken)
-                self._set(name, kind, min(self._count(name, kind), most))
+                counts.set(name, before - drop)
 
     def _spare_in(self, name):
         """Returns how many a data centre can give up now."""
-        planned = sum(self._count(name, kind) for kind in _places.Kind)
-        in_place = self._view.in_data_centre(name) - planned
+        in_place = self._view.in_data_centre(name) - self._planned(name)
         return min(in_place, self._view.spare_decoders(name))
+
+    def _fit(self):
+        """Lets a kind grow only into the room that the other one has left."""
+        pairs = (self._ordinary, self._reclaimable)
+        for counts, other in (pairs, reversed(pairs)):
+            for name, planned in counts.planned.items():
+                room = self._scaling.most - other.standing(name)
+                most = max(counts.before[name], room)
+                counts.set(name, min(planned, most))
--- a/dandelionwinch/control/_capacity_duty.py
+++ b/dandelionwinch/control/_capacity_duty.py
@@ -103,9 +103,12 @@
         another holder would plan otherwise.
         """
         return capacity.view_of(
-            upstream.entry
-            for upstream in self._gateway.fleet.registry
-            if upstream.gone_at is None and upstream.entry.service == service
+            [
+                upstream.entry
+                for upstream in self._gateway.fleet.registry
+                if upstream.gone_at is None
+                and upstream.entry.service == service
+            ]
         )
 
     def _record(self, service, planner):
