--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -7,6 +7,7 @@
 
 from dandelionwinch import addresses
 from dandelionwinch.control import _duty_calls
+from dandelionwinch.control import _duty_status
 from dandelionwinch.control import _lease_holder
 from dandelionwinch.control import _order_sender
 from dandelionwinch.control import _registration
@@ -246,6 +247,14 @@
         """Lifts a hold at all instances; tells whether it was held here."""
         return self._gateway.crash_guard.lift(subject)
 
+    def duties(self):
+        """Returns the DutyStatus, None if the settings name no duty."""
+        if self._calls is None:
+            return None
+        return _duty_status.read(
+            self._cfg, self._store, self._sync, self._holder, self._calls
+        )
+
     def stop(self):
         """Begins a graceful stop."""
         if self._stopping:
--- a/dandelionwinch/control/_lease_holder.py
+++ b/dandelionwinch/control/_lease_holder.py
@@ -202,6 +202,8 @@
 
     def _rank(self):
         """Returns the own place among the candidates, the last by default."""
+        if self._overwrites():
+            return 0
         candidates = self._sync.candidates()
         if self._name in candidates:
             return candidates.index(self._name)
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -12,6 +12,7 @@
 
 from dandelionwinch import control
 from dandelionwinch.platform import _boot
+from dandelionwinch.platform import _duties
 from dandelionwinch.platform import _duty_api
 from dandelionwinch.platform import _holds
 from dandelionwinch.platform import _store
@@ -72,6 +73,9 @@
             now = self._loop.time()
             _holds.respond(self.instance, now, incoming.head, caller)
             return
+        if _duties.is_request(incoming.head):
+            _duties.respond(self.instance, self._loop.time(), caller)
+            return
         caller.respond(200, (), self.instance.metrics())
 
     async def _answer_addresses(self, incoming, caller):
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -25,6 +25,7 @@
 from dandelionwinch.tools import bench
 from dandelionwinch.tools import console
 from dandelionwinch.tools import demo
+from dandelionwinch.tools import duties
 from dandelionwinch.tools import explain
 from dandelionwinch.tools import holds
 
@@ -154,6 +155,25 @@
     click.echo(f'lifted the hold of subject "{subject}"')
 
 
+@main.command('duties')
+@click.argument('address', metavar='IP:PORT')
+def show_duties(address):
+    """Show the holder of the duties, and what an instance knows of them.
+
+    IP:PORT is the metrics server of an instance. Exits with 1 if its
+    settings name no duty.
+    """
+    try:
+        found = duties.fetch(address)
+    except errors.DandelionwinchError as exc:
+        _exit_with_error(exc)
+    if found is None:
+        click.echo('error: the settings name no duty', err=True)
+        sys.exit(1)
+    for line in duties.format_lines(found):
+        click.echo(line)
+
+
 @main.command('check-boot')
 @click.argument('path', type=click.Path(dir_okay=False))
 def check_boot(path):
