--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -57,6 +57,7 @@
         '_durations',
         '_ended',
         '_limits',
+        '_notices',
         '_stop_at',
         '_sweep_timer',
         '_tasks',
@@ -90,7 +91,7 @@
         self.fleet = _fleet.Fleet(loop)
         self.peers = _peer_link.PeerLink(loop, log, cfg.instance)
         self.streams = _stream_versions.StreamVersions(loop, log, self.peers)
-        notices = _leaving_notices.LeavingNotices(
+        self._notices = _leaving_notices.LeavingNotices(
             loop, self.peers, self.fleet, self.rng, log
         )
         self.metrics = _metrics.Metrics()
@@ -110,7 +111,7 @@
             self.rng,
             log,
             self.metrics,
-            notices.announce,
+            self._notices.announce,
             self._limits.observe,
         )
         self.fleet.observe_head = response_observer.observe_head
@@ -302,6 +303,17 @@
         self.fleet.capacity_ratio = capacity_ratio
         self.placer.capacity_ratio = capacity_ratio
 
+    def upstream_drains(self, upstream):
+        """Applies that the entry of an upstream says that it drains.
+
+        One that states when it leaves was taken away at short notice. Other
+        instances may read its entry a second later, so they are told.
+        """
+        incarnation = upstream.entry.incarnation
+        self.fleet.turn_away(incarnation)
+        if upstream.entry.leaves_in_s is not None:
+            self._notices.announce(incarnation)
+
     def begin_role_change(self, upstream_id, span_s):
         """Excludes an engine from placement while its role changes.
 
