--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -9,6 +9,7 @@
 from dandelionwinch.control import _capacity_duty
 from dandelionwinch.control import _config
 from dandelionwinch.control import _duty_calls
+from dandelionwinch.control import _duty_status
 from dandelionwinch.control import _lease_holder
 from dandelionwinch.control import _order_sender
 from dandelionwinch.control import _registration
@@ -302,6 +303,14 @@
             return None
         return self._capacity_duty.report()
 
+    def duties(self):
+        """Returns the DutyStatus, None if the settings name no duty."""
+        if self._calls is None:
+            return None
+        return _duty_status.read(
+            self._cfg, self._store, self._sync, self._holder, self._calls
+        )
+
     def stop(self):
         """Begins a graceful stop."""
         if self._stopping:
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -13,6 +13,7 @@
 from dandelionwinch import control
 from dandelionwinch.platform import _boot
 from dandelionwinch.platform import _capacity_page
+from dandelionwinch.platform import _duties
 from dandelionwinch.platform import _duty_api
 from dandelionwinch.platform import _holds
 from dandelionwinch.platform import _store
@@ -76,6 +77,9 @@
         if _capacity_page.is_request(incoming.head):
             _capacity_page.respond(self.instance, caller)
             return
+        if _duties.is_request(incoming.head):
+            _duties.respond(self.instance, self._loop.time(), caller)
+            return
         caller.respond(200, (), self.instance.metrics())
 
     async def _answer_addresses(self, incoming, caller):
