--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -33,6 +33,8 @@
 # which their answers are awaited.
 CLOCK_PEERS = 9
 CLOCK_WAIT_S = 1.0
+# Round trip up to which an answer tells the time: its error is half of it.
+MAX_ROUND_TRIP_S = 0.2
 # Time for which an instance that knows no other waits for one to ask.
 ALONE_S = 3.0
 MS = 1000.0
@@ -375,7 +377,8 @@
 
     def take_clock(self, asked_ms, time_ms, sender):
         """Takes in the time of another instance."""
-        if not self._settled:
-            answered_ms = self._clock.now() * MS
+        answered_ms = self._clock.now() * MS
+        round_trip_s = (answered_ms - asked_ms) / MS
+        if not self._settled and 0 <= round_trip_s <= MAX_ROUND_TRIP_S:
             middle_ms = (asked_ms + answered_ms) / 2
             self._offsets_s[sender] = (time_ms - middle_ms) / MS
