--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -60,6 +60,7 @@
             rng,
             self._on_config,
         )
+        self._gateway.authenticator.view_age_s = self._sync.age_s
         self._entry = addresses.InstanceEntry(
             cfg.instance,
             cfg.callers,
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -11,6 +11,8 @@
 
 ALL_KEYS = ''
 WATCH_TIMEOUT_S = 3.0
+# Part of the bound on the age of the view that a watch may take.
+STRICT_WATCH_RATIO = 0.5
 # Pause between watches, so that each one returns several changes.
 COALESCE_S = 0.4
 COALESCE_PER_INSTANCE_S = 0.01
@@ -243,9 +245,9 @@
 
     async def _watch(self):
         due_s = self._guard.next_due_s(self._loop.time())
-        wait_s = (
-            WATCH_TIMEOUT_S if due_s is None else min(WATCH_TIMEOUT_S, due_s)
-        )
+        wait_s = self._watch_timeout_s()
+        if due_s is not None:
+            wait_s = min(wait_s, due_s)
         listing = await self._call_watch(wait_s)
         now = self._loop.time()
         self._revision = max(self._revision, listing.revision)
@@ -266,6 +268,16 @@
         if listing.items:
             await asyncio.sleep(self._coalesce_s())
 
+    def _watch_timeout_s(self):
+        """Returns the time after which a watch without changes ends.
+
+        With strict revocation of keys the view of the store must not age
+        beyond a bound while nothing changes.
+        """
+        if not self._cfg.strict_revoke:
+            return WATCH_TIMEOUT_S
+        return min(WATCH_TIMEOUT_S, STRICT_WATCH_RATIO * self._cfg.revoke_s)
+
     async def _call_watch(self, wait_s):
         self._watch_call = self._loop.create_task(
             self._store.watch(ALL_KEYS, self._revision, wait_s)
--- a/dandelionwinch/gateway/_authenticator.py
+++ b/dandelionwinch/gateway/_authenticator.py
@@ -1,6 +1,7 @@
 """Checks the keys of callers."""
 
 from dandelionwinch import errors
+from dandelionwinch import teams
 
 # Other instances may be in contact with the store.
 RETRY_AFTER_S = 0.5
@@ -13,16 +14,30 @@
 class Authenticator:
     """Finds the team of a request by its key.
 
+    Other instances report the keys that changed in versions that this one
+    does not have yet. Such a report takes precedence over the version that is
+    in force here.
+
     Args:
         loop: The event loop.
         cfg: Settings of the instance.
+
+    Attributes:
+        confirmed_at: Time at which another instance was in contact with the
+            store and knew no changes that are not known here.
+        reports: The KeyReports of other instances.
+        view_age_s: Function that returns the age of the instance's own view
+            of the store in seconds, infinite without a view.
     """
 
-    __slots__ = ('_cfg', '_loop')
+    __slots__ = ('_cfg', '_loop', 'confirmed_at', 'reports', 'view_age_s')
 
     def __init__(self, loop, cfg):
         self._loop = loop
         self._cfg = cfg
+        self.confirmed_at = float('-inf')
+        self.reports = teams.KeyReports()
+        self.view_age_s = lambda: 0.0
 
     def authenticate(self, table, route, key):
         """Returns the Team of a request.
@@ -37,8 +52,29 @@
 
         Raises:
             Unauthorized: If the route needs a key and this is none.
+            OutOfContact: If the route needs a key and no key is accepted.
         """
-        team = None if key is None else table.teams.find(key)
-        if team is None and not route.public:
+        team = None if key is None else self._find(table, key)
+        if route.public:
+            return team
+        if key is not None and self._out_of_contact():
+            raise OutOfContact(
+                'keys cannot be checked at present',
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if team is None:
             raise errors.Unauthorized('the request has no valid key')
         return team
+
+    def _find(self, table, key):
+        key_digest = teams.digest(key)
+        reported = self.reports.find(key_digest)
+        if reported is not None and reported.version > table.version:
+            return reported.team
+        return table.teams.find_digest(key_digest)
+
+    def _out_of_contact(self):
+        if not self._cfg.strict_revoke:
+            return False
+        confirmed_s = self._loop.time() - self.confirmed_at
+        return min(self.view_age_s(), confirmed_s) > self._cfg.revoke_s
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -14,6 +14,7 @@
 from dandelionwinch.gateway import _crash_guard
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
+from dandelionwinch.gateway import _key_sharing
 from dandelionwinch.gateway import _leaving_notices
 from dandelionwinch.gateway import _limit_sharing
 from dandelionwinch.gateway import _metrics
@@ -55,6 +56,7 @@
         '_cache_watch',
         '_durations',
         '_ended',
+        '_key_sharing',
         '_limits',
         '_stop_at',
         '_sweep_timer',
@@ -117,6 +119,9 @@
             loop, self.fleet, self.peers, log, self.metrics, self.rng
         )
         self.authenticator = _authenticator.Authenticator(loop, cfg)
+        self._key_sharing = _key_sharing.KeySharing(
+            loop, self.peers, self.fleet, self.authenticator, log, self.rng
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -134,6 +139,7 @@
         self._sweep()
         self.crash_guard.start()
         self._limits.start()
+        self._key_sharing.start()
         self._cache_watch.start()
 
     def close(self):
@@ -143,6 +149,7 @@
         self._cache_watch.close()
         self.crash_guard.close()
         self._limits.close()
+        self._key_sharing.close()
         self.peers.close()
         self.fleet.close()
 
@@ -316,6 +323,7 @@
             table: The RouteTable.
         """
         self.fleet.table = table
+        self._key_sharing.apply(table)
 
     def set_capacity_ratio(self, capacity_ratio):
         """Sets the ratio by which this instance divides shared limits.
