--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from dandelionwinch.gateway import _crash_guard
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
+from dandelionwinch.gateway import _key_sharing
 from dandelionwinch.gateway import _leaving_notices
 from dandelionwinch.gateway import _limit_sharing
 from dandelionwinch.gateway import _metrics
@@ -65,6 +66,7 @@
         '_cache_watch',
         '_durations',
         '_ended',
+        '_key_sharing',
         '_limits',
         '_stop_at',
         '_sweep_timer',
@@ -129,6 +131,9 @@
             loop, self.fleet, self.peers, log, self.metrics, self.rng
         )
         self.authenticator = _authenticator.Authenticator(loop, cfg)
+        self._key_sharing = _key_sharing.KeySharing(
+            loop, self.peers, self.fleet, self.authenticator, log, self.rng
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -166,6 +171,7 @@
         self._sweep()
         self.crash_guard.start()
         self._limits.start()
+        self._key_sharing.start()
         self._cache_watch.start()
         if self.usage_meter.enabled:
             self.usage.start()
@@ -178,6 +184,7 @@
         self.crash_guard.close()
         self._limits.close()
         self.usage.close()
+        self._key_sharing.close()
         self.peers.close()
         self.fleet.close()
 
@@ -344,6 +351,15 @@
         """Logs a request that was rejected before it was complete."""
         self.log.event('request.refused', status=status, reason=reason)
 
+    def set_table(self, table):
+        """Puts a version of the configuration in force.
+
+        Args:
+            table: The RouteTable.
+        """
+        self.fleet.table = table
+        self._key_sharing.apply(table)
+
     def set_capacity_ratio(self, capacity_ratio):
         """Sets the ratio by which this instance divides shared limits.
 
