--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -291,6 +291,15 @@
             self._cfg, self._store, self._sync, self._holder, self._calls
         )
 
+    def usage(self):
+        """Returns the gateway.UsageView of the last windows, in their order.
+
+        It is None if the settings name no reports of usage.
+        """
+        if not self._cfg.duty_settings.reports_usage:
+            return None
+        return self._gateway.usage.view()
+
     def stop(self):
         """Begins a graceful stop."""
         if self._stopping:
--- a/dandelionwinch/gateway/__init__.py
+++ b/dandelionwinch/gateway/__init__.py
@@ -16,6 +16,7 @@
 from dandelionwinch.gateway._pool import NotConnected
 from dandelionwinch.gateway._pool import Pool
 from dandelionwinch.gateway._server import Server
+from dandelionwinch.gateway._usage_sharing import UsageView
 
 __all__ = [
     'AttemptParams',
@@ -31,6 +32,7 @@
     'ReplyHeaders',
     'Server',
     'UpstreamStatus',
+    'UsageView',
     'WireCodec',
     'read_response',
     'request_bytes',
--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -59,6 +59,23 @@
     repeat_s: float = MIN_REPEAT_S
 
 
+@attrs.frozen
+class UsageView:
+    """What this instance knows of the usage in one window.
+
+    Attributes:
+        window: Number of the window.
+        ended_s: Seconds since its end, negative before.
+        counted: Requests by team that this instance counted.
+        reported: Requests by team in its report, None if none was seen.
+    """
+
+    window: int
+    ended_s: float
+    counted: dict[str, int]
+    reported: dict[str, int] | None
+
+
 class UsageSharing:
     """Exchanges running totals with other instances.
 
@@ -267,20 +284,15 @@
             del self._reports[min(self._reports)]
 
     def view(self):
-        """Returns what is known of the last windows.
-
-        Returns:
-            For each window: its number, the own counts, the counts of its
-            report or None, and the seconds since its end.
-        """
+        """Returns a UsageView of each of the last windows, in their order."""
         now = self._clock.now()
         windows = {*self._counts.windows(), *self._reports}
         return [
-            (
+            UsageView(
                 window,
+                now - self._counts.end_of(window),
                 self._counts.counts(window),
                 self._reported_counts(window),
-                now - self._counts.end_of(window),
             )
             for window in sorted(windows)
         ]
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -17,6 +17,7 @@
 from dandelionwinch.platform import _holds
 from dandelionwinch.platform import _store
 from dandelionwinch.platform import _store_codec
+from dandelionwinch.platform import _usage_page
 from dandelionwinch.platform import _wire_codec
 
 METRICS_PORT = 9464
@@ -73,6 +74,9 @@
             now = self._loop.time()
             _holds.respond(self.instance, now, incoming.head, caller)
             return
+        if _usage_page.is_request(incoming.head):
+            _usage_page.respond(self.instance, caller)
+            return
         if _duties.is_request(incoming.head):
             _duties.respond(self.instance, self._loop.time(), caller)
             return
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -28,6 +28,7 @@
 from dandelionwinch.tools import duties
 from dandelionwinch.tools import explain
 from dandelionwinch.tools import holds
+from dandelionwinch.tools import usage
 
 FINDINGS_EXIT_CODE = 2
 DEFAULT_OPERATOR_ADDRESS = '127.0.0.1:8082'
@@ -174,6 +175,26 @@
         click.echo(line)
 
 
+@main.command('usage')
+@click.argument('address', metavar='IP:PORT')
+def show_usage(address):
+    """Show the usage of teams in the last windows.
+
+    IP:PORT is the metrics server of an instance. Exits with 1 if its settings
+    name no reports of usage.
+    """
+    try:
+        windows = usage.fetch(address)
+    except errors.DandelionwinchError as exc:
+        _exit_with_error(exc)
+    if windows is None:
+        click.echo('error: the settings name no reports of usage', err=True)
+        sys.exit(1)
+    for window in windows:
+        for line in usage.format_lines(window):
+            click.echo(line)
+
+
 @main.command('check-boot')
 @click.argument('path', type=click.Path(dir_okay=False))
 def check_boot(path):
