--- a/dandelionwinch/gateway/_usage_link.py
+++ b/dandelionwinch/gateway/_usage_link.py
@@ -2,11 +2,9 @@
 
     ["usage", name, incarnation, window, final, total, reported, rows]
     ["usage?", reported]
-    ["clock?", time]
-    ["clock", time of the question, time]
 
-The incarnation and all times are in ms since the start of 1970. A "usage"
-has the running total of one window or a part of it: rows of a team and its
+The incarnation is the start of the process in ms since 1970. A "usage" has
+the running total of one window or a part of it: rows of a team and its
 requests, and the sum of all rows. The name is not the sender's if that sends
 on what it holds of an instance that may have ended. Reported is the last
 window of which the sender saw a report. Datagrams of unknown senders are
@@ -28,9 +26,7 @@
     Args:
         link: PeerLink.
         receiver: Object with `take_total(total, relayed)`,
-            `take_reported(window)`, `take_question(addr)`,
-            `take_clock_question(asked_ms, addr)` and
-            `take_clock(asked_ms, time_ms, sender)`.
+            `take_reported(window)` and `take_question(addr)`.
     """
 
     __slots__ = ('_link', '_receiver')
@@ -40,8 +36,6 @@
         self._receiver = receiver
         link.register('usage', self._take_total)
         link.register('usage?', self._take_question)
-        link.register('clock?', self._take_clock_question)
-        link.register('clock', self._take_clock)
 
     @property
     def peers(self):
@@ -74,14 +68,6 @@
         """Asks instances for what they hold of windows without a report."""
         self._link.send_all(['usage?', reported], addresses)
 
-    def ask_clock(self, time_ms, addresses):
-        """Asks instances for their time."""
-        self._link.send_all(['clock?', time_ms], addresses)
-
-    def send_clock(self, asked_ms, time_ms, addr):
-        """Answers a question for the time."""
-        self._link.send(['clock', asked_ms, time_ms], addr)
-
     def _take_total(self, items, addr):
         sender = self._link.name_of(addr)
         name, incarnation, window, final, total, reported, rows = items
@@ -106,18 +92,6 @@
         self._receiver.take_reported(_checked_window(reported))
         self._receiver.take_question(addr)
 
-    def _take_clock_question(self, items, addr):
-        self._link.name_of(addr)
-        (asked_ms,) = items
-        self._receiver.take_clock_question(_checked_number(asked_ms), addr)
-
-    def _take_clock(self, items, addr):
-        sender = self._link.name_of(addr)
-        asked_ms, time_ms = items
-        self._receiver.take_clock(
-            _checked_number(asked_ms), _checked_number(time_ms), sender
-        )
-
 
 def _read_row(team, count):
     return _checked_text(team), _checked_number(count)
--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from dandelionwinch.gateway import _clock_check
 from dandelionwinch.gateway import _usage_link
 from dandelionwinch import usage
 
@@ -29,14 +30,6 @@
 MAX_REPEAT_S = 60.0
 # Reports that are kept for operators.
 SHOWN_REPORTS = 12
-# Instances that are asked for their time at the start, and the time for
-# which their answers are awaited.
-CLOCK_PEERS = 9
-CLOCK_WAIT_S = 1.0
-# Round trip up to which an answer tells the time: its error is half of it.
-MAX_ROUND_TRIP_S = 0.2
-# Time for which an instance that knows no other waits for one to ask.
-ALONE_S = 3.0
 MS = 1000.0
 
 
@@ -97,8 +90,8 @@
     """
 
     __slots__ = (
-        '_asked_at',
         '_clock',
+        '_clock_check',
         '_counts',
         '_incarnation',
         '_link',
@@ -106,7 +99,6 @@
         '_loop',
         '_meter',
         '_name',
-        '_offsets_s',
         '_phase',
         '_receivers',
         '_receivers_at',
@@ -114,7 +106,6 @@
         '_rng',
         '_sendings',
         '_settled',
-        '_started_at',
         '_timer',
         'in_use',
         'receivers',
@@ -126,6 +117,7 @@
         self._clock = clock
         self._counts = counts
         self._meter = meter
+        self._clock_check = _clock_check.ClockCheck(loop, clock, link, rng)
         self._link = _usage_link.UsageLink(link, self)
         self._name = name
         self._log = log
@@ -137,10 +129,6 @@
         self._receivers_at = float('-inf')
         # The last Reports that were seen, by window.
         self._reports = {}
-        # Offsets of other instances' clocks, by name.
-        self._offsets_s = {}
-        self._asked_at = None
-        self._started_at = None
         self._settled = False
         self._timer = None
         self.in_use = False
@@ -159,7 +147,6 @@
 
     def start(self):
         """Starts the periodic work."""
-        self._started_at = self._loop.time()
         self._incarnation = round(self._clock.now() * MS)
         self._tick()
 
@@ -347,25 +334,10 @@
             self._link.send_total(total, reported, [addr])
 
     def _settle(self):
-        """Compares the clock with those of others before any total is sent.
-
-        A process may start while the wall clock of its machine is wrong.
-        """
-        now = self._loop.time()
-        peers = self._link.peers
-        if self._asked_at is None:
-            if peers:
-                self._asked_at = now
-                chosen = self._rng.sample(
-                    list(peers.values()), min(CLOCK_PEERS, len(peers))
-                )
-                self._link.ask_clock(round(self._clock.now() * MS), chosen)
-            elif now - self._started_at > ALONE_S:
-                self._set_settled(0.0)
+        """Corrects the clock before any total is sent."""
+        offset_s = self._clock_check.find_offset_s()
+        if offset_s is None:
             return
-        if now - self._asked_at < CLOCK_WAIT_S:
-            return
-        offset_s = usage.median_offset(self._offsets_s.values())
         if offset_s:
             self._clock.correct(offset_s)
             self._meter.shift(offset_s)
@@ -373,24 +345,7 @@
             self._log.event(
                 'usage.clock',
                 offset_s=round(offset_s, 3),
-                answers=len(self._offsets_s),
+                answers=self._clock_check.answers,
             )
-        self._set_settled(offset_s)
-
-    def _set_settled(self, offset_s):
         self._settled = True
         self._counts.settle(offset_s)
-
-    def take_clock_question(self, asked_ms, addr):
-        """Answers an instance that compares its clock."""
-        if self._timer is not None:
-            time_ms = round(self._clock.now() * MS)
-            self._link.send_clock(asked_ms, time_ms, addr)
-
-    def take_clock(self, asked_ms, time_ms, sender):
-        """Takes in the time of another instance."""
-        answered_ms = self._clock.now() * MS
-        round_trip_s = (answered_ms - asked_ms) / MS
-        if not self._settled and 0 <= round_trip_s <= MAX_ROUND_TRIP_S:
-            middle_ms = (asked_ms + answered_ms) / 2
-            self._offsets_s[sender] = (time_ms - middle_ms) / MS
