--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -198,6 +198,7 @@
         self._limits.close()
         self._key_sharing.close()
         self.usage.close()
+        self._key_sharing.close()
         self.peers.close()
         self.fleet.close()
 
