--- a/dandelionwinch/capacity/_forecast.py
+++ b/dandelionwinch/capacity/_forecast.py
@@ -197,14 +197,18 @@
     def _update_levels(self, now):
         known = now - self._since >= KNOWN_AFTER_S
 
-        def update(level, work, floor=0.0):
-            count = min(self._most, work / self._use_ratio)
+        def update(level, work, use_ratio, floor=0.0):
+            count = min(self._most, work / use_ratio)
             level.update(max(floor, count), now, known)
 
-        update(self._cheap, self._peak(self._cheap_price), self._floor)
+        cheap = self._peak(self._cheap_price)
+        update(self._cheap, cheap, self._use_ratio, self._floor)
         if len(self._samples) >= MIN_SAMPLES:
-            update(self._dear, self._peak(1.0))
-            update(self._urgent, URGENT_RATIO * self._least())
+            # Work may be late for other reasons than a lack of upstreams, so
+            # a low use adds cheap ones only.
+            use_ratio = max(USE_RATIO, self._use_ratio)
+            update(self._dear, self._peak(1.0), use_ratio)
+            update(self._urgent, URGENT_RATIO * self._least(), use_ratio)
 
     def _peak(self, price):
         """Returns the demand up to which capacity of a price pays."""
--- a/dandelionwinch/capacity/_places.py
+++ b/dandelionwinch/capacity/_places.py
@@ -51,6 +51,13 @@
         """Number of upstreams that accept requests."""
         return sum(self.serving.values())
 
+    @property
+    def has_roles(self):
+        """Whether these are engines, which have two roles."""
+        return any(
+            role is not upstreams.Role.PLAIN for _name, role in self.roles
+        )
+
     def in_data_centre(self, data_centre):
         """Returns the number that accepts requests in a data centre."""
         return sum(
--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -112,8 +112,11 @@
         return self._ordinary.total + self._reclaimable.total
 
     def _least(self):
-        """Returns the number in a data centre that keeps both roles."""
-        return min(max(MIN_ENGINES, self._scaling.least), self._scaling.most)
+        """Returns the smallest number that is planned in a data centre."""
+        least = max(1, self._scaling.least)
+        if self._view.has_roles:
+            least = max(MIN_ENGINES, least)
+        return min(least, self._scaling.most)
 
     def _plan_ordinary(self):
         """Plans the ordinary upstreams that are always there."""
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -405,6 +405,8 @@
                 born=entry.started_at_ms,
                 version=entry.software_version,
                 revision=item.revision,
+                reclaimable=entry.reclaimable,
+                leaves_in_s=entry.leaves_in_s,
             )
 
     def _remove_upstreams(self, upstream_ids, now):
--- a/dandelionwinch/tests/test_capacity.py
+++ b/dandelionwinch/tests/test_capacity.py
@@ -357,6 +357,29 @@
     assert found.cheap > 20
 
 
+def test_late_work_orders_no_ordinary_ones():
+    """It may be late for other reasons than a lack of upstreams."""
+    forecast = capacity.Forecast(10, 0.15, 48)
+    late = run_forecast(forecast, lambda _now: demand(3.0, 2.0), 60)
+    forecast = capacity.Forecast(10, 0.15, 48)
+    in_time = run_forecast(forecast, lambda _now: demand(5.0), 60)
+    assert late.cheap > in_time.cheap
+    assert (late.dear, late.urgent) == (in_time.dear, in_time.urgent)
+
+
+def test_a_plain_service_needs_no_second_upstream_for_a_role():
+    counts = {at(name, ORDINARY): 1 for name in START}
+    entries = [entry(0, place, upstreams.Role.PLAIN) for place in counts]
+    planned = capacity.plan(
+        scaling(price=None),
+        capacity.view_of(entries),
+        counts,
+        need(0.0),
+        frozenset(),
+    )
+    assert by_kind(planned, ORDINARY) == dict.fromkeys(START, 1)
+
+
 def test_one_sample_that_is_far_off_orders_no_ordinary_ones():
     forecast = capacity.Forecast(23, 0.15, 48)
     forecast.observe(demand(5000.0), 23, 0.0)
--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -58,6 +58,7 @@
 DATA_PATH = (
     'addresses',
     'attempts',
+    'capacity',
     'control',
     'dispatch',
     'gateway',
