--- a/dandelionwinch/capacity/_forecast.py
+++ b/dandelionwinch/capacity/_forecast.py
@@ -137,6 +137,25 @@
         self._since = None
         self._use_ratio = USE_RATIO
 
+    def raise_start(self, start):
+        """Raises the number at the start while no demand is known.
+
+        The upstreams of the start become known one after the other.
+
+        Args:
+            start: Number of upstreams that stand now.
+        """
+        if self._samples:
+            return
+        self._floor = max(self._floor, FLOOR_RATIO * start)
+        urgent = URGENT_RATIO * START_LEAST_RATIO * start
+        for level, count in (
+            (self._cheap, start),
+            (self._dear, start),
+            (self._urgent, urgent),
+        ):
+            level.value = max(level.value, count)
+
     def observe(self, demand, serving, now):
         """Adds a sample of the demand.
 
@@ -212,9 +231,8 @@
 
     def _peak(self, price):
         """Returns the demand up to which capacity of a price pays."""
-        reach = math.log(max(1.0, WORTH_OF_WORK / max(price, 1e-3)))
         mean, spread = self._distribution()
-        usual = mean * (1.0 + spread * reach)
+        usual = mean * (1.0 + spread * _reach(price))
         present = self._present(self._samples[-1][0])
         return max(usual, present * (1.0 + MIN_SPREAD))
 
@@ -237,5 +255,10 @@
         return totals[int(LEAST_QUANTILE * (len(totals) - 1))]
 
 
+def _reach(price):
+    """Returns the excess over the mean that pays, in spreads."""
+    return math.log(max(1.0, WORTH_OF_WORK / max(price, 1e-3)))
+
+
 def _is_shortage(demand):
     return demand.short > SHORTAGE_RATIO * demand.total
--- a/dandelionwinch/tests/test_capacity.py
+++ b/dandelionwinch/tests/test_capacity.py
@@ -405,6 +405,16 @@
     return planner, due
 
 
+def test_upstreams_of_the_start_that_become_known_later_count():
+    """The first plan knew 10 of 21 upstreams; half of them were given up."""
+    few = {at(name, ORDINARY): 1 for name in START}
+    late, _due = planner_of(few)
+    late.update(view(start_counts()), None, 0.5)
+    known, _due = planner_of(start_counts())
+    assert late.need == known.need
+    assert total(late.planned) >= total(START) > 20
+
+
 def test_a_new_holder_plans_what_the_one_before_it_did():
     """Else the margin for a lost data centre would grow with each holder."""
     first, due = planner_of(start_counts())
