--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -166,6 +166,7 @@
             self._calls,
             self._instance_names,
             self.log,
+            self._cfg.duty_settings.usage_late_s,
         )
         self._gateway.usage.receivers = self._usage_receivers
         self._sync.on_usage_report = duty.saw
--- a/dandelionwinch/control/_usage_duty.py
+++ b/dandelionwinch/control/_usage_duty.py
@@ -28,6 +28,7 @@
         api: DutyApi.
         names: Function that returns the names of the registered instances.
         log: EventLog.
+        due_s: Time after the end of a window at which its report is due.
     """
 
     name = 'usage'
@@ -43,13 +44,13 @@
         '_token',
     )
 
-    def __init__(self, store, sharing, api, names, log):
+    def __init__(self, store, sharing, api, names, log, due_s):
         self._store = store
         self._sharing = sharing
         self._api = api
         self._names = names
         self._log = log
-        self._reporter = usage.Reporter(sharing.totals.window_s)
+        self._reporter = usage.Reporter(sharing.totals.window_s, due_s)
         self._token = 0
         self._epoch = None
 
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -164,6 +164,7 @@
             cfg.instance,
             self.log,
             self.rng,
+            duties.usage_late_s,
         )
 
     def start(self):
--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -23,7 +23,9 @@
 SPREAD_PER_INSTANCE_S = 0.003
 MAX_SPREAD_S = 1.5
 # Time after the end of a window up to which calls without an answer delay
-# its final total. The report is made 4.5 s after that end.
+# its final total: this part of the time at which its report is due, but not
+# more than that. It is reported at 0.45 of that time, or after 4.5 s.
+FINAL_LATEST_RATIO = 0.3
 FINAL_LATEST_S = 3.0
 # Times after which a final total is sent again while no report is known.
 MIN_REPEAT_S = 2.0
@@ -81,6 +83,7 @@
         name: Name of this instance.
         log: EventLog.
         rng: Source of randomness.
+        due_s: Time after the end of a window at which its report is due.
 
     Attributes:
         in_use: Whether there are teams, without which nothing is sent.
@@ -93,6 +96,7 @@
         '_clock',
         '_clock_check',
         '_counts',
+        '_final_latest_s',
         '_incarnation',
         '_link',
         '_log',
@@ -112,7 +116,9 @@
         'totals',
     )
 
-    def __init__(self, loop, clock, counts, meter, link, name, log, rng):
+    def __init__(
+        self, loop, clock, counts, meter, link, name, log, rng, due_s
+    ):
         self._loop = loop
         self._clock = clock
         self._counts = counts
@@ -122,6 +128,7 @@
         self._name = name
         self._log = log
         self._rng = rng
+        self._final_latest_s = min(FINAL_LATEST_S, FINAL_LATEST_RATIO * due_s)
         self._phase = rng.random()
         self._incarnation = 0
         self._sendings = {}
@@ -226,8 +233,9 @@
         due_at = end_at + FINAL_DELAY_S + self._phase * self._spread_s()
         if now < due_at:
             return False
-        return now >= end_at + FINAL_LATEST_S or not self._meter.has_open(
-            end_at
+        return (
+            now >= end_at + self._final_latest_s
+            or not self._meter.has_open(end_at)
         )
 
     def _send_running(self, window, sending, now):
--- a/dandelionwinch/tests/datagrams.py
+++ b/dandelionwinch/tests/datagrams.py
@@ -1,6 +1,7 @@
 """Datagrams between instances in virtual time."""
 
 import asyncio
+import collections
 
 MIN_LATENCY_S = 0.001
 MAX_LATENCY_S = 0.02
@@ -16,6 +17,8 @@
     Attributes:
         sent: Number of datagrams sent.
         sent_bytes: Their size.
+        bytes_by_sender: Size of the datagrams that each address sent.
+        bytes_by_receiver: Size of those that were sent to each address.
         cut_off: Addresses that are reached by none and reach none.
     """
 
@@ -25,6 +28,8 @@
         self._links = {}
         self.sent = 0
         self.sent_bytes = 0
+        self.bytes_by_sender = collections.Counter()
+        self.bytes_by_receiver = collections.Counter()
         self.cut_off = set()
 
     def add(self, link, addr):
@@ -36,6 +41,8 @@
         """Delivers a datagram after some time, or loses it."""
         self.sent += 1
         self.sent_bytes += len(data)
+        self.bytes_by_sender[sender] += len(data)
+        self.bytes_by_receiver[addr] += len(data)
         lost = self._rng.random() < self._loss
         if lost or addr not in self._links or {sender, addr} & self.cut_off:
             return
--- a/dandelionwinch/usage/_reporter.py
+++ b/dandelionwinch/usage/_reporter.py
@@ -14,7 +14,9 @@
 
 from dandelionwinch.usage import _report
 
-# Time after the end of a window at which it is reported with what is known.
+# Time after the end of a window at which it is reported with what is known:
+# this part of the time at which it is due, but not later than that.
+REPORT_LATEST_RATIO = 0.45
 REPORT_LATEST_S = 4.5
 MIN_PAUSE_S = 0.5
 MAX_PAUSE_S = 2.0
@@ -56,6 +58,7 @@
 
     Args:
         window_s: Length of a window in seconds.
+        due_s: Time after the end of a window at which its report is due.
 
     Attributes:
         awaited: Names of the instances whose final total of the next window
@@ -67,6 +70,7 @@
     __slots__ = (
         '_holding_since',
         '_known',
+        '_latest_s',
         '_paused_until',
         '_pause_s',
         '_read',
@@ -80,8 +84,9 @@
         'last',
     )
 
-    def __init__(self, window_s):
+    def __init__(self, window_s, due_s):
         self._window_s = window_s
+        self._latest_s = min(REPORT_LATEST_S, REPORT_LATEST_RATIO * due_s)
         # Latest report that was seen in the store, whatever its epoch.
         self._known = None
         self._sent = None
@@ -153,7 +158,7 @@
             if now < end_at:
                 return None
             self.awaited = totals.missing(window, names, now)
-            if self.awaited and now < end_at + REPORT_LATEST_S:
+            if self.awaited and now < end_at + self._latest_s:
                 return None
             counts = totals.counts(window)
             if counts:
