--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -67,6 +67,7 @@
     'ratelimits',
     'streams',
     'upstreams',
+    'usage',
 )
 
 
