--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -11,8 +11,8 @@
 from dandelionwinch import usage
 
 TICK_S = 0.25
-# Time between two looks at who gets the totals.
-RECEIVERS_INTERVAL_S = 1.0
+# Time between two looks at who gets the totals and what is still needed.
+UPKEEP_INTERVAL_S = 1.0
 # Time between two running totals of an open window.
 RUNNING_INTERVAL_S = 1.0
 # Time after the end of a window in which first events that were made before
@@ -105,12 +105,12 @@
         '_name',
         '_phase',
         '_receivers',
-        '_receivers_at',
         '_reports',
         '_rng',
         '_sendings',
         '_settled',
         '_timer',
+        '_upkeep_at',
         'in_use',
         'receivers',
         'totals',
@@ -133,7 +133,7 @@
         self._incarnation = 0
         self._sendings = {}
         self._receivers = ()
-        self._receivers_at = float('-inf')
+        self._upkeep_at = float('-inf')
         # The last Reports that were seen, by window.
         self._reports = {}
         self._settled = False
@@ -188,24 +188,27 @@
         if not self._settled:
             self._settle()
             return
+        if self._loop.time() >= self._upkeep_at:
+            self._upkeep_at = self._loop.time() + UPKEEP_INTERVAL_S
+            self._follow_receivers()
+            self._forget()
         now = self._clock.now()
-        self._follow_receivers()
-        self._counts.forget(now)
-        self.totals.forget(self._counts.reported, now)
         for window in self._pending(now):
             self._send_due(window, now)
 
     def _follow_receivers(self):
         """Has all totals sent in full to receivers that are new."""
-        now = self._loop.time()
-        if now < self._receivers_at:
-            return
-        self._receivers_at = now + RECEIVERS_INTERVAL_S
         receivers = tuple(self.receivers())
         if receivers != self._receivers:
             self._receivers = receivers
             self._sendings.clear()
 
+    def _forget(self):
+        """Drops what no report needs any more."""
+        now = self._clock.now()
+        self._counts.forget(now)
+        self.totals.forget(self._counts.reported, now)
+
     def _pending(self, now):
         """Returns the windows whose report is not known, up to now."""
         current = self._counts.window_of(now)
