--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -11,8 +11,8 @@
 from dandelionwinch import usage
 
 TICK_S = 0.25
-# Time between two looks at who gets the totals.
-RECEIVERS_INTERVAL_S = 1.0
+# Time between two looks at who gets the totals and what is still needed.
+UPKEEP_INTERVAL_S = 1.0
 # Time between two running totals of an open window.
 RUNNING_INTERVAL_S = 1.0
 # Time after the end of a window in which first events that were made before
@@ -23,7 +23,9 @@
 SPREAD_PER_INSTANCE_S = 0.003
 MAX_SPREAD_S = 1.5
 # Time after the end of a window up to which calls without an answer delay
-# its final total. The report is made 4.5 s after that end.
+# its final total: this part of the time at which its report is due, but not
+# more than that. It is reported at 0.45 of that time, or after 4.5 s.
+FINAL_LATEST_RATIO = 0.3
 FINAL_LATEST_S = 3.0
 # Times after which a final total is sent again while no report is known.
 MIN_REPEAT_S = 2.0
@@ -81,6 +83,7 @@
         name: Name of this instance.
         log: EventLog.
         rng: Source of randomness.
+        due_s: Time after the end of a window at which its report is due.
 
     Attributes:
         in_use: Whether there are teams, without which nothing is sent.
@@ -93,6 +96,7 @@
         '_clock',
         '_clock_check',
         '_counts',
+        '_final_latest_s',
         '_incarnation',
         '_link',
         '_log',
@@ -101,18 +105,20 @@
         '_name',
         '_phase',
         '_receivers',
-        '_receivers_at',
         '_reports',
         '_rng',
         '_sendings',
         '_settled',
         '_timer',
+        '_upkeep_at',
         'in_use',
         'receivers',
         'totals',
     )
 
-    def __init__(self, loop, clock, counts, meter, link, name, log, rng):
+    def __init__(
+        self, loop, clock, counts, meter, link, name, log, rng, due_s
+    ):
         self._loop = loop
         self._clock = clock
         self._counts = counts
@@ -122,11 +128,12 @@
         self._name = name
         self._log = log
         self._rng = rng
+        self._final_latest_s = min(FINAL_LATEST_S, FINAL_LATEST_RATIO * due_s)
         self._phase = rng.random()
         self._incarnation = 0
         self._sendings = {}
         self._receivers = ()
-        self._receivers_at = float('-inf')
+        self._upkeep_at = float('-inf')
         # The last Reports that were seen, by window.
         self._reports = {}
         self._settled = False
@@ -181,24 +188,27 @@
         if not self._settled:
             self._settle()
             return
+        if self._loop.time() >= self._upkeep_at:
+            self._upkeep_at = self._loop.time() + UPKEEP_INTERVAL_S
+            self._follow_receivers()
+            self._forget()
         now = self._clock.now()
-        self._follow_receivers()
-        self._counts.forget(now)
-        self.totals.forget(self._counts.reported, now)
         for window in self._pending(now):
             self._send_due(window, now)
 
     def _follow_receivers(self):
         """Has all totals sent in full to receivers that are new."""
-        now = self._loop.time()
-        if now < self._receivers_at:
-            return
-        self._receivers_at = now + RECEIVERS_INTERVAL_S
         receivers = tuple(self.receivers())
         if receivers != self._receivers:
             self._receivers = receivers
             self._sendings.clear()
 
+    def _forget(self):
+        """Drops what no report needs any more."""
+        now = self._clock.now()
+        self._counts.forget(now)
+        self.totals.forget(self._counts.reported, now)
+
     def _pending(self, now):
         """Returns the windows whose report is not known, up to now."""
         current = self._counts.window_of(now)
@@ -226,8 +236,9 @@
         due_at = end_at + FINAL_DELAY_S + self._phase * self._spread_s()
         if now < due_at:
             return False
-        return now >= end_at + FINAL_LATEST_S or not self._meter.has_open(
-            end_at
+        return (
+            now >= end_at + self._final_latest_s
+            or not self._meter.has_open(end_at)
         )
 
     def _send_running(self, window, sending, now):
--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -68,6 +68,7 @@
     'ratelimits',
     'streams',
     'upstreams',
+    'usage',
 )
 
 
