--- a/dandelionwinch/capacity/_orders.py
+++ b/dandelionwinch/capacity/_orders.py
@@ -53,11 +53,13 @@
         by_order: Whether it was ordered by this instance.
         followed_at: Time of the order, or the last time since at which the
             entries showed that number.
+        repeated: Whether it was ordered again as the entries didn't follow.
     """
 
     count: int
     by_order: bool
     followed_at: float
+    repeated: bool = False
 
 
 @attrs.define
@@ -104,14 +106,27 @@
             ordered = self._ordered.get(place)
             if ordered is None:
                 self._ordered[place] = _Ordered(serving, False, now)
-                continue
-            if not ordered.by_order:
-                # A crashed upstream returns, so the number has not changed.
-                ordered.count = max(ordered.count, serving)
-            if serving == ordered.count:
-                ordered.followed_at = now
+            else:
+                self._compare(place, ordered, serving, now)
         self._observe_draining(view)
 
+    def _compare(self, place, ordered, serving, now):
+        """Compares what serves at a place with what is ordered there."""
+        if not ordered.by_order:
+            # A crashed upstream returns, so the number has not changed.
+            ordered.count = max(ordered.count, serving)
+        if serving == ordered.count:
+            ordered.followed_at = now
+            ordered.repeated = False
+        elif serving < ordered.count and self._is_late(ordered, now):
+            if ordered.by_order and not ordered.repeated:
+                return
+            # Neither restarts nor a second order brought them.
+            if ordered.by_order:
+                self._refuse(place, now)
+            ordered.count = serving
+            ordered.followed_at = now
+
     def _observe_draining(self, view):
         """Notes upstreams that were taken away without an order."""
         draining = {id_ for ids in view.draining.values() for id_ in ids}
@@ -153,7 +168,7 @@
                 continue
             ordered = self._ordered.get(place)
             before = ordered.count if ordered else 0
-            if count == before and not self._is_late(ordered, now):
+            if count == before and not self._is_repeated(ordered, now):
                 continue
             if count >= before and place in self.refused(now):
                 continue
@@ -167,10 +182,14 @@
         name = place.data_centre
         return name in self._in_flight or self._not_before.get(name, now) > now
 
-    def _is_late(self, ordered, now):
-        """Tells whether the entries don't follow an order."""
+    def _is_repeated(self, ordered, now):
+        """Tells whether an order is to be sent again."""
         if ordered is None or not ordered.by_order:
             return False
+        return self._is_late(ordered, now)
+
+    def _is_late(self, ordered, now):
+        """Tells whether the entries have not shown a number for too long."""
         waited_s = now - ordered.followed_at
         return waited_s > self._boot_s + REPEAT_MARGIN_S
 
@@ -191,7 +210,10 @@
         self._in_flight.discard(place.data_centre)
         match outcome:
             case Outcome.ACCEPTED | Outcome.UNANSWERED:
-                self._ordered[place] = _Ordered(order.count, True, now)
+                repeated = order.count == order.before
+                self._ordered[place] = _Ordered(
+                    order.count, True, now, repeated
+                )
                 if outcome is Outcome.ACCEPTED and _growth(order) > 0:
                     self._refusals.pop(place, None)
             case Outcome.REFUSED:
--- a/dandelionwinch/tests/test_capacity.py
+++ b/dandelionwinch/tests/test_capacity.py
@@ -242,6 +242,31 @@
     assert not orders.due({at('a', ORDINARY): 4}, 1.0)
 
 
+def test_what_two_orders_do_not_bring_is_planned_elsewhere():
+    orders = make_orders({at('a', ORDINARY): 4})
+    tries = []
+    for tenth in range(160):
+        now = tenth / 10
+        orders.observe(view({PLACE: 1}), now)
+        if send(orders, {PLACE: 3}, now):
+            tries.append(now)
+        if PLACE in orders.refused(now):
+            break
+    assert tries == [0.0, pytest.approx(7.1)]
+    assert now == pytest.approx(14.2, abs=0.2)
+    assert orders.ordered()[PLACE] == 1
+
+
+def test_what_stood_without_an_order_and_does_not_return_is_gone():
+    """A new holder did not order it, and did not see it being taken away."""
+    orders = make_orders({PLACE: 4})
+    orders.observe(view({}), 1.0)
+    assert orders.ordered()[PLACE] == 4
+    orders.observe(view({}), 8.0)
+    assert orders.ordered()[PLACE] == 0
+    assert orders.due({PLACE: 4}, 8.0)
+
+
 def test_one_order_is_in_flight_for_a_data_centre():
     orders = make_orders({at('a', ORDINARY): 4, at('b', ORDINARY): 4})
     planned = {at('a', ORDINARY): 2, PLACE: 3, at('b', ORDINARY): 5}
--- a/dandelionwinch/tests/test_catalogue.py
+++ b/dandelionwinch/tests/test_catalogue.py
@@ -25,9 +25,79 @@
     )
 
 
+def test_a_reclaimable_upstreams_entry_is_read():
+    value = samples.entry(spot=True, state='draining', leaves_ms=1850.5)
+    entry = _store_codec.read_upstream('i-1', value)
+    assert (entry.reclaimable, entry.ready) == (True, False)
+    assert entry.leaves_in_s == pytest.approx(1.8505)
+    value = samples.entry(spot=False, leaves_ms=None)
+    entry = _store_codec.read_upstream('i-1', value)
+    assert (entry.reclaimable, entry.leaves_in_s) == (False, None)
+
+
+SCALING = {
+    'minReplicas': 1,
+    'maxReplicas': 8,
+    'bootS': 4,
+    'spotPrice': 0.15,
+    'zonePrices': {'a': 0.8, 'b': 1.25},
+}
+
+
+def read_scaling(value):
+    """Returns the Scaling of a service whose field has a value."""
+    services = [samples.service(scaling=value)]
+    config = samples.config(1, [samples.route()], services)
+    return _store_codec.read_config(config).services['s'].scaling
+
+
+def test_the_scaling_of_a_service_is_read():
+    prices = {'a': 0.8, 'b': 1.25}
+    scaling = read_scaling(SCALING)
+    assert scaling == routes.Scaling(1, 8, 4.0, 0.15, prices)
+    assert scaling.price('c') == 1.0
+    more = {**SCALING, 'spotPrice': None, 'zonePrices': None, 'other': 1}
+    assert read_scaling(more) == routes.Scaling(1, 8, 4.0, None, {})
+    assert read_scaling(None) is None
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'minReplicas': None},
+        {'minReplicas': -1},
+        {'minReplicas': 9},
+        {'maxReplicas': '8'},
+        {'maxReplicas': True},
+        {'bootS': None},
+        {'bootS': -1},
+        {'bootS': 'soon'},
+        {'spotPrice': '0.15'},
+        {'spotPrice': -0.1},
+        {'zonePrices': ['a']},
+        {'zonePrices': {'a': '1'}},
+        {'zonePrices': {'a': -1}},
+    ],
+)
+def test_an_invalid_scaling_is_a_finding(change):
+    with pytest.raises(control.EntryInvalid):
+        read_scaling({**SCALING, **change})
+
+
+@pytest.mark.parametrize('value', [[], 'yes', 7])
+def test_a_scaling_of_another_type_is_a_finding(value):
+    with pytest.raises(control.EntryInvalid):
+        read_scaling(value)
+
+
 @pytest.mark.parametrize(
     'change',
     [
+        {'spot': 'yes'},
+        {'spot': 1},
+        {'spot': None},
+        {'leaves_ms': '2000'},
+        {'leaves_ms': True},
         {'service': None},
         {'service': 7},
         {'address': 'nowhere'},
