--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -73,6 +73,7 @@
             self.log,
             rng,
             self._on_config,
+            _order_sender.boot_clock,
         )
         self._entry = addresses.InstanceEntry(
             cfg.instance,
--- a/dandelionwinch/control/_lease_holder.py
+++ b/dandelionwinch/control/_lease_holder.py
@@ -66,9 +66,7 @@
         self._clock = clock
         self._name = cfg.instance
         self._lease_s = max(leadership.LEASE_S, cfg.min_lease_s)
-        self._leadership = leadership.Leadership(
-            cfg.handover_s, cfg.min_lease_s
-        )
+        self._leadership = leadership.Leadership(cfg.handover_s)
         self._verifies = cfg.duty_settings.enabled
         self._lease = None
         self._revision = None
@@ -274,10 +272,12 @@
     async def _renew(self):
         sent_at = self._clock()
         await self._store.renew_lease(self._lease)
-        if self._sync.holder not in ('', self._name):
+        # A later holder may have come and gone between two renewals.
+        later = self._sync.last_holder_token > self.token
+        if later or self._sync.holder not in ('', self._name):
             self._record_loss(self.token, 'another instance holds it')
         else:
-            self._leadership.renewed(sent_at, self._sync.age_s())
+            self._leadership.renewed(sent_at, self._sync.view_age_s())
 
     async def _renew_verified(self, token):
         """Renews the lease and reads its key, at the same time."""
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -3,6 +3,7 @@
 import asyncio
 import traceback
 
+from dandelionwinch.control import _epoch
 from dandelionwinch.control import _lease_holder
 from dandelionwinch.control import _registered
 from dandelionwinch.control import _registration
@@ -37,13 +38,15 @@
         log: EventLog.
         rng: Random number generator.
         on_config: Function that is called with each new RouteTable.
+        clock: Function that returns seconds of a clock that runs while the
+            machine is suspended, or None for the loop's clock.
 
     Attributes:
         holder: Name of the holder of the order lease, or ''.
         holder_revision: Number of the revision of the holder's key, 0
             without a holder.
         last_holder: Name of the last holder that was seen, or ''.
-        last_holder_revision: Number of the revision of its key.
+        last_holder_token: Fencing token of that holder, or 0.
         lost_role_changes: Latest time and role of announced role changes
             that a restored store has lost, by upstream.
         registered: The RegisteredInstances.
@@ -51,6 +54,7 @@
 
     __slots__ = (
         '_cfg',
+        '_clock',
         '_gateway',
         '_guard',
         '_log',
@@ -64,20 +68,33 @@
         '_synced',
         '_task',
         '_unconfirmed',
+        '_view_at',
         '_watch_call',
         'holder',
         'holder_revision',
         'last_holder',
-        'last_holder_revision',
+        'last_holder_token',
         'lost_role_changes',
         'on_config',
         'registered',
     )
 
     def __init__(
-        self, loop, store, store_codec, gateway, cfg, log, rng, on_config
+        self,
+        loop,
+        store,
+        store_codec,
+        gateway,
+        cfg,
+        log,
+        rng,
+        on_config,
+        clock=None,
     ):
         self._loop = loop
+        self._clock = clock or loop.time
+        # Time at which what is known was still the store's state.
+        self._view_at = float('-inf')
         self._store = store
         self._store_codec = store_codec
         self._gateway = gateway
@@ -96,7 +113,7 @@
         self.holder = ''
         self.holder_revision = 0
         self.last_holder = ''
-        self.last_holder_revision = 0
+        self.last_holder_token = 0
         self.lost_role_changes = {}
         self.registered = _registered.RegisteredInstances(cfg.writes_per_s)
         self.on_config = on_config
@@ -124,6 +141,17 @@
             return float('inf')
         return self._loop.time() - self._store_reached_at
 
+    def view_age_s(self):
+        """Returns the seconds for which the store may have changed unseen.
+
+        An answer may have been under way for long, so they count from the
+        earliest time at which the store can have made it. `age_s` counts
+        from its arrival.
+        """
+        if not self.current:
+            return float('inf')
+        return self._clock() - self._view_at
+
     @property
     def current(self):
         """Whether the store was listed since its last restore."""
@@ -141,7 +169,7 @@
         return leadership.candidate_order(
             [entry.name for entry in self.registered.entries.values()],
             self.last_holder,
-            self.last_holder_revision,
+            self.last_holder_token,
         )
 
     @property
@@ -198,7 +226,9 @@
         return spread_s * self._rng.random()
 
     async def _list(self):
+        sent_at = self._clock()
         listing = await self._store.list(ALL_KEYS)
+        self._view_at = sent_at
         now = self._loop.time()
         previous, self._revision = self._revision, listing.revision
         self._store_reached()
@@ -265,7 +295,11 @@
         wait_s = (
             WATCH_TIMEOUT_S if due_s is None else min(WATCH_TIMEOUT_S, due_s)
         )
+        sent_at = self._clock()
         listing = await self._call_watch(wait_s)
+        # Without a change the store answers after the whole wait.
+        whole = not listing.items and self._clock() >= sent_at + wait_s
+        self._view_at = sent_at + wait_s if whole else sent_at
         now = self._loop.time()
         self._revision = max(self._revision, listing.revision)
         self._store_reached()
@@ -321,7 +355,8 @@
             self.holder_revision = item.revision if self.holder else 0
             if self.holder:
                 self.last_holder = self.holder
-                self.last_holder_revision = item.revision
+                revision = _epoch.Revision(self._revision.epoch, item.revision)
+                self.last_holder_token = revision.fencing_token
         elif item.key == _role_orders.CAPACITY_KEY:
             self._apply_capacity(item)
         elif _is_role_change(item):
--- a/dandelionwinch/leadership/_candidates.py
+++ b/dandelionwinch/leadership/_candidates.py
@@ -7,7 +7,7 @@
 _DIGEST_BYTES = 8
 
 
-def candidate_order(names, holder, revision):
+def candidate_order(names, holder, token):
     """Returns the instances that may follow a holder, the first one first.
 
     It is a rendezvous hash, so all instances that know the same holder
@@ -17,14 +17,14 @@
     Args:
         names: Names of the registered instances.
         holder: Name of the last holder, or ''; it is left out.
-        revision: Number of the revision of its key.
+        token: Its fencing token, or 0.
     """
     return sorted(
         (name for name in set(names) if name != holder),
-        key=lambda name: (_weight(name, revision), name),
+        key=lambda name: (_weight(name, token), name),
     )
 
 
-def _weight(name, revision):
-    text = f'{revision}/{name}'.encode()
+def _weight(name, token):
+    text = f'{token}/{name}'.encode()
     return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
--- a/dandelionwinch/leadership/_lease.py
+++ b/dandelionwinch/leadership/_lease.py
@@ -37,19 +37,16 @@
 
     Attributes:
         handover_s: Minimum time between orders of two consecutive holders
-            to an upstream.
-        turn_s: Minimum time between duty calls of one holder before and
+            to an upstream, and between duty calls of one holder before and
             after those of another.
         token: Fencing token of what this instance sends; 0 while it is not
             the holder.
     """
 
     handover_s: float
-    turn_s: float = LEASE_S
     token: int = 0
     _renewed_at: float = float('-inf')
     _acquired_at: float = float('-inf')
-    _answered_at: float = float('-inf')
     _verified_at: float = float('-inf')
 
     @property
@@ -63,12 +60,12 @@
 
         The previous holder verified its key before the acquisition, relies
         on that for RENEWAL_VALID_S, and its last call is then delivered.
-        The second term keeps calls of holders A, B and A apart by `turn_s`:
-        two such waits lie between the two times of A, less RENEWAL_VALID_S
-        and the delivery of A's last call.
+        The second term keeps calls of holders A, B and A apart by
+        `handover_s`: two such waits lie between the two times of A, less
+        RENEWAL_VALID_S and the delivery of A's last call.
         """
         reliance_s = RENEWAL_VALID_S + CALL_DELIVERY_S
-        return max(reliance_s, (self.turn_s + reliance_s) / 2)
+        return max(reliance_s, (self.handover_s + reliance_s) / 2)
 
     def acquired(self, token, sent_at, answered_at=None):
         """Records that this instance acquired the lease.
@@ -82,9 +79,8 @@
                 was read, or None for `sent_at`.
         """
         self.token = token
-        self._acquired_at = sent_at
+        self._acquired_at = sent_at if answered_at is None else answered_at
         self._renewed_at = sent_at
-        self._answered_at = sent_at if answered_at is None else answered_at
         self._verified_at = float('-inf')
 
     def renewed(self, sent_at, view_age_s):
@@ -133,7 +129,7 @@
 
         They are negative once it has ended. A verification is then due.
         """
-        return self._answered_at + self.duty_wait_s - now
+        return self._acquired_at + self.duty_wait_s - now
 
     def may_act(self, now):
         """Returns whether this instance may send a duty call now.
@@ -146,5 +142,5 @@
         return (
             self.held
             and now - self._verified_at <= RENEWAL_VALID_S
-            and self._verified_at - self._answered_at >= self.duty_wait_s
+            and self._verified_at - self._acquired_at >= self.duty_wait_s
         )
--- a/dandelionwinch/standins/duty_ledger.py
+++ b/dandelionwinch/standins/duty_ledger.py
@@ -39,6 +39,7 @@
     """
 
     __slots__ = (
+        '_handover_s',
         '_holder_of',
         '_last_of',
         '_recent',
@@ -48,8 +49,9 @@
         'violations',
     )
 
-    def __init__(self, turn_s):
+    def __init__(self, turn_s, handover_s=0.0):
         self._turn_s = turn_s
+        self._handover_s = handover_s
         self._holder_of = {}
         self._last_of = {}
         self._recent = collections.defaultdict(collections.deque)
@@ -83,6 +85,8 @@
         recent = self._recent[call.subject]
         if recent and recent[-1].holder != call.holder:
             self.holders += 1
+            if call.at - recent[-1].at < self._handover_s:
+                yield f'{call}: soon after {recent[-1]}'
         while recent and call.at - recent[0].at > self._turn_s:
             recent.popleft()
         other = False
