--- a/dandelionwinch/control/_usage_duty.py
+++ b/dandelionwinch/control/_usage_duty.py
@@ -34,6 +34,7 @@
     name = 'usage'
 
     __slots__ = (
+        '_announced',
         '_api',
         '_epoch',
         '_log',
@@ -53,6 +54,8 @@
         self._reporter = usage.Reporter(sharing.totals.window_s, due_s)
         self._token = 0
         self._epoch = None
+        # Window whose report other instances were told of.
+        self._announced = None
 
     def saw(self, item):
         """Takes in the report in the store, from the watch.
@@ -162,6 +165,9 @@
         return True
 
     async def _send(self, report, authority):
+        if self._announced != report.window:
+            await self._sharing.announce(report.window)
+            self._announced = report.window
         result = await self._api.report_usage(
             authority.name,
             authority.token,
--- a/dandelionwinch/gateway/_usage_link.py
+++ b/dandelionwinch/gateway/_usage_link.py
@@ -2,13 +2,15 @@
 
     ["usage", name, incarnation, window, final, total, reported, rows]
     ["usage?", reported]
+    ["reported", window, whether this is an answer]
 
 The incarnation is the start of the process in ms since 1970. A "usage" has
 the running total of one window or a part of it: rows of a team and its
 requests, and the sum of all rows. The name is not the sender's if that sends
 on what it holds of an instance that may have ended. Reported is the last
-window of which the sender saw a report. Datagrams of unknown senders are
-dropped.
+window of which the sender saw a report. A "reported" says that the report of
+a window is about to be sent, and is answered in kind. Datagrams of unknown
+senders are dropped.
 """
 
 from dandelionwinch import usage
@@ -26,7 +28,8 @@
     Args:
         link: PeerLink.
         receiver: Object with `take_total(total, relayed)`,
-            `take_reported(window)` and `take_question(addr)`.
+            `take_reported(window)`, `take_question(addr)` and
+            `take_announcement(window, is_answer, addr)`.
     """
 
     __slots__ = ('_link', '_receiver')
@@ -36,6 +39,7 @@
         self._receiver = receiver
         link.register('usage', self._take_total)
         link.register('usage?', self._take_question)
+        link.register('reported', self._take_announcement)
 
     @property
     def peers(self):
@@ -68,6 +72,11 @@
         """Asks instances for what they hold of windows without a report."""
         self._link.send_all(['usage?', reported], addresses)
 
+    def announce(self, window, is_answer, addresses):
+        """Tells instances that the report of a window is about to be sent."""
+        message = ['reported', window, int(is_answer)]
+        self._link.send_all(message, addresses)
+
     def _take_total(self, items, addr):
         sender = self._link.name_of(addr)
         name, incarnation, window, final, total, reported, rows = items
@@ -92,6 +101,15 @@
         self._receiver.take_reported(_checked_window(reported))
         self._receiver.take_question(addr)
 
+    def _take_announcement(self, items, addr):
+        self._link.name_of(addr)
+        window, is_answer = items
+        if is_answer not in (0, 1):
+            raise ValueError('not an announcement')
+        self._receiver.take_announcement(
+            _checked_number(window), bool(is_answer), addr
+        )
+
 
 def _read_row(team, count):
     return _checked_text(team), _checked_number(count)
--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -4,6 +4,8 @@
 that they survive the holder. What others send is kept here for a report.
 """
 
+import asyncio
+
 import attrs
 
 from dandelionwinch.gateway import _clock_check
@@ -30,6 +32,12 @@
 # Times after which a final total is sent again while no report is known.
 MIN_REPEAT_S = 2.0
 MAX_REPEAT_S = 60.0
+# Instances beside the receivers of totals that are told of a report before it
+# is sent, the answers that are enough, and the intervals and number of tries.
+ANNOUNCED_INSTANCES = 2
+ENOUGH_ANSWERS = 2
+ANNOUNCE_INTERVAL_S = 0.04
+ANNOUNCE_TRIES = 4
 # Reports that are kept for operators.
 SHOWN_REPORTS = 12
 MS = 1000.0
@@ -93,6 +101,8 @@
     """
 
     __slots__ = (
+        '_answers',
+        '_announced',
         '_clock',
         '_clock_check',
         '_counts',
@@ -133,6 +143,9 @@
         self._incarnation = 0
         self._sendings = {}
         self._receivers = ()
+        # Window that is announced, and the addresses that have answered.
+        self._announced = -1
+        self._answers = set()
         self._upkeep_at = float('-inf')
         # The last Reports that were seen, by window.
         self._reports = {}
@@ -324,6 +337,38 @@
         if window <= self._counts.window_of(self._clock.now()):
             self._counts.set_reported(window)
 
+    async def announce(self, window):
+        """Tells some instances that the report of a window is to be sent.
+
+        The store may be restored from a copy without the report and the
+        holder may end, before another instance has read it. Without answers
+        this takes ANNOUNCE_TRIES intervals and no longer.
+        """
+        peers = self._link.peers
+        names = {name for name in self._receivers if name in peers}
+        others = sorted(peers.keys() - names)
+        count = min(ANNOUNCED_INSTANCES, len(others))
+        names.update(self._rng.sample(others, count))
+        self._announced, self._answers = window, set()
+        for _ in range(ANNOUNCE_TRIES):
+            addresses = [
+                peers[name]
+                for name in sorted(names)
+                if tuple(peers[name]) not in self._answers
+            ]
+            if len(self._answers) >= ENOUGH_ANSWERS or not addresses:
+                return
+            self._link.announce(window, False, addresses)
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def take_announcement(self, window, is_answer, addr):
+        """Takes in that a report is about to be sent, or an answer to that."""
+        if not is_answer:
+            self.take_reported(window)
+            self._link.announce(window, True, [addr])
+        elif window == self._announced:
+            self._answers.add(tuple(addr[:2]))
+
     def take_question(self, addr):
         """Answers an instance that has become the holder, after a pause."""
         if self._settled and self.in_use:
--- a/dandelionwinch/tests/test_usage.py
+++ b/dandelionwinch/tests/test_usage.py
@@ -306,6 +306,27 @@
     usage_harness.run(scenario)
 
 
+def test_a_holder_dies_as_the_store_loses_its_report():
+    # The report was accepted, and no other instance had read it yet.
+    async def scenario(site):
+        await site.serve(14)
+        site.snapshot = site.items.snapshot()
+        for node in site.nodes.values():
+            node.blind = True
+        site.kill_at = 'during send'
+        await site.serve(2.5)
+        assert site.kill_at == ''
+        assert max(site.api.windows()) == FIRST + 2
+        site.items.restore(site.snapshot)
+        site.request('t9', 'i3', ago_s=3.0)
+        await site.serve(20)
+        await settle(site)
+        site.api.check_unique()
+        assert max(site.api.windows()) >= site.window() - 3
+
+    usage_harness.run(scenario)
+
+
 def test_a_write_that_takes_effect_late_replaces_no_report():
     # The first holder's write arrives after the second one has reported the
     # window with more requests.
