--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -77,6 +77,7 @@
             self.log,
             rng,
             self._on_config,
+            _order_sender.boot_clock,
         )
         self._gateway.authenticator.view_age_s = self._sync.age_s
         self._entry = addresses.InstanceEntry(
