--- a/dandelionwinch/capacity/_forecast.py
+++ b/dandelionwinch/capacity/_forecast.py
@@ -121,6 +121,7 @@
         '_most',
         '_samples',
         '_since',
+        '_start',
         '_urgent',
         '_use_ratio',
     )
@@ -128,15 +129,27 @@
     def __init__(self, start, cheap_price, most):
         self._cheap_price = cheap_price
         self._most = most
-        self._floor = FLOOR_RATIO * start
-        self._cheap = _SteadyLevel(start)
-        self._dear = _SteadyLevel(start)
-        self._urgent = _SteadyLevel(URGENT_RATIO * START_LEAST_RATIO * start)
+        self._set_start(start)
         # Time and total of each sample.
         self._samples = collections.deque()
         self._since = None
         self._use_ratio = USE_RATIO
 
+    def _set_start(self, start):
+        self._start = start
+        self._floor = FLOOR_RATIO * start
+        self._cheap = _SteadyLevel(start)
+        self._dear = _SteadyLevel(start)
+        self._urgent = _SteadyLevel(URGENT_RATIO * START_LEAST_RATIO * start)
+
+    def raise_start(self, start):
+        """Raises the number at the start, until a demand is known.
+
+        Upstreams may register one after another.
+        """
+        if not self._samples and start > self._start:
+            self._set_start(start)
+
     def observe(self, demand, serving, now):
         """Adds a sample of the demand.
 
--- a/dandelionwinch/capacity/_planner.py
+++ b/dandelionwinch/capacity/_planner.py
@@ -73,6 +73,7 @@
             if not view.total:
                 return []
             self._forecast = self._start_forecast(view)
+        self._forecast.raise_start(_sum(view, _ORDINARY))
         self._orders.observe(view, now)
         if now - self._observed_at >= SAMPLE_INTERVAL_S:
             self._forecast.observe(demand, view.total, now)
--- a/dandelionwinch/gateway/_demand_meter.py
+++ b/dandelionwinch/gateway/_demand_meter.py
@@ -47,15 +47,32 @@
             handler: The RequestHandler.
             status: Status of the response, 0 if it was aborted.
         """
-        service = self._fleet.table.services.get(handler.service)
-        if service is None or service.scaling is None:
-            return
         if _is_callers_fault(status) or handler.held:
             return
         served = status == SUCCESS_STATUS
-        work_s = self._work_s(handler, served)
+        in_time = served and self._is_in_time(handler)
+        self._add(handler, served, in_time)
+
+    def record_left(self, handler):
+        """Records a request whose caller left before its end.
+
+        One that left an answer that had begun in time, or before it was due,
+        was not short of anything.
+        """
+        begun = bool(handler.first_event_s)
+        if begun or not self._is_in_time(handler):
+            self._add(handler, begun, self._is_in_time(handler))
+
+    @staticmethod
+    def _is_in_time(handler):
         first_s = handler.first_event_s or handler.elapsed_s()
-        in_time = served and first_s <= handler.route.objective_s
+        return first_s <= handler.route.objective_s
+
+    def _add(self, handler, served, in_time):
+        service = self._fleet.table.services.get(handler.service)
+        if service is None or service.scaling is None:
+            return
+        work_s = self._work_s(handler, served)
         counts = self._done if in_time else self._short
         counts[service.name] = counts.get(service.name, 0.0) + work_s
 
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -213,7 +213,7 @@
             if self._ended and not caller.closed:
                 handler.respond_stopped()
                 return
-            self._demand_meter.record(handler, 0)
+            self._demand_meter.record_left(handler)
             self._log_left(req.id, exc, incoming)
             raise
         except BaseException as exc:
--- a/dandelionwinch/tests/test_capacity.py
+++ b/dandelionwinch/tests/test_capacity.py
@@ -444,6 +444,19 @@
     assert total(first.planned) == 23 + 21
 
 
+def test_upstreams_that_register_later_count_at_the_start():
+    """Else the first plan would order down what is not known yet."""
+    planner = capacity.Planner(scaling())
+    for second in range(8):
+        counts = {at(n, ORDINARY): min(c, second) for n, c in START.items()}
+        planner.update(view(counts), None, float(second))
+    assert planner.need.cheap == 23
+    planner.update(view(start_counts()), demand(5.0), 9.0)
+    later = {**start_counts(), at('f', ORDINARY): 8}
+    planner.update(view(later), demand(5.0), 10.0)
+    assert planner.need.cheap == 23
+
+
 SERVED = 0.99
 # Part of the price of the fleet of the start that may be paid.
 PAID = 0.62
--- a/dandelionwinch/tests/test_capacity_duty.py
+++ b/dandelionwinch/tests/test_capacity_duty.py
@@ -500,6 +500,42 @@
     assert gateway_harness.run_scenario([[[STREAM], [refusal]]], scenario) > 0
 
 
+@pytest.mark.parametrize(
+    ('begun_s', 'elapsed_s', 'added'),
+    [
+        (0.1, 2.0, (True, False)),
+        (0.9, 2.0, (False, True)),
+        (0.0, 2.0, (False, True)),
+        (0.0, 0.1, (False, False)),
+    ],
+)
+def test_a_caller_that_leaves_is_short_only_if_it_had_to_wait(
+    begun_s, elapsed_s, added
+):
+    """Else callers that leave would be taken for a lack of upstreams."""
+
+    class _Handler:
+        service = 's'
+        placement = None
+        first_event_s = begun_s
+        upstream_id = ''
+        route = attrs.evolve(gateway_harness.ROUTES[0], objective_s=0.5)
+
+        @staticmethod
+        def elapsed_s():
+            return elapsed_s
+
+    async def scenario(harness):
+        scale(harness)
+        meter = harness.gateway._demand_meter
+        meter._mean['s'] = 1.0
+        meter.record_left(_Handler)
+        found = meter.take()['s']
+        return found.done > 0, found.short > 0
+
+    assert gateway_harness.run_scenario([], scenario) == added
+
+
 def test_a_service_that_is_not_scaled_is_not_measured():
     async def scenario(harness):
         harness.generate('/stream/1', tokens=9000)
