--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -15,6 +15,7 @@
 from dandelionwinch.control import _registration
 from dandelionwinch.control import _role_orders
 from dandelionwinch.control import _sync
+from dandelionwinch.control import _usage_duty
 from dandelionwinch.control import _workers
 from dandelionwinch import eventlog
 from dandelionwinch import gateway
@@ -30,6 +31,8 @@
 SEND_TIMEOUT_S = 0.25
 DRAIN_POLL_S = 0.1
 SEND_POLL_S = 0.02
+# Instances beside the holder that get the totals of usage.
+USAGE_SUCCESSORS = 2
 # Characters of a malformed epoch that are logged.
 MAX_LOGGED_EPOCH = 40
 
@@ -76,6 +79,7 @@
             rng,
             self._on_config,
         )
+        self._gateway.authenticator.view_age_s = self._sync.age_s
         self._entry = addresses.InstanceEntry(
             cfg.instance,
             cfg.callers,
@@ -120,6 +124,8 @@
             self._gateway.handle,
             routes.Limits(),
             self._gateway.log_early_rejection,
+            cfg.max_held_bytes,
+            self._gateway.log_stalled_caller,
         )
         if cfg.callers:
             self._servers['callers'] = (cfg.callers, self._caller_server)
@@ -152,7 +158,10 @@
         its calls through `self._calls`, a DutyApi.
         """
         duties = []
-        if _config.Duty.CAPACITY in self._cfg.duty_settings.duties:
+        wanted = self._cfg.duty_settings.duties
+        if _config.Duty.USAGE in wanted:
+            duties.append(self._create_usage_duty())
+        if _config.Duty.CAPACITY in wanted:
             self._capacity_duty = _capacity_duty.CapacityDuty(
                 self._loop,
                 self._gateway,
@@ -164,6 +173,30 @@
             duties.append(self._capacity_duty)
         return duties
 
+    def _create_usage_duty(self):
+        duty = _usage_duty.UsageDuty(
+            self._store,
+            self._gateway.usage,
+            self._calls,
+            self._instance_names,
+            self.log,
+            self._cfg.duty_settings.usage_late_s,
+        )
+        self._gateway.usage.receivers = self._usage_receivers
+        self._sync.on_usage_report = duty.saw
+        return duty
+
+    def _instance_names(self):
+        return [e.name for e in self._sync.registered.entries.values()]
+
+    def _usage_receivers(self):
+        """Returns the holder and the instances that would follow it."""
+        holder = self._sync.holder
+        candidates = self._sync.candidates()
+        if not holder:
+            return candidates[: USAGE_SUCCESSORS + 1]
+        return [holder, *candidates[:USAGE_SUCCESSORS]]
+
     def add_server(self, name, address, handler):
         """Adds a server beside that for callers, such as a probe.
 
@@ -203,11 +236,16 @@
 
     def _on_config(self, table):
         self._caller_server.limits = table.limits
+        self._gateway.usage.in_use = self._usage_in_use(table)
         if not self._registered and not self._stopping:
             self._registered = True
             self._registration.start()
             self._holder.start()
 
+    def _usage_in_use(self, table):
+        reports_usage = self._cfg.duty_settings.reports_usage
+        return reports_usage and table.teams is not None
+
     def _on_epoch(self, previous, epoch):
         self._epoch_changes.inc()
         self.log.event('store.era', previous=previous, epoch=epoch)
@@ -274,6 +312,15 @@
             self._cfg, self._store, self._sync, self._holder, self._calls
         )
 
+    def usage(self):
+        """Returns the gateway.UsageView of the last windows, in their order.
+
+        It is None if the settings name no reports of usage.
+        """
+        if not self._cfg.duty_settings.reports_usage:
+            return None
+        return self._gateway.usage.view()
+
     def stop(self):
         """Begins a graceful stop."""
         if self._stopping:
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -1,12 +1,15 @@
 """Connects routing, upstream state, placement and retry budgets."""
 
 import asyncio
+import json
 import random
+import time
 import traceback
 
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
 from dandelionwinch import errors
+from dandelionwinch.gateway import _authenticator
 from dandelionwinch.gateway import _cache_watch
 from dandelionwinch.gateway import _call_handler
 from dandelionwinch.gateway import _crash_guard
@@ -14,12 +17,16 @@
 from dandelionwinch.gateway import _demand_meter
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
+from dandelionwinch.gateway import _key_sharing
 from dandelionwinch.gateway import _leaving_notices
 from dandelionwinch.gateway import _limit_sharing
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
 from dandelionwinch.gateway import _response_observer
 from dandelionwinch.gateway import _stream_versions
+from dandelionwinch.gateway import _usage_meter
+from dandelionwinch.gateway import _usage_sharing
+from dandelionwinch import usage
 
 NO_ROUTES_RETRY_AFTER_S = 0.5
 # Other instances serve at once what this one can't end before it stops.
@@ -28,6 +35,10 @@
 SUCCESS_STATUS = 200
 
 
+def _boot_time():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Gateway:
     """Serves callers' requests.
 
@@ -40,6 +51,7 @@
 
     Attributes:
         active: Number of requests in progress.
+        authenticator: The Authenticator.
         budget: The SharedRetryBudget.
         crash_guard: The CrashGuard.
         demand: The DemandLink.
@@ -49,6 +61,8 @@
         placer: Chooses the engines of a generation.
         stop_began_at: Loop time at which a graceful stop began, or None.
         streams: The StreamVersions.
+        usage: The UsageSharing with other instances.
+        usage_meter: The UsageMeter.
     """
 
     __slots__ = (
@@ -56,12 +70,14 @@
         '_demand_meter',
         '_durations',
         '_ended',
+        '_key_sharing',
         '_limits',
         '_notices',
         '_stop_at',
         '_sweep_timer',
         '_tasks',
         'active',
+        'authenticator',
         'budget',
         'crash_guard',
         'demand',
@@ -75,6 +91,8 @@
         'rng',
         'stop_began_at',
         'streams',
+        'usage',
+        'usage_meter',
         'wire_codec',
     )
 
@@ -118,6 +136,10 @@
         self.crash_guard = _crash_guard.CrashGuard(
             loop, self.fleet, self.peers, log, self.metrics, self.rng
         )
+        self.authenticator = _authenticator.Authenticator(loop, cfg)
+        self._key_sharing = _key_sharing.KeySharing(
+            loop, self.peers, self.fleet, self.authenticator, log, self.rng
+        )
         self._demand_meter = _demand_meter.DemandMeter(
             loop, self.fleet, self.placer
         )
@@ -135,13 +157,37 @@
         self._cache_watch = _cache_watch.CacheWatch(
             loop, self.fleet, self.placer, wire_codec, log
         )
+        self._init_usage(cfg)
+
+    def _init_usage(self, cfg):
+        duties = cfg.duty_settings
+        clock = usage.TrueClock(time.time, _boot_time)
+        counts = usage.WindowCounts(duties.report_window_s)
+        self.usage_meter = _usage_meter.UsageMeter(
+            self.loop, clock, counts, self.distances, self.metrics
+        )
+        self.usage_meter.enabled = duties.reports_usage
+        self.usage = _usage_sharing.UsageSharing(
+            self.loop,
+            clock,
+            counts,
+            self.usage_meter,
+            self.peers,
+            cfg.instance,
+            self.log,
+            self.rng,
+            duties.usage_late_s,
+        )
 
     def start(self):
         """Starts the periodic work."""
         self._sweep()
         self.crash_guard.start()
         self._limits.start()
+        self._key_sharing.start()
         self._cache_watch.start()
+        if self.usage_meter.enabled:
+            self.usage.start()
 
     def close(self):
         """Stops the periodic work and closes idle connections."""
@@ -151,6 +197,8 @@
         self.crash_guard.close()
         self.demand.close()
         self._limits.close()
+        self._key_sharing.close()
+        self.usage.close()
         self.peers.close()
         self.fleet.close()
 
@@ -168,6 +216,11 @@
         self.active += 1
         try:
             await self._serve(incoming, caller)
+        except errors.Unauthorized as exc:
+            self._reject_unauthorized(caller, incoming, exc)
+        except _authenticator.OutOfContact as exc:
+            headers = self.wire_codec.retry_after_headers(exc.retry_after_s)
+            self._reject(caller, incoming, exc.status, exc.message, headers)
         except errors.DandelionwinchError as exc:
             self._reject(caller, incoming, exc.status, exc.message)
         except Exception:
@@ -193,7 +246,13 @@
         if route is None:
             self._reject(caller, incoming, 404, 'no route matches')
             return
+        team = None
+        if table.teams is not None:
+            key = self.wire_codec.parse_key(head)
+            team = self.authenticator.authenticate(table, route, key)
         req = self.wire_codec.parse_request(head, bytes(incoming.body))
+        if table.teams is not None:
+            req = self.wire_codec.with_team(req, team)
         if not self._ends_in_time(req, route):
             headers = self.wire_codec.retry_after_headers(
                 STOPPING_RETRY_AFTER_S
@@ -279,6 +338,10 @@
     def _reject(
         self, caller, incoming, status, reason, headers=(), request_id=''
     ):
+        self._log_refused(incoming, status, reason, request_id)
+        caller.respond(status, headers, reason.encode())
+
+    def _log_refused(self, incoming, status, reason, request_id=''):
         self.log.event(
             'request.refused',
             request=request_id,
@@ -287,12 +350,35 @@
             status=status,
             reason=reason,
         )
-        caller.respond(status, headers, reason.encode())
+
+    def _reject_unauthorized(self, caller, incoming, exc):
+        self.metrics.unauthorized_requests.inc()
+        self._log_refused(incoming, exc.status, exc.message)
+        headers = [
+            ('Content-Type', 'application/json'),
+            *self.wire_codec.unauthorized_headers(),
+        ]
+        error = {'code': exc.code, 'message': exc.message}
+        body = json.dumps({'error': error}).encode()
+        caller.respond(exc.status, headers, body)
 
     def log_early_rejection(self, status, reason):
         """Logs a request that was rejected before it was complete."""
         self.log.event('request.refused', status=status, reason=reason)
 
+    def log_stalled_caller(self, unread_bytes):
+        """Logs a connection that was aborted as its caller does not read."""
+        self.log.event('caller.stalled', unread_bytes=unread_bytes)
+
+    def set_table(self, table):
+        """Puts a version of the configuration in force.
+
+        Args:
+            table: The RouteTable.
+        """
+        self.fleet.table = table
+        self._key_sharing.apply(table)
+
     def set_capacity_ratio(self, capacity_ratio):
         """Sets the ratio by which this instance divides shared limits.
 
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -271,8 +271,11 @@
         most = _sse.max_events(self._req.answer_tokens, self._route.timeout_s)
         splitter = _sse.EventSplitter(most)
         last_at = None
+        # Bytes that complete no event are no progress of a stream.
+        progress_at = self._loop.time()
         while True:
-            item = await exchange.read_item(read_timeout_s)
+            waited_s = self._loop.time() - progress_at
+            item = await exchange.read_item(read_timeout_s - waited_s)
             if isinstance(item, _connection.End):
                 break
             for event in self._split(splitter, item.data):
@@ -280,6 +283,7 @@
                 if last_at is None:
                     self._bind_version(placement.decode.entry)
                     self._record_first_event(placement, started_at)
+                    self._count_stream(placement.decode)
                 else:
                     self.longest_gap_s = max(self.longest_gap_s, now - last_at)
                     self._gateway.placer.record_token_gap(
@@ -287,6 +291,8 @@
                     )
                 last_at = now
                 await self._relay_event(head, event)
+                # A caller that reads slowly is no stall of the upstream.
+                progress_at = self._loop.time()
         if splitter.incomplete:
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.UNKNOWN, 'a torn event'
@@ -372,6 +378,12 @@
             placement, now - started_at, now
         )
 
+    def _count_stream(self, upstream):
+        """Counts the request, unless an earlier attempt brought an event."""
+        if not self._counted:
+            self._counted = True
+            self._gateway.usage_meter.stream_begins(self._req.team, upstream)
+
     async def _handle_error(self, exchange, head, upstream, read_timeout_s):
         """Relays an error response, unless a stream has begun already."""
         response = _upstream_exchange.UpstreamResponse(
--- a/dandelionwinch/platform/_store_codec.py
+++ b/dandelionwinch/platform/_store_codec.py
@@ -5,6 +5,7 @@
 
 from dandelionwinch import control
 from dandelionwinch import routes
+from dandelionwinch import teams
 from dandelionwinch import upstreams
 
 CONFIG_KEY = 'op/config'
@@ -12,6 +13,10 @@
 READY = 'ready'
 DRAINING = 'draining'
 STATES = (READY, DRAINING)
+# Routes or teams that are decoded in one step.
+ITEMS_PER_STEP = 64
+MAX_NAME_CHARS = 128
+MAX_KEY_CHARS = 1024
 _ROLES = {
     'prefill': upstreams.Role.PREFILL,
     'decode': upstreams.Role.DECODE,
@@ -115,8 +120,23 @@
 
 
 def read_config(value):
+    """Decodes the operators' configuration at once.
+
+    See `read_config_in_steps`.
+    """
+    steps = read_config_in_steps(value)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as exc:
+            return exc.value
+
+
+def read_config_in_steps(value):
     """Decodes the operators' configuration.
 
+    It yields every few milliseconds, so that requests are served meanwhile.
+
     Args:
         value: Bytes of the configuration.
 
@@ -127,7 +147,7 @@
         EntryInvalid: If a field is missing or of another type.
     """
     try:
-        return _read_table(_read_object(value, CONFIG_KEY))
+        return (yield from _read_table(_read_object(value, CONFIG_KEY)))
     except (AttributeError, TypeError, ValueError) as exc:
         raise control.EntryInvalid(
             f'"{CONFIG_KEY}" is malformed: {exc}'
@@ -136,16 +156,88 @@
 
 def _read_table(data):
     version = _read_field(data, 'version', int, CONFIG_KEY)
-    table_routes = [
-        _read_route(item)
-        for item in _read_field(data, 'routes', list, CONFIG_KEY)
-    ]
+    yield
+    table_routes = []
+    for item in _read_field(data, 'routes', list, CONFIG_KEY):
+        table_routes.append(_read_route(item))
+        if len(table_routes) % ITEMS_PER_STEP == 0:
+            yield
     services = [
         _read_service(item)
         for item in _read_field(data, 'services', list, CONFIG_KEY)
     ]
     limits = _read_limits(data.get('limits') or {})
-    return routes.RouteTable(version, table_routes, services, limits)
+    directory = yield from _read_teams(data)
+    yield
+    return routes.RouteTable(
+        version, table_routes, services, limits, directory
+    )
+
+
+def _read_teams(data):
+    """Reads the TeamDirectory, None if there are no teams, in steps.
+
+    A field may hold a key by mistake, so findings name no values.
+    """
+    items = data.get('tenants')
+    if items is None:
+        return None
+    if not isinstance(items, list):
+        raise control.EntryInvalid(f'"{CONFIG_KEY}.tenants" is not a list')
+    if not items:
+        return None
+    found = []
+    for index, item in enumerate(items):
+        found.append(_read_team(item, index))
+        if index % ITEMS_PER_STEP == 0:
+            yield
+    try:
+        return teams.TeamDirectory(found)
+    except teams.TeamsInvalid as exc:
+        raise control.EntryInvalid(
+            f'"{CONFIG_KEY}.tenants" is invalid: {exc}'
+        ) from exc
+
+
+def _read_team(item, index):
+    path = f'{CONFIG_KEY}.tenants[{index}]'
+    if not isinstance(item, dict):
+        raise control.EntryInvalid(f'"{path}" is not an object')
+    name = item.get('name')
+    if not _is_team_name(name):
+        raise control.EntryInvalid(f'field "name" of "{path}" is no name')
+    priority = item.get('priority')
+    if priority is not None and type(priority) is not int:
+        raise control.EntryInvalid(f'field "priority" of "{path}" is no int')
+    keys = item.get('apiKeys')
+    if keys is None:
+        keys = []
+    if not isinstance(keys, list) or not all(map(_is_key, keys)):
+        raise control.EntryInvalid(
+            f'field "apiKeys" of "{path}" is no list of keys'
+        )
+    digests = [teams.digest(key.encode()) for key in keys]
+    return teams.Team(name, priority), digests
+
+
+def _is_team_name(name):
+    """Tells whether a name may be sent as the value of a header."""
+    return (
+        isinstance(name, str)
+        and 0 < len(name) <= MAX_NAME_CHARS
+        and name.isprintable()
+        and name.strip() == name
+    )
+
+
+def _is_key(key):
+    """Tells whether a key is text that a caller can send in a header."""
+    return (
+        isinstance(key, str)
+        and 0 < len(key) <= MAX_KEY_CHARS
+        and key.isprintable()
+        and key.strip() == key
+    )
 
 
 def _read_route(item):
@@ -169,9 +261,17 @@
         _read_field(item, 'maxAttempts', int, path),
         _read_shares(item, path),
         float(item.get('targetGapMs') or 0) / 1e3,
+        _read_flag(item, 'public', path),
     )
 
 
+def _read_flag(data, name, path):
+    value = data.get(name, False)
+    if not isinstance(value, bool):
+        raise control.EntryInvalid(f'field "{name}" of "{path}" is {value!r}')
+    return value
+
+
 def _read_shares(item, path):
     split = item.get('trafficSplit')
     if not split:
@@ -257,7 +357,7 @@
     __slots__ = ()
 
     config_key = CONFIG_KEY
-    read_config = staticmethod(read_config)
+    read_config_in_steps = staticmethod(read_config_in_steps)
     read_upstream = staticmethod(read_upstream)
 
     @staticmethod
--- a/dandelionwinch/routes/_table.py
+++ b/dandelionwinch/routes/_table.py
@@ -55,6 +55,7 @@
         shares: The services and their weights.
         token_gap_s: Objective of the inter-token latency, compared with
             the time between two events of a stream; 0 if there is none.
+        public: Whether its requests need no key where there are teams.
     """
 
     name: str
@@ -68,6 +69,7 @@
     max_upstreams: int
     shares: tuple[TrafficShare, ...]
     token_gap_s: float = 0.0
+    public: bool = False
 
     @property
     def patience_s(self):
@@ -184,25 +186,71 @@
     keep_alive_timeout_s: float = 15.0
 
 
+class _HostRoutes:
+    """The routes of one host.
+
+    A path is looked up once for each of its slashes, so the time does not
+    grow with the number of routes. The few prefixes that do not end with a
+    slash are compared one by one.
+    """
+
+    __slots__ = ('_by_prefix', '_longest', '_others')
+
+    def __init__(self):
+        self._by_prefix = {}
+        self._longest = 0
+        self._others = []
+
+    def add(self, route):
+        """Adds a route; the first one of a prefix is kept."""
+        if not route.prefix.endswith('/'):
+            self._others.append(route)
+            self._others.sort(key=lambda r: -len(r.prefix))
+            return
+        self._by_prefix.setdefault(route.prefix, route)
+        self._longest = max(self._longest, len(route.prefix))
+
+    def match(self, path):
+        """Returns the route with the longest matching prefix, or None."""
+        found = self._match_slash(path)
+        for route in self._others:
+            if path.startswith(route.prefix):
+                longer = not found or len(route.prefix) > len(found.prefix)
+                return route if longer else found
+        return found
+
+    def _match_slash(self, path):
+        end = path.rfind('/', 0, self._longest) + 1
+        while end:
+            route = self._by_prefix.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end - 1) + 1
+        return None
+
+
 class RouteTable:
     """Routes, services and limits of one version.
 
     Attributes:
         limits: Limits on callers' requests and connections.
         services: Mapping of name to Service.
+        teams: The TeamDirectory, None if callers need no keys.
         version: Number that the configuration gives itself, higher in a
             newer one; not the revision of the store.
     """
 
-    __slots__ = ('_by_host', 'limits', 'services', 'version')
+    __slots__ = ('_by_host', 'limits', 'services', 'teams', 'version')
 
-    def __init__(self, version, routes, services, limits):
+    def __init__(self, version, routes, services, limits, teams=None):
         self.version = version
+        self.teams = teams
         self.services = {service.name: service for service in services}
         self.limits = limits
         self._by_host = {}
-        for route in sorted(routes, key=lambda r: -len(r.prefix)):
-            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for route in routes:
+            name = route.host.lower()
+            self._by_host.setdefault(name, _HostRoutes()).add(route)
 
     def match(self, host, path):
         """Returns the route with the longest matching prefix.
@@ -215,10 +263,7 @@
             A Route, or None.
         """
         name = host.lower()
-        routes = self._by_host.get(name)
-        if routes is None:
-            routes = self._by_host.get(name.partition(':')[0], ())
-        for route in routes:
-            if path.startswith(route.prefix):
-                return route
-        return None
+        found = self._by_host.get(name)
+        if found is None:
+            found = self._by_host.get(name.partition(':')[0])
+        return found and found.match(path)
