--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -61,6 +61,7 @@
             self._on_config,
         )
         self._gateway.authenticator.view_age_s = self._sync.age_s
+        self._gateway.fair_sharing.holder = lambda: self._sync.holder
         self._entry = addresses.InstanceEntry(
             cfg.instance,
             cfg.callers,
--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -9,6 +9,7 @@
 from dandelionwinch.dispatch._prompts import PREFILLED_PRIORITY
 from dandelionwinch.dispatch._prompts import PriorityClass
 from dandelionwinch.dispatch._prompts import Prompt
+from dandelionwinch.dispatch._prompts import Standing
 from dandelionwinch.dispatch._rate_limiter import RateLimiter
 from dandelionwinch.dispatch._roles import plan_role
 from dandelionwinch.dispatch._roles import RoleChange
@@ -25,6 +26,7 @@
     'Prompt',
     'RateLimiter',
     'RoleChange',
+    'Standing',
     'WatchPlan',
     'choose_plain',
     'plan_role',
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -14,6 +14,8 @@
 import heapq
 import itertools
 
+import attrs
+
 from dandelionwinch.dispatch import _engine_knowledge
 from dandelionwinch.dispatch import _groups
 from dandelionwinch.dispatch import _prompts
@@ -75,6 +77,7 @@
         late,
         objective_s,
         patience_s,
+        standing=_prompts.NO_TEAM,
     ):
         """Chooses the engines and the priority class of a prompt.
 
@@ -87,6 +90,7 @@
             late: Whether its latency objective can no longer be met.
             objective_s: Latency objective of the first token.
             patience_s: Time after which its caller leaves without a token.
+            standing: Standing of its team.
 
         Returns:
             A Placement, or None if no engine has capacity for it.
@@ -101,9 +105,10 @@
             return None
 
         def make_placement(chosen, priority_class):
-            return self._make_placement(
+            placement = self._make_placement(
                 prompt, chosen, groups, priority_class, late, objective_s, now
             )
+            return attrs.evolve(placement, urgency=standing.urgency)
 
         if prompt.short:
             chosen = self._choose_for_short(groups, now)
@@ -121,6 +126,10 @@
                 )
             others = (e for e in fallback if e not in first)
             for engine in itertools.chain(first, others):
+                if standing.yields and self._gives_way(
+                    engine, objective_s, now
+                ):
+                    continue
                 tokens = self._uncached_tokens(prompt, engine, now)
                 if self._try_admit(engine, tokens, groups, objective_s, now):
                     return make_placement(
@@ -129,6 +138,7 @@
         for engine in affinity_engines:
             tokens = self._uncached_tokens(prompt, engine, now)
             wait_limit_s = BACKGROUND_PATIENCE_RATIO * patience_s
+            wait_limit_s *= standing.background_ratio
             if self._has_background_capacity(
                 engine, groups, tokens, wait_limit_s, late, now
             ):
@@ -215,6 +225,19 @@
             if is_unreduced and self._delay_s(engine, now) < low_s:
                 yield engine
 
+    def _gives_way(self, engine, objective_s, now):
+        """Tells whether a prompt that yields is not admitted at an engine.
+
+        That is so while prompts are late there. The rate limiter counts it as
+        refused, so that its rate grows again once they are not.
+        """
+        limiter = self._limiter(engine, now)
+        low_s = _rate_limiter.INCREASE_DELAY_RATIO * objective_s
+        if limiter.is_unreduced() and self._delay_s(engine, now) < low_s:
+            return False
+        limiter.note_refused()
+        return True
+
     def _try_admit(self, engine, tokens, groups, objective_s, now):
         """Spends a prompt's tokens at the rate limiter of an engine.
 
--- a/dandelionwinch/dispatch/_prompts.py
+++ b/dandelionwinch/dispatch/_prompts.py
@@ -27,10 +27,18 @@
 # has prefilled is the first of them, as it occupies its engine for the
 # shortest time.
 PREFILLED_PRIORITY = 1
-PRIORITIES = {PriorityClass.ANSWER: 2, PriorityClass.URGENT: 5}
+# For teams that go before the usual ones, for usual ones, and for teams that
+# go after them. All stay below LATE_PRIORITY.
+PRIORITIES = {
+    PriorityClass.ANSWER: (1, 2, 3),
+    PriorityClass.URGENT: (4, 5, 5),
+}
 LATE_PRIORITY = 6
 # Sizes that divide the other background prompts into the priorities 7 to 9.
 BACKGROUND_SIZES_TOKENS = (1500, 4000)
+# Part of the room for background prompts that those which give way may use,
+# so that they are refused before others.
+YIELDING_BACKGROUND_RATIO = 0.5
 
 
 @attrs.frozen
@@ -59,6 +67,28 @@
         return self.tokens < SHORT_PROMPT_TOKENS
 
 
+@attrs.frozen
+class Standing:
+    """How the prompt of a team stands beside those of other teams.
+
+    Attributes:
+        urgency: -1 if it goes before usual prompts of its priority class, 1
+            if it goes after them, else 0.
+        yields: Whether it gives way where an engine is short of capacity.
+    """
+
+    urgency: int = 0
+    yields: bool = False
+
+    @property
+    def background_ratio(self):
+        """Returns the part of the room for background prompts it may use."""
+        return YIELDING_BACKGROUND_RATIO if self.yields else 1.0
+
+
+NO_TEAM = Standing()
+
+
 @attrs.frozen(eq=False)
 class Placement:
     """The engines that prefill a prompt and decode its answer.
@@ -73,6 +103,7 @@
         expected_s: Expected latency of the first token without queueing,
             with the round trip.
         terms: Description of the decision, for the log.
+        urgency: Urgency of the Standing of its team.
     """
 
     prefill: object
@@ -83,6 +114,7 @@
     uncached_tokens: int
     expected_s: float
     terms: str
+    urgency: int = 0
 
     @property
     def priority(self):
@@ -90,14 +122,22 @@
 
         Late background prompts, such as retries, go before the others,
         since they are not retried again. Among the others small prompts go
-        first, since many of them are served in the time of a large one.
+        first, since many of them are served in the time of a large one. The
+        urgency of a team counts within a class only.
         """
         if self.priority_class is not PriorityClass.BACKGROUND:
-            return PRIORITIES[self.priority_class]
+            return PRIORITIES[self.priority_class][self.urgency + 1]
         if self.late:
-            return LATE_PRIORITY
+            return LATE_PRIORITY + max(0, self.urgency)
         sizes = bisect.bisect(BACKGROUND_SIZES_TOKENS, self.uncached_tokens)
-        return LATE_PRIORITY + 1 + sizes
+        lowest = LATE_PRIORITY + 1 + len(BACKGROUND_SIZES_TOKENS)
+        usual = LATE_PRIORITY + 1 + sizes
+        return min(lowest, max(LATE_PRIORITY + 1, usual + self.urgency))
+
+    @property
+    def prefilled_priority(self):
+        """Returns the priority once another engine has prefilled it."""
+        return PREFILLED_PRIORITY + min(0, self.urgency)
 
     @property
     def prefill_engine(self):
--- a/dandelionwinch/dispatch/_rate_limiter.py
+++ b/dandelionwinch/dispatch/_rate_limiter.py
@@ -82,6 +82,10 @@
         self._balance -= tokens
         return True
 
+    def note_refused(self):
+        """Records that a prompt was not admitted for another reason."""
+        self._refused = True
+
     def _update_required_balance(self, tokens):
         """Returns the balance above which a prompt is admitted.
 
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -12,6 +12,7 @@
 from dandelionwinch.gateway import _cache_watch
 from dandelionwinch.gateway import _call_handler
 from dandelionwinch.gateway import _crash_guard
+from dandelionwinch.gateway import _fair_sharing
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
 from dandelionwinch.gateway import _key_sharing
@@ -45,6 +46,7 @@
         budget: The SharedRetryBudget.
         crash_guard: The CrashGuard.
         distances: Round-trip times to data centres.
+        fair_sharing: The FairSharing.
         fleet: Upstreams and their connection pools.
         peers: The PeerLink to other instances.
         placer: Chooses the engines of a generation.
@@ -66,6 +68,7 @@
         'budget',
         'crash_guard',
         'distances',
+        'fair_sharing',
         'fleet',
         'log',
         'loop',
@@ -122,6 +125,9 @@
         self._key_sharing = _key_sharing.KeySharing(
             loop, self.peers, self.fleet, self.authenticator, log, self.rng
         )
+        self.fair_sharing = _fair_sharing.FairSharing(
+            loop, self.peers, self.fleet, log, cfg.instance
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -140,6 +146,7 @@
         self.crash_guard.start()
         self._limits.start()
         self._key_sharing.start()
+        self.fair_sharing.start()
         self._cache_watch.start()
 
     def close(self):
@@ -150,6 +157,7 @@
         self.crash_guard.close()
         self._limits.close()
         self._key_sharing.close()
+        self.fair_sharing.close()
         self.peers.close()
         self.fleet.close()
 
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -25,7 +25,7 @@
 class GenerationHandler(_request_handler.RequestHandler):
     """Serves one generation on model engines."""
 
-    __slots__ = ('_begun', '_version')
+    __slots__ = ('_begun', '_counted', '_standing', '_version')
 
     def __init__(self, *args):
         super().__init__(*args)
@@ -33,6 +33,8 @@
         self._begun = False
         # Software version of the engine that began the stream.
         self._version = None
+        self._standing = self._find_standing()
+        self._counted = False
 
     def _prompt_parts(self):
         """Returns the keys of the parts that the prompt shares."""
@@ -59,16 +61,43 @@
         """Returns the Placement of the next attempt, or None."""
         if self._suspicion.is_held():
             return None
-        return self._gateway.placer.place(
+        late = self._missed_objective()
+        placement = self._gateway.placer.place(
             self._req.prompt,
             self._candidates(),
             self._tried | self._unavailable,
             self._loop.time(),
             direct=bool(self._sent_count),
-            late=self._missed_objective(),
+            late=late,
             objective_s=self._route.objective_s,
             patience_s=self._route.patience_s,
+            standing=self._standing,
         )
+        if not (late or self._sent_count):
+            self._count(placement)
+        return placement
+
+    def _find_standing(self):
+        """Returns the Standing of the request's team.
+
+        The priority of a team takes precedence over that of the route.
+        """
+        priority, usual = self._req.team_priority, self._route.priority
+        urgency = 0
+        if priority is not None:
+            urgency = (priority > usual) - (priority < usual)
+        yields = self._gateway.fair_sharing.yields(self._req.team)
+        return dispatch.Standing(urgency, yields)
+
+    def _count(self, placement):
+        """Counts once if the request must wait or is refused."""
+        if self._counted:
+            return
+        self._counted = True
+        if placement is None:
+            self._gateway.fair_sharing.record_refused(self._req.team)
+        elif placement.priority_class is dispatch.PriorityClass.BACKGROUND:
+            self._gateway.fair_sharing.record_delayed(self._req.team)
 
     def _serves(self, choice):
         """Tells whether the engines of a Placement accept requests."""
@@ -238,7 +267,7 @@
         pool, conn = await self._begin_attempt(upstream)
         priority = placement.priority
         if kv_source:
-            priority = dispatch.PREFILLED_PRIORITY
+            priority = placement.prefilled_priority
             self._gateway.placer.record_transfer(placement, self._loop.time())
         params = self._params(upstream, kv_source=kv_source, priority=priority)
         try:
--- /dev/null
+++ b/dandelionwinch/limits/_fair_shares.py
@@ -0,0 +1,176 @@
+"""Fair shares of teams while capacity is short.
+
+One instance sums up what all of them served and did not serve in time, and
+finds the teams that want more than their share (max-min fairness). All
+instances let the work of these teams wait or refuse it before that of others.
+"""
+
+import attrs
+
+# A team that wants much more than all others would get almost nothing from
+# max-min fairness alone. Each gets at least this part of what a division in
+# proportion to demand would give it; a quarter is the bound that must hold.
+MIN_PROPORTION = 0.4
+# Smallest capacity that is assumed, as a part of the demand. At zero the
+# requests of all teams would give way, and none would be left whose first
+# token shows that there is room again.
+MIN_CAPACITY_RATIO = 0.1
+# Factor between the weights of a team of a more urgent priority and of one
+# without, and of one without and one of a less urgent priority. More would
+# break the bound above for teams that want a usual share.
+PRIORITY_FACTOR = 2.0
+# Smallest part of a team's demand that is reported as excess.
+MIN_RATIO = 0.02
+# Steps of the bisection for the level; each halves its range.
+LEVEL_STEPS = 40
+# Time for which what the other instance found is used.
+VALID_S = 5.0
+MAX_EXCESSES = 20
+
+
+@attrs.frozen
+class TeamLoad:
+    """What one team asked for, in requests a second of all instances.
+
+    Attributes:
+        team: Name of the team.
+        served: Requests that began to run.
+        delayed: Those of them that were put in the background.
+        refused: Requests that were refused as no engine had room.
+        priority: Priority of the team, or None.
+    """
+
+    team: str
+    served: float
+    delayed: float = 0.0
+    refused: float = 0.0
+    priority: int | None = None
+
+    @property
+    def demand(self):
+        """Returns the requests a second that it wants to be served."""
+        return self.served + self.refused
+
+    @property
+    def in_time(self):
+        """Returns the requests a second that did not have to wait."""
+        return max(0.0, self.served - self.delayed)
+
+
+@attrs.frozen
+class Excess:
+    """A team that wants more than its share.
+
+    Attributes:
+        team: Name of the team.
+        ratio: Part of its requests that is beyond its share, 0 to 1.
+    """
+
+    team: str
+    ratio: float
+
+
+def find_excesses(loads):
+    """Returns the teams that want more than their fair share.
+
+    Args:
+        loads: TeamLoad of each team, with different names.
+
+    Returns:
+        At most MAX_EXCESSES Excesses, the largest demand beyond a share
+        first; none while all work is served in time.
+    """
+    loads = [load for load in loads if load.demand > 0]
+    capacity = sum(load.in_time for load in loads)
+    demand = sum(load.demand for load in loads)
+    if capacity >= demand:
+        return []
+    capacity = max(capacity, MIN_CAPACITY_RATIO * demand)
+    floor_ratio = MIN_PROPORTION * capacity / demand
+    usual = _usual_priority(loads)
+    weighted = [(load, _weight(load.priority, usual)) for load in loads]
+    level = _find_level(weighted, floor_ratio, capacity)
+    found = []
+    for load, weight in weighted:
+        beyond = load.demand - _share(load, weight, floor_ratio, level)
+        if beyond > MIN_RATIO * load.demand:
+            found.append((beyond, Excess(load.team, beyond / load.demand)))
+    found.sort(key=lambda pair: (-pair[0], pair[1].team))
+    return [excess for _beyond, excess in found[:MAX_EXCESSES]]
+
+
+def _usual_priority(loads):
+    """Returns the median of the priorities, or None."""
+    known = sorted(ld.priority for ld in loads if ld.priority is not None)
+    return known[len(known) // 2] if known else None
+
+
+def _weight(priority, usual):
+    if priority is None or priority == usual:
+        return 1.0
+    return PRIORITY_FACTOR if priority < usual else 1 / PRIORITY_FACTOR
+
+
+def _share(load, weight, floor_ratio, level):
+    """Returns what a team gets at a level, at most its demand."""
+    least = floor_ratio * load.demand
+    return min(load.demand, max(least, weight * level))
+
+
+def _find_level(weighted, floor_ratio, capacity):
+    """Returns the level at which the shares add up to the capacity."""
+    low = 0.0
+    high = max(load.demand / weight for load, weight in weighted)
+    for _ in range(LEVEL_STEPS):
+        level = (low + high) / 2
+        total = sum(_share(*pair, floor_ratio, level) for pair in weighted)
+        if total > capacity:
+            high = level
+        else:
+            low = level
+    return low
+
+
+class YieldingTeams:
+    """Which requests of this instance give way, by the excess of their teams.
+
+    Of a team's requests the part that is its ratio gives way, spread evenly,
+    so that each instance contributes in proportion to its own requests.
+    """
+
+    __slots__ = ('_debts', '_ratios', '_until')
+
+    def __init__(self):
+        self._ratios = {}
+        # By team: part of a request that is still to give way.
+        self._debts = {}
+        self._until = float('-inf')
+
+    def update(self, excesses, now):
+        """Takes over what was found for all instances.
+
+        Args:
+            excesses: Excesses.
+            now: Time in seconds.
+        """
+        self._ratios = {excess.team: excess.ratio for excess in excesses}
+        self._debts = {
+            team: self._debts.get(team, 0.0) for team in self._ratios
+        }
+        self._until = now + VALID_S
+
+    def ratio(self, team, now):
+        """Returns the part of a team's requests that is to give way."""
+        return self._ratios.get(team, 0.0) if now < self._until else 0.0
+
+    def yields(self, team, now):
+        """Tells whether the next request of a team gives way.
+
+        It is called once for each request.
+        """
+        ratio = self.ratio(team, now)
+        if not ratio:
+            return False
+        debt = self._debts[team] + ratio
+        self._debts[team] = debt - (debt >= 1.0)
+        return debt >= 1.0
