--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -5,16 +5,19 @@
 from dandelionwinch.dispatch._plain import choose_plain
 from dandelionwinch.dispatch._prefix_cache import CacheEvents
 from dandelionwinch.dispatch._prefix_cache import PrefixCache
+from dandelionwinch.dispatch._prompts import NO_TEAM
 from dandelionwinch.dispatch._prompts import Placement
 from dandelionwinch.dispatch._prompts import PREFILLED_PRIORITY
 from dandelionwinch.dispatch._prompts import PriorityClass
 from dandelionwinch.dispatch._prompts import Prompt
+from dandelionwinch.dispatch._prompts import Standing
 from dandelionwinch.dispatch._rate_limiter import RateLimiter
 from dandelionwinch.dispatch._roles import plan_role
 from dandelionwinch.dispatch._roles import RoleChange
 from dandelionwinch.dispatch._watch_plan import WatchPlan
 
 __all__ = [
+    'NO_TEAM',
     'PREFILLED_PRIORITY',
     'CacheEvents',
     'Distances',
@@ -25,6 +28,7 @@
     'Prompt',
     'RateLimiter',
     'RoleChange',
+    'Standing',
     'WatchPlan',
     'choose_plain',
     'plan_role',
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -14,6 +14,8 @@
 import heapq
 import itertools
 
+import attrs
+
 from dandelionwinch.dispatch import _engine_knowledge
 from dandelionwinch.dispatch import _groups
 from dandelionwinch.dispatch import _prompts
@@ -75,6 +77,7 @@
         late,
         objective_s,
         patience_s,
+        standing=_prompts.NO_TEAM,
     ):
         """Chooses the engines and the priority class of a prompt.
 
@@ -87,6 +90,7 @@
             late: Whether its latency objective can no longer be met.
             objective_s: Latency objective of the first token.
             patience_s: Time after which its caller leaves without a token.
+            standing: Standing of its team.
 
         Returns:
             A Placement, or None if no engine has capacity for it.
@@ -101,9 +105,10 @@
             return None
 
         def make_placement(chosen, priority_class):
-            return self._make_placement(
+            placement = self._make_placement(
                 prompt, chosen, groups, priority_class, late, objective_s, now
             )
+            return attrs.evolve(placement, urgency=standing.urgency)
 
         if prompt.short:
             chosen = self._choose_for_short(groups, now)
@@ -122,13 +127,21 @@
             others = (e for e in fallback if e not in first)
             for engine in itertools.chain(first, others):
                 tokens = self._uncached_tokens(prompt, engine, now)
-                if self._try_admit(engine, tokens, groups, objective_s, now):
+                if self._try_admit(
+                    engine,
+                    tokens,
+                    groups,
+                    objective_s,
+                    now,
+                    standing.overdraft_s,
+                ):
                     return make_placement(
                         engine, _prompts.PriorityClass.URGENT
                     )
         for engine in affinity_engines:
             tokens = self._uncached_tokens(prompt, engine, now)
             wait_limit_s = BACKGROUND_PATIENCE_RATIO * patience_s
+            wait_limit_s *= standing.background_ratio
             if self._has_background_capacity(
                 engine, groups, tokens, wait_limit_s, late, now
             ):
@@ -215,7 +228,9 @@
             if is_unreduced and self._delay_s(engine, now) < low_s:
                 yield engine
 
-    def _try_admit(self, engine, tokens, groups, objective_s, now):
+    def _try_admit(
+        self, engine, tokens, groups, objective_s, now, overdraft_s
+    ):
         """Spends a prompt's tokens at the rate limiter of an engine.
 
         The rate is decreased first if a prompt or a KV cache transfer of
@@ -229,7 +244,7 @@
         high_s = _rate_limiter.DECREASE_DELAY_RATIO * objective_s
         if overdue_s > high_s or self._is_stalled(engine, groups, now):
             limiter.decrease(now)
-        return limiter.admit(tokens, now)
+        return limiter.admit(tokens, now, overdraft_s)
 
     def _choose_for_short(self, groups, now):
         """Returns the engine for a short prompt and its answer.
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from dandelionwinch.gateway import _crash_guard
 from dandelionwinch.gateway import _demand_link
 from dandelionwinch.gateway import _demand_meter
+from dandelionwinch.gateway import _fair_sharing
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
 from dandelionwinch.gateway import _key_sharing
@@ -56,6 +57,7 @@
         crash_guard: The CrashGuard.
         demand: The DemandLink.
         distances: Round-trip times to data centres.
+        fair_sharing: The FairSharing.
         fleet: Upstreams and their connection pools.
         peers: The PeerLink to other instances.
         placer: Chooses the engines of a generation.
@@ -82,6 +84,7 @@
         'crash_guard',
         'demand',
         'distances',
+        'fair_sharing',
         'fleet',
         'log',
         'loop',
@@ -146,6 +149,9 @@
         self.demand = _demand_link.DemandLink(
             loop, self.peers, self._demand_meter, cfg.instance
         )
+        self.fair_sharing = _fair_sharing.FairSharing(
+            loop, self.peers, self.fleet, log, cfg.instance
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -185,6 +191,7 @@
         self.crash_guard.start()
         self._limits.start()
         self._key_sharing.start()
+        self.fair_sharing.start()
         self._cache_watch.start()
         if self.usage_meter.enabled:
             self.usage.start()
@@ -199,6 +206,7 @@
         self._limits.close()
         self._key_sharing.close()
         self.usage.close()
+        self.fair_sharing.close()
         self.peers.close()
         self.fleet.close()
 
