--- a/dandelionwinch/bench/overload/_engine.py
+++ b/dandelionwinch/bench/overload/_engine.py
@@ -40,6 +40,7 @@
         priority: Priority in the queue, 0 is served first.
         on_first_event: Called with the time of the first event; with that
             of the end of the prefill if the stage is PREFILL.
+        on_gap: Called with the time and the length of a gap between events.
         on_end: Called with the time of the end and the longest gap between
             events in seconds.
         on_refused: Called with the time if the engine refuses the request.
@@ -54,6 +55,7 @@
     priority: int
     stage: Stage
     on_first_event: object
+    on_gap: object
     on_end: object
     on_refused: object
     kv_source: object = None
@@ -63,20 +65,30 @@
 class Engine:
     """One engine in virtual time.
 
+    Args:
+        name: Its name.
+        spec: EngineGroup.
+        number: Its position in the group.
+        schedule: Function that calls another one at a time.
+        slowness: Function that returns how many times as long its work takes
+            at a time.
+
     Attributes:
         prefill_only: Whether it only prefills and never decodes.
         prefilled_tokens: Prompt tokens prefilled so far.
         hit_tokens: Prompt tokens found in the cache so far.
     """
 
-    def __init__(self, name, spec, prefill_only, schedule):
+    def __init__(self, name, spec, number, schedule, slowness):
         self.name = name
         self.data_centre = spec.data_centre
-        self.prefill_only = prefill_only
+        self.prefill_only = number < spec.prefill
         self.alive = True
         self.prefilled_tokens = 0
         self.hit_tokens = 0
         self._spec = spec
+        self._speed = spec.speed(number)
+        self._slowness = slowness
         self._schedule = schedule
         self._incarnation = 0
         self._free_slots = spec.slots
@@ -115,6 +127,10 @@
         self.alive = True
         self._free_slots = self._spec.slots
 
+    def _taken_s(self, nominal_s, now):
+        """Returns the time that work takes if it begins now."""
+        return nominal_s * self._slowness(now) / self._speed
+
     def _call_at(self, at, function, *args):
         """Calls a function at a time, unless the engine crashes before."""
         self._schedule(
@@ -161,7 +177,7 @@
         self.prefilled_tokens += uncached
         self.hit_tokens += req.prompt.tokens - uncached
         self._prefilling = True
-        self._prefill_ends_at = now + uncached / rate
+        self._prefill_ends_at = now + self._taken_s(uncached / rate, now)
         self._call_at(self._prefill_ends_at, self._end_prefill, req)
 
     def _end_prefill(self, req, now):
@@ -203,10 +219,11 @@
                 req.on_end(now, longest_s)
             self._release_slot(now)
             return
-        gap_s = req.event_tokens * self._spec.token_s
+        gap_s = self._taken_s(req.event_tokens * self._spec.token_s, now)
         overlap_s = min(gap_s, max(0.0, self._prefill_ends_at - now))
         gap_s += overlap_s * (PREFILL_SLOWDOWN_FACTOR - 1.0)
         longest_s = max(longest_s, gap_s)
+        req.on_gap(now + gap_s, gap_s)
         self._call_at(
             now + gap_s, self._send_next_event, req, sent + 1, longest_s
         )
--- a/dandelionwinch/bench/overload/_load.py
+++ b/dandelionwinch/bench/overload/_load.py
@@ -32,6 +32,8 @@
         transfer_s: Seconds to transfer the KV cache of one token to
             another engine of the data centre; ten times that to another
             region.
+        speeds: Speeds of its engines in their order, as parts of the nominal
+            one; 1 for those beyond its end.
     """
 
     data_centre: str
@@ -45,6 +47,13 @@
     token_s: float = attrs.field(default=0.001, validator=_positive)
     kv_tokens: int = attrs.field(default=1_000_000, validator=_positive)
     transfer_s: float = attrs.field(default=2.4e-7, validator=_positive)
+    speeds: list[float] = attrs.field(
+        factory=list, validator=validators.deep_iterable(_positive)
+    )
+
+    def speed(self, number):
+        """Returns the speed of an engine by its position."""
+        return self.speeds[number] if number < len(self.speeds) else 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -86,7 +95,7 @@
 
 @attrs.frozen(kw_only=True)
 class Burst:
-    """An interval with more requests or with engines down.
+    """An interval with more requests or with engines down or slow.
 
     The factors of bursts that overlap are multiplied.
 
@@ -94,12 +103,62 @@
         factor: Multiple of the usual request rate.
         lost: Names of engines that crash at its start and restart at its
             end.
+        slowed: Names of engines that are slower in it.
+        slow_factor: How many times as long their work takes.
     """
 
     start_s: float = attrs.field(validator=_non_negative)
     end_s: float = attrs.field(validator=_positive)
     factor: float = attrs.field(default=1.0, validator=_positive)
     lost: list[str] = attrs.field(factory=list)
+    slowed: list[str] = attrs.field(factory=list)
+    slow_factor: float = attrs.field(default=1.0, validator=_positive)
+
+
+@attrs.frozen(kw_only=True)
+class Spells:
+    """Short intervals in which engines are slow, one after the other.
+
+    Attributes:
+        ratio: Part of the time in which each engine is slow.
+        factor: How many times as long its work takes then.
+        span_s: Duration of one spell.
+    """
+
+    ratio: float = attrs.field(validator=_positive)
+    factor: float = attrs.field(validator=_positive)
+    span_s: float = attrs.field(validator=_positive)
+
+    def factor_at(self, turn, now):
+        """Returns how many times as long work takes that begins now.
+
+        Args:
+            turn: Position of the engine among all, from 0 to 1.
+            now: Time in seconds.
+        """
+        period_s = self.span_s / self.ratio
+        phase_s = (now + turn * period_s) % period_s
+        return self.factor if phase_s < self.span_s else 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Waves:
+    """Waves of the demand in each data centre.
+
+    Attributes:
+        amplitude: Largest difference from the mean, as a part of it.
+        shift: Part of a period by which each data centre is ahead of the one
+            before it.
+    """
+
+    period_s: float = attrs.field(validator=_positive)
+    amplitude: float = attrs.field(validator=_positive)
+    shift: float = attrs.field(validator=_non_negative)
+
+    def factor_at(self, number, now):
+        """Returns the demand of a data centre as a multiple of its mean."""
+        periods = now / self.period_s + number * self.shift
+        return 1.0 + self.amplitude * math.sin(2 * math.pi * periods)
 
 
 @attrs.frozen(kw_only=True)
@@ -110,12 +169,17 @@
         instances: Instances that place requests, each with a placer of its
             own.
         round_trip_s: Round trip between an instance and an engine.
+        spells: Spells in which engines are slow, None without any.
+        waves: Waves of the demand, None without any. The instances are then
+            spread over the data centres of the engines.
     """
 
     duration_s: float = attrs.field(validator=_positive)
     engines: list[EngineGroup]
     kinds: list[RequestKind]
     bursts: list[Burst] = attrs.field(factory=list)
+    spells: Spells | None = None
+    waves: Waves | None = None
     instances: int = attrs.field(default=9, validator=_positive)
     round_trip_s: float = attrs.field(default=0.025, validator=_positive)
 
@@ -185,7 +249,25 @@
     for burst in load.bursts:
         if burst.start_s <= now < burst.end_s:
             factor *= burst.factor
-    return factor
+    return factor * sum(_waves(load, now)) / len(load.engines)
+
+
+def _waves(load, now):
+    """Returns the demand of each data centre as a multiple of its mean."""
+    if load.waves is None:
+        return [1.0] * len(load.engines)
+    return [
+        load.waves.factor_at(number, now)
+        for number in range(len(load.engines))
+    ]
+
+
+def _draw_instance(load, now, rng):
+    if load.waves is None:
+        return rng.randrange(load.instances)
+    factors = _waves(load, now)
+    weights = [factors[n % len(factors)] for n in range(load.instances)]
+    return rng.choices(range(load.instances), weights)[0]
 
 
 def _draw_arrival(load, number, at, kind, rng):
@@ -203,7 +285,7 @@
         events * kind.event_tokens,
         tuple(blocks),
     )
-    instance = rng.randrange(load.instances)
+    instance = _draw_instance(load, at, rng)
     return Arrival(at, number, kind, instance, prompt, events)
 
 
--- a/dandelionwinch/bench/overload/_request.py
+++ b/dandelionwinch/bench/overload/_request.py
@@ -73,6 +73,7 @@
             priority,
             stage,
             self._delayed(on_first_event),
+            self._delayed_gap,
             self._delayed(on_end),
             self._delayed(self._on_engine_refusal),
             kv_source,
@@ -91,6 +92,18 @@
 
         return schedule_callback
 
+    def _delayed_gap(self, at, gap_s):
+        """Reports a gap half a round trip after its end."""
+        self._simulation.schedule(
+            at + self._round_trip_s / 2, self._record_gap, gap_s
+        )
+
+    def _record_gap(self, gap_s, now):
+        if not self._ended:
+            self._placer.record_token_gap(
+                self._placement, gap_s, self._arrival.kind.pause_s, now
+            )
+
     def _ignore(self, *_args):
         """Ignores the end of a prefill, which comes with its first event."""
 
--- a/dandelionwinch/bench/overload/_simulation.py
+++ b/dandelionwinch/bench/overload/_simulation.py
@@ -1,5 +1,6 @@
 """Simulates a load under a placement policy in virtual time."""
 
+import functools
 import heapq
 
 import attrs
@@ -107,14 +108,28 @@
 
     def _make_engines(self):
         engines = {}
+        total = sum(g.prefill + g.decode for g in self._load.engines)
         for group in self._load.engines:
             for number in range(group.prefill + group.decode):
                 name = f'{group.data_centre}-{number}'
+                slowness = functools.partial(
+                    self._slowness, name, len(engines) / total
+                )
                 engines[name] = _engine.Engine(
-                    name, group, number < group.prefill, self.schedule
+                    name, group, number, self.schedule, slowness
                 )
         return engines
 
+    def _slowness(self, name, turn, now):
+        """Returns how many times as long the work of an engine takes."""
+        factor = 1.0
+        if self._load.spells is not None:
+            factor = self._load.spells.factor_at(turn, now)
+        for burst in self._load.bursts:
+            if name in burst.slowed and burst.start_s <= now < burst.end_s:
+                factor *= burst.slow_factor
+        return factor
+
     def _make_upstreams(self):
         """Returns the upstreams of one instance, by engine name."""
         slots = {
