--- a/dandelionwinch/bench/overload/_simulation.py
+++ b/dandelionwinch/bench/overload/_simulation.py
@@ -6,6 +6,7 @@
 import attrs
 
 from dandelionwinch.bench.overload import _engine
+from dandelionwinch.bench.overload import _exchange
 from dandelionwinch.bench.overload import _load
 from dandelionwinch.bench.overload import _policies
 from dandelionwinch.bench.overload import _request
@@ -167,6 +168,8 @@
                 engine = self.engines[name]
                 self.schedule(burst.start_s, self._crash_engine, engine)
                 self.schedule(burst.end_s, self._restart_engine, engine)
+        if self._policy == 'winch':
+            _exchange.Exchange(self, self._load.duration_s).start()
         while self._events:
             at, _sequence, callback, args = heapq.heappop(self._events)
             callback(*args, at)
--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -1,6 +1,10 @@
 """Chooses the upstream of each request, on the load that one instance sees."""
 
 from dandelionwinch.dispatch._distance import Distances
+from dandelionwinch.dispatch._engine_speeds import EngineSpeeds
+from dandelionwinch.dispatch._engine_speeds import Sample
+from dandelionwinch.dispatch._engine_speeds import Verdict
+from dandelionwinch.dispatch._engine_speeds import Work
 from dandelionwinch.dispatch._engines import EnginePlacer
 from dandelionwinch.dispatch._plain import choose_plain
 from dandelionwinch.dispatch._prefix_cache import CacheEvents
@@ -19,13 +23,17 @@
     'CacheEvents',
     'Distances',
     'EnginePlacer',
+    'EngineSpeeds',
     'Placement',
     'PrefixCache',
     'PriorityClass',
     'Prompt',
     'RateLimiter',
     'RoleChange',
+    'Sample',
+    'Verdict',
     'WatchPlan',
+    'Work',
     'choose_plain',
     'plan_role',
 ]
--- a/dandelionwinch/dispatch/_engine_knowledge.py
+++ b/dandelionwinch/dispatch/_engine_knowledge.py
@@ -5,6 +5,7 @@
 """
 
 from dandelionwinch.dispatch import _engine_model
+from dandelionwinch.dispatch import _engine_speeds
 from dandelionwinch.dispatch import _in_flight
 from dandelionwinch.dispatch import _overdue
 from dandelionwinch.dispatch import _prefill_rates
@@ -33,6 +34,7 @@
     Attributes:
         capacity_ratio: Capacity of all instances that share the engines
             over this instance's capacity.
+        speeds: EngineSpeeds.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         '_transfers',
         '_watch_plan',
         'capacity_ratio',
+        'speeds',
     )
 
     def __init__(self, distances, rng):
@@ -63,6 +66,7 @@
         self._watch_plan = _watch_plan.WatchPlan()
         self._limiters = {}
         self.capacity_ratio = 1.0
+        self.speeds = _engine_speeds.EngineSpeeds()
 
     def _uncached_tokens(self, prompt, engine, now):
         cached = self._prefix_cache.hit_tokens(prompt, engine.entry.id, now)
@@ -76,27 +80,34 @@
     def _round_trip_s(self, engine):
         return self._distances.round_trip_s(engine.entry.data_centre)
 
-    def _unhindered_s(self, engine, tokens):
+    def _unhindered_s(self, engine, tokens, now):
         """Returns the time to read tokens at the rate of the limits.
 
         It is the base of the delays to which the rate limits adapt.
         """
-        read_s = tokens / self._prefill_rate(engine)
+        read_s = tokens / self._prefill_rate(engine, now)
         return self._round_trip_s(engine) + read_s
 
-    def _read_s(self, engine, tokens):
+    def _read_s(self, engine, tokens, now):
         """Returns the learnt time to read tokens, with the round trip."""
         read_s = self._model.read_s(engine.entry, tokens)
+        read_s /= self.speeds.read_speed(engine.entry, now)
         return self._round_trip_s(engine) + read_s
 
-    def _prefill_rate(self, engine):
-        return self._prefill_rates.get(engine.entry)
+    def _prefill_rate(self, engine, now):
+        speed = self.speeds.read_speed(engine.entry, now)
+        return speed * self._prefill_rates.get(engine.entry)
+
+    def _gap_ratio(self, engine, now):
+        """Returns the predicted long gap as a part of the allowed one."""
+        ratio = self._token_gaps.calm_ratio(engine.entry.service)
+        return ratio / self.speeds.decode_speed(engine.entry, now)
 
     def _limiter(self, engine, now):
         limiter = self._limiters.get(engine.entry.id)
         if limiter is None:
             limiter = _rate_limiter.RateLimiter(
-                self._prefill_rate(engine), self.capacity_ratio, now
+                self._prefill_rate(engine, now), self.capacity_ratio, now
             )
             self._limiters[engine.entry.id] = limiter
         return limiter
@@ -168,7 +179,7 @@
         engine = placement.prefill
         self._overdue.remove(engine.entry.id, placement)
         tokens = placement.uncached_tokens
-        expected_s = self._unhindered_s(engine, tokens)
+        expected_s = self._unhindered_s(engine, tokens, now)
         self._observe(engine, placement, taken_s, expected_s, now)
 
     def record_first_token(self, placement, taken_s, now):
@@ -206,6 +217,9 @@
 
         Only prompts of the class URGENT update the two rates.
         """
+        tokens = placement.uncached_tokens
+        read_s = taken_s - self._round_trip_s(engine)
+        self.speeds.observe_read(engine.entry, tokens, read_s, now)
         if placement.priority_class is _prompts.PriorityClass.BACKGROUND:
             # It waits behind all others, so its latency is no sample. The
             # average itself as the sample leaves the average unchanged.
@@ -213,17 +227,17 @@
             return
         excess_s = taken_s - expected_s
         engine.record_success(excess_s, now)
-        tokens = placement.uncached_tokens
-        read_s = taken_s - self._round_trip_s(engine)
-        self._model.observe(engine.entry, tokens, read_s)
+        # The service's times are those of an engine of the speed 1.
+        usual_s = read_s * self.speeds.read_speed(engine.entry, now)
+        self._model.observe(engine.entry, tokens, usual_s)
         if placement.priority_class is _prompts.PriorityClass.ANSWER:
             return
-        self._prefill_rates.observe(engine.entry, tokens, read_s)
+        self._prefill_rates.observe(engine.entry, tokens, usual_s)
         overdue_s = self._transfers.overdue_s(engine, now)
         self._limiter(engine, now).observe(
             max(excess_s, overdue_s),
             placement.objective_s,
-            self._prefill_rate(engine),
+            self._prefill_rate(engine, now),
             self.capacity_ratio,
             now,
         )
@@ -237,12 +251,14 @@
             allowed_s: Longest allowed gap, 0 for no limit.
             now: Time in seconds.
         """
+        engine = placement.decode
+        self.speeds.observe_gap(engine.entry, gap_s)
         if not allowed_s:
             return
-        engine = placement.decode
+        speed = self.speeds.decode_speed(engine.entry, now)
         self._token_gaps.observe(
             engine.entry.service,
-            gap_s / allowed_s,
+            gap_s * speed / allowed_s,
             now,
             reading=self._in_flight.is_reading(engine.entry.id),
         )
@@ -252,5 +268,6 @@
     def forget(self, upstream_id):
         """Drops the state of an engine, as after its restart."""
         self._limiters.pop(upstream_id, None)
+        self.speeds.forget(upstream_id)
         self._transfers.forget(upstream_id)
         self._prefix_cache.forget(upstream_id)
--- /dev/null
+++ b/dandelionwinch/dispatch/_engine_speeds.py
@@ -0,0 +1,261 @@
+"""The speed of each engine relative to the others of its service.
+
+One instance sees too few requests of an engine to tell its speed from
+waits. So all instances report their samples of an engine to one of them, its
+judge, which compares the engine with the others of its kind and publishes its
+speed. All instances use what was published, so that their choices agree.
+
+An engine whose speed was not published has the speed 1. So has one that
+differs from the others by no more than the errors of the samples, so that
+sessions stay where the engines have one speed.
+"""
+
+import enum
+import math
+import statistics
+
+import attrs
+
+from dandelionwinch.dispatch import _speed_window
+
+# Standard errors of a comparison by which a difference is reduced.
+ERRORS_FOR_DIFFERENCE = 2.0
+# Step of published speeds in octaves. A speed is published anew when it has
+# changed by more, so that sessions do not move with each sample.
+STEP_OCTAVES = 0.125
+# Other engines without which an engine is not compared. Of two, neither is the
+# usual one, and what they read may differ.
+MIN_OTHERS = 2
+# Largest difference from the typical speed in octaves.
+MAX_OCTAVES = 2.0
+# Age from which a published speed no longer counts.
+MAX_VERDICT_AGE_S = 60.0
+# Smaller prompts yield no sample: their time is mostly a fixed one.
+MIN_SAMPLE_TOKENS = 1000
+# Samples that wait to be reported.
+MAX_WAITING_SAMPLES = 200
+
+
+class Work(enum.Enum):
+    """The kind of work that a speed belongs to."""
+
+    READ = 'read'
+    DECODE = 'decode'
+
+
+@attrs.frozen
+class Sample:
+    """A time that one engine took.
+
+    Attributes:
+        ended_at: Time of its response in seconds.
+        tokens: Size of the prompt without its cached tokens; 0 for a gap
+            between two events.
+        taken_s: Time until its response, without the round trip, or the gap.
+    """
+
+    upstream_id: str
+    work: Work
+    ended_at: float
+    tokens: int
+    taken_s: float
+
+
+@attrs.frozen
+class Verdict:
+    """What the judge of an engine publishes.
+
+    Attributes:
+        quartiles: Logarithms to base 2 of the quartiles of the time in
+            seconds, of a token of a prompt or of a gap.
+        speed: Speed relative to the others, 1 for a usual one.
+    """
+
+    upstream_id: str
+    work: Work
+    quartiles: tuple[float, float, float]
+    speed: float
+
+
+class EngineSpeeds:
+    """Samples, judgements and published speeds of one instance."""
+
+    __slots__ = ('_gaps', '_reads', '_verdicts', '_waiting', '_windows')
+
+    def __init__(self):
+        self._waiting = []
+        # Gaps since the last report, by engine.
+        self._gaps = {}
+        # Where this instance judges: ReadTimes by engine, and SpeedWindow by
+        # engine and work.
+        self._reads = {}
+        self._windows = {}
+        # The last Verdict with its time, by engine and work.
+        self._verdicts = {}
+
+    def read_speed(self, entry, now):
+        """Returns the relative speed at which an engine reads prompts."""
+        return self._speed(entry.id, Work.READ, now)
+
+    def decode_speed(self, entry, now):
+        """Returns the relative speed at which an engine decodes."""
+        return self._speed(entry.id, Work.DECODE, now)
+
+    def _speed(self, upstream_id, work, now):
+        verdict = self._verdict(upstream_id, work, now)
+        return 1.0 if verdict is None else verdict.speed
+
+    def _verdict(self, upstream_id, work, now):
+        verdict, at = self._verdicts.get((upstream_id, work), (None, 0.0))
+        if verdict is None or now - at > MAX_VERDICT_AGE_S:
+            return None
+        return verdict
+
+    def observe_read(self, entry, tokens, taken_s, now):
+        """Records the time of a prompt.
+
+        Args:
+            entry: Entry of the engine.
+            tokens: Size of the prompt without its cached tokens.
+            taken_s: Time until its response, without the round trip.
+            now: Time in seconds.
+        """
+        if taken_s > 0:
+            self._add(Sample(entry.id, Work.READ, now, tokens, taken_s))
+
+    def observe_gap(self, entry, gap_s):
+        """Records a gap between two events of an answer."""
+        if gap_s > 0:
+            self._gaps.setdefault(entry.id, []).append(gap_s)
+
+    def _add(self, sample):
+        if len(self._waiting) < MAX_WAITING_SAMPLES:
+            self._waiting.append(sample)
+
+    def take_samples(self, now):
+        """Returns the Samples since the last call, to be reported.
+
+        The gaps of an engine count as one sample, their median.
+        """
+        for upstream_id, gaps in self._gaps.items():
+            gap_s = statistics.median(gaps)
+            self._add(Sample(upstream_id, Work.DECODE, now, 0, gap_s))
+        self._gaps.clear()
+        taken, self._waiting = self._waiting, []
+        return taken
+
+    def add_samples(self, samples, now):
+        """Adds Samples of engines that this instance judges."""
+        for sample in samples:
+            if sample.work is Work.DECODE:
+                self._window(sample.upstream_id, Work.DECODE).add(
+                    sample.taken_s, now
+                )
+                continue
+            reads = self._reads.setdefault(
+                sample.upstream_id, _speed_window.ReadTimes()
+            )
+            reads.add(sample.ended_at, sample.tokens, sample.taken_s)
+
+    def _window(self, upstream_id, work):
+        key = upstream_id, work
+        if key not in self._windows:
+            self._windows[key] = _speed_window.SpeedWindow()
+        return self._windows[key]
+
+    def take_verdict(self, verdict, now):
+        """Takes over what the judge of an engine published."""
+        self._verdicts[verdict.upstream_id, verdict.work] = (verdict, now)
+
+    def judge(self, entries, judged, now):
+        """Judges engines anew.
+
+        Args:
+            entries: Entries of the engines of a service.
+            judged: Ids of those that this instance judges.
+            now: Time in seconds.
+
+        Returns:
+            The Verdicts of those with enough samples.
+        """
+        verdicts = []
+        for entry in entries:
+            if entry.id not in judged:
+                continue
+            self._add_reads(entry.id, now)
+            for work in Work:
+                verdict = self._judge(entry, work, entries, now)
+                if verdict is not None:
+                    self.take_verdict(verdict, now)
+                    verdicts.append(verdict)
+        return verdicts
+
+    def _add_reads(self, upstream_id, now):
+        reads = self._reads.get(upstream_id)
+        for tokens, taken_s in reads.take(now) if reads else ():
+            if tokens >= MIN_SAMPLE_TOKENS:
+                window = self._window(upstream_id, Work.READ)
+                window.add(taken_s / tokens, now)
+
+    def _judge(self, entry, work, entries, now):
+        window = self._windows.get((entry.id, work))
+        typical = window and window.typical(now)
+        if not typical:
+            return None
+        others = [
+            self._verdict(other.id, work, now)
+            for other in entries
+            if other.id != entry.id
+            and (work is Work.DECODE or other.role is entry.role)
+        ]
+        known = [other.quartiles for other in others if other is not None]
+        ahead = _ahead(typical.quartiles, known)
+        speed = self._stepped(entry, work, ahead, typical.error, now)
+        return Verdict(entry.id, work, typical.quartiles, speed)
+
+    def _stepped(self, entry, work, ahead, error, now):
+        """Returns a speed that changes in steps.
+
+        Args:
+            entry: Entry of the engine.
+            work: Work.
+            ahead: Octaves by which the engine is faster than is typical.
+            error: Standard error of its typical time in octaves.
+            now: Time in seconds.
+        """
+        surplus = abs(ahead) - ERRORS_FOR_DIFFERENCE * error
+        surplus = min(MAX_OCTAVES, max(0.0, surplus))
+        octaves = math.copysign(surplus, ahead)
+        before = math.log2(self._speed(entry.id, work, now))
+        if abs(octaves - before) <= STEP_OCTAVES:
+            octaves = before
+        return 2.0 ** (STEP_OCTAVES * round(octaves / STEP_OCTAVES))
+
+    def forget(self, upstream_id):
+        """Drops what is known of an engine, as after its restart."""
+        self._reads.pop(upstream_id, None)
+        for work in Work:
+            self._windows.pop((upstream_id, work), None)
+            self._verdicts.pop((upstream_id, work), None)
+
+
+def _ahead(quartiles, others):
+    """Returns by how many octaves an engine is faster than is usual.
+
+    It is the least by which all quartiles differ in the same direction.
+
+    Args:
+        quartiles: Quartiles of the engine's times.
+        others: Those of the other engines.
+    """
+    if len(others) < MIN_OTHERS:
+        return 0.0
+    usual = [
+        statistics.median(values)
+        for values in zip(quartiles, *others, strict=True)
+    ]
+    ahead = [one - own for one, own in zip(usual, quartiles, strict=True)]
+    least = min(ahead, key=abs)
+    if all(difference * least > 0 for difference in ahead):
+        return least
+    return 0.0
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -18,6 +18,7 @@
 from dandelionwinch.dispatch import _groups
 from dandelionwinch.dispatch import _prompts
 from dandelionwinch.dispatch import _rate_limiter
+from dandelionwinch.dispatch import _token_gaps
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
@@ -151,7 +152,7 @@
         engine are stalled, the decode-only engines follow, as they can
         prefill and decode without a transfer.
         """
-        score = self._session_score(prompt, groups)
+        score = self._session_score(prompt, groups, now)
         engines = [max(allowed, key=score)]
         if self._is_stalled(engines[0], groups, now):
             others = [e for e in groups.decode_only if e not in engines]
@@ -193,7 +194,8 @@
     def _predicted_s(self, prompt, engine, groups, now):
         """Returns the predicted time to the first token of a prompt."""
         tokens = self._uncached_tokens(prompt, engine, now)
-        predicted_s = self._read_s(engine, tokens) + self._delay_s(engine, now)
+        predicted_s = self._read_s(engine, tokens, now)
+        predicted_s += self._delay_s(engine, now)
         if engine.entry.role is upstreams.Role.PREFILL:
             decoders = groups.preferred_decoders(engine)
             delay_s = min(self._delay_s(other, now) for other in decoders)
@@ -209,7 +211,7 @@
         reduced, best first.
         """
         low_s = _rate_limiter.INCREASE_DELAY_RATIO * objective_s
-        score = self._session_score(prompt, groups)
+        score = self._session_score(prompt, groups, now)
         for engine in heapq.nlargest(MAX_FALLBACK_ENGINES, allowed, key=score):
             is_unreduced = self._limiter(engine, now).is_unreduced()
             if is_unreduced and self._delay_s(engine, now) < low_s:
@@ -252,11 +254,21 @@
         )
         return self._in_flight.decodes(engine.entry.id) < max(1.0, slots)
 
+    def _late_gap_cost_s(self, engine, now):
+        """Returns the cost of gaps that are predicted to be late.
+
+        They count from where they leave no room for reading beside them; a
+        gap of twice that length counts as a failure.
+        """
+        excess = self._gap_ratio(engine, now) / _token_gaps.MAX_GAP_RATIO - 1.0
+        return FAILURE_COST_S * min(1.0, max(0.0, excess))
+
     def _short_cost_s(self, engine, now):
         return (
             ACTIVE_REQUEST_COST_S * engine.active
             + self._delay_s(engine, now)
             + self._round_trip_s(engine) * ROUND_TRIP_RATIO
+            + self._late_gap_cost_s(engine, now)
             + FAILURE_COST_S * engine.failure_rate
             + self._rng.random() * ACTIVE_REQUEST_COST_S
         )
@@ -273,7 +285,7 @@
         waiting = self._in_flight.background(engine_id)
         # What all instances may let wait there, divided among them. Where a
         # share is only few usual prompts, each instance has one waiting.
-        rate = self._prefill_rate(engine)
+        rate = self._prefill_rate(engine, now)
         share = wait_limit_s * rate / self.capacity_ratio
         if (
             not waiting
@@ -294,7 +306,7 @@
         near = groups.has_local_decoder(engine)
         return PREFILL_WEIGHT if near else FAR_PREFILL_WEIGHT
 
-    def _session_score(self, prompt, groups):
+    def _session_score(self, prompt, groups, now):
         """Returns a function that scores engines for a prompt's session.
 
         It is weighted rendezvous hashing by the last shared block, so the
@@ -309,6 +321,7 @@
 
         def score(engine):
             weight = self._weight(engine, groups)
+            weight *= self.speeds.read_speed(engine.entry, now)
             return utils.rendezvous_score(weight, key, engine.entry.id)
 
         return score
@@ -317,7 +330,7 @@
         self, prompt, chosen, groups, priority_class, late, objective_s, now
     ):
         tokens = self._uncached_tokens(prompt, chosen, now)
-        expected_s = self._unhindered_s(chosen, tokens)
+        expected_s = self._unhindered_s(chosen, tokens, now)
         terms = (
             f'{tokens} of {prompt.tokens} tokens not cached, '
             f'excess {chosen.excess_s * 1e3:.1f} ms, '
@@ -377,6 +390,7 @@
         return (
             self._round_trip_s(engine)
             + (0.0 if near else FAR_KV_TRANSFER_COST_S)
+            + self._late_gap_cost_s(engine, now)
             + self._delay_s(engine, now)
             + ACTIVE_REQUEST_COST_S * engine.active
             + FAILURE_COST_S * engine.failure_rate
--- /dev/null
+++ b/dandelionwinch/dispatch/_speed_window.py
@@ -0,0 +1,95 @@
+"""The typical time of one engine for a unit of work, by recent samples.
+
+An engine reads one prompt after the other, so the time that it took for one
+begins with the response before it, or with the request if it was idle. This
+leaves the waits out, which would make a busy engine seem slow.
+
+Short spells of slowness make single times longer, and cached tokens that were
+not known make them shorter. Both change single quartiles of the times, while
+the speed of the engine changes all of them alike.
+"""
+
+import bisect
+import collections
+import math
+import statistics
+
+import attrs
+
+# Samples that are kept, their greatest age, and the least that count.
+MAX_SAMPLES = 256
+MAX_AGE_S = 30.0
+MIN_SAMPLES = 8
+# Time within which the reports of all instances arrive.
+REPORT_DELAY_S = 1.5
+# Standard error of a median as a multiple of the standard deviation over the
+# root of the number of samples, for a normal distribution.
+MEDIAN_ERROR_FACTOR = 1.25
+# Distance of the quartiles of a normal distribution in standard deviations.
+QUARTILE_DISTANCE = 1.35
+
+
+@attrs.frozen
+class Typical:
+    """Typical times.
+
+    Attributes:
+        quartiles: Logarithms to base 2 of the three quartiles.
+        error: Standard error of the second one, in octaves.
+    """
+
+    quartiles: tuple[float, float, float]
+    error: float
+
+
+class SpeedWindow:
+    """The recent times of one engine for units of work."""
+
+    __slots__ = ('_samples',)
+
+    def __init__(self):
+        self._samples = collections.deque(maxlen=MAX_SAMPLES)
+
+    def add(self, unit_s, now):
+        """Adds the time for a unit of work in seconds."""
+        self._samples.append((now, math.log2(unit_s)))
+
+    def typical(self, now):
+        """Returns the Typical times, or None if too few samples are recent."""
+        while self._samples and now - self._samples[0][0] > MAX_AGE_S:
+            self._samples.popleft()
+        count = len(self._samples)
+        if count < MIN_SAMPLES:
+            return None
+        values = [octaves for _at, octaves in self._samples]
+        low, median, high = statistics.quantiles(values, n=4)
+        deviation = (high - low) / QUARTILE_DISTANCE
+        error = MEDIAN_ERROR_FACTOR * deviation / math.sqrt(count)
+        return Typical((low, median, high), error)
+
+
+class ReadTimes:
+    """Turns the responses of one engine into times without waits."""
+
+    __slots__ = ('_last_end', '_pending')
+
+    def __init__(self):
+        self._last_end = float('-inf')
+        # Ends of responses with their tokens and latencies, in order.
+        self._pending = []
+
+    def add(self, ended_at, tokens, taken_s):
+        """Adds a response; one that is reported too late is left out."""
+        if ended_at > self._last_end:
+            bisect.insort(self._pending, (ended_at, tokens, taken_s))
+
+    def take(self, now):
+        """Returns tokens and seconds of what was reported by all instances."""
+        taken = []
+        while self._pending and now - self._pending[0][0] > REPORT_DELAY_S:
+            ended_at, tokens, latency_s = self._pending.pop(0)
+            begun_at = max(ended_at - latency_s, self._last_end)
+            if ended_at > begun_at:
+                taken.append((tokens, ended_at - begun_at))
+            self._last_end = ended_at
+        return taken
--- a/dandelionwinch/dispatch/_token_gaps.py
+++ b/dandelionwinch/dispatch/_token_gaps.py
@@ -62,6 +62,14 @@
         estimates = self._reading if reading else self._calm
         estimates.setdefault(service, _Estimate()).observe(gap_ratio, now)
 
+    def calm_ratio(self, service):
+        """Returns a long gap without reading as a part of the allowed one.
+
+        It is 0.0 until it is known.
+        """
+        calm = self._calm.get(service)
+        return calm.value if calm is not None and calm.is_known() else 0.0
+
     def leave_room(self, service, now):
         """Tells whether a prompt can be read beside answers in time."""
         calm = self._calm.get(service)
