--- a/dandelionwinch/dispatch/_engine_knowledge.py
+++ b/dandelionwinch/dispatch/_engine_knowledge.py
@@ -252,7 +252,9 @@
             now: Time in seconds.
         """
         engine = placement.decode
-        self.speeds.observe_gap(engine.entry, gap_s)
+        reading = self._in_flight.is_reading(engine.entry.id)
+        if not reading:
+            self.speeds.observe_gap(engine.entry, gap_s)
         if not allowed_s:
             return
         speed = self.speeds.decode_speed(engine.entry, now)
@@ -260,7 +262,7 @@
             engine.entry.service,
             gap_s * speed / allowed_s,
             now,
-            reading=self._in_flight.is_reading(engine.entry.id),
+            reading=reading,
         )
         if gap_s > TOKEN_GAP_RATIO * allowed_s:
             self._limiter(engine, now).decrease(now)
--- a/dandelionwinch/dispatch/_engine_speeds.py
+++ b/dandelionwinch/dispatch/_engine_speeds.py
@@ -30,6 +30,9 @@
 MAX_OCTAVES = 2.0
 # Age from which a published speed no longer counts.
 MAX_VERDICT_AGE_S = 60.0
+# Time after which a speed is published again, for new instances and in case a
+# datagram was lost.
+REPUBLISH_S = 20.0
 # Smaller prompts yield no sample: their time is mostly a fixed one.
 MIN_SAMPLE_TOKENS = 1000
 # Samples that wait to be reported.
@@ -164,8 +167,14 @@
         return self._windows[key]
 
     def take_verdict(self, verdict, now):
-        """Takes over what the judge of an engine published."""
+        """Takes over what the judge of an engine published.
+
+        Returns:
+            The speed that was in use before.
+        """
+        before = self._speed(verdict.upstream_id, verdict.work, now)
         self._verdicts[verdict.upstream_id, verdict.work] = (verdict, now)
+        return before
 
     def judge(self, entries, judged, now):
         """Judges engines anew.
@@ -176,7 +185,8 @@
             now: Time in seconds.
 
         Returns:
-            The Verdicts of those with enough samples.
+            The Verdicts that are to be published, that is those that have
+            changed and those that were published long ago.
         """
         verdicts = []
         for entry in entries:
@@ -185,11 +195,20 @@
             self._add_reads(entry.id, now)
             for work in Work:
                 verdict = self._judge(entry, work, entries, now)
-                if verdict is not None:
-                    self.take_verdict(verdict, now)
+                if verdict is not None and self._is_due(verdict, now):
                     verdicts.append(verdict)
         return verdicts
 
+    def _is_due(self, verdict, now):
+        """Tells whether a Verdict is to be published."""
+        key = verdict.upstream_id, verdict.work
+        known, at = self._verdicts.get(key, (None, 0.0))
+        if known is None or now - at > REPUBLISH_S:
+            return True
+        pairs = zip(known.quartiles, verdict.quartiles, strict=True)
+        moved = max(abs(now_ - before) for before, now_ in pairs)
+        return verdict.speed != known.speed or moved > STEP_OCTAVES
+
     def _add_reads(self, upstream_id, now):
         reads = self._reads.get(upstream_id)
         for tokens, taken_s in reads.take(now) if reads else ():
@@ -229,7 +248,8 @@
         before = math.log2(self._speed(entry.id, work, now))
         if abs(octaves - before) <= STEP_OCTAVES:
             octaves = before
-        return 2.0 ** (STEP_OCTAVES * round(octaves / STEP_OCTAVES))
+        # Rounded, so that it is the same in a datagram.
+        return round(2.0 ** (STEP_OCTAVES * round(octaves / STEP_OCTAVES)), 4)
 
     def forget(self, upstream_id):
         """Drops what is known of an engine, as after its restart."""
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -17,6 +17,7 @@
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
 from dandelionwinch.gateway import _response_observer
+from dandelionwinch.gateway import _speed_sharing
 from dandelionwinch.gateway import _stream_versions
 
 NO_ROUTES_RETRY_AFTER_S = 0.5
@@ -53,6 +54,7 @@
         '_durations',
         '_ended',
         '_limits',
+        '_speeds',
         '_stop_at',
         '_sweep_timer',
         '_tasks',
@@ -98,6 +100,14 @@
             self.metrics,
             self.rng,
         )
+        self._speeds = _speed_sharing.SpeedSharing(
+            loop,
+            self.fleet,
+            self.placer.speeds,
+            self.peers,
+            cfg.instance,
+            log,
+        )
         response_observer = _response_observer.ResponseObserver(
             loop,
             self.fleet,
@@ -129,6 +139,7 @@
         self._sweep()
         self.crash_guard.start()
         self._limits.start()
+        self._speeds.start()
         self._cache_watch.start()
 
     def close(self):
@@ -138,6 +149,7 @@
         self._cache_watch.close()
         self.crash_guard.close()
         self._limits.close()
+        self._speeds.close()
         self.peers.close()
         self.fleet.close()
 
