--- a/dandelionwinch/dispatch/_prompts.py
+++ b/dandelionwinch/dispatch/_prompts.py
@@ -73,6 +73,7 @@
         expected_s: Expected latency of the first token without queueing,
             with the round trip.
         terms: Description of the decision, for the log.
+        claim: Claim on the memory of its engines, or None.
     """
 
     prefill: object
@@ -83,6 +84,7 @@
     uncached_tokens: int
     expected_s: float
     terms: str
+    claim: object = None
 
     @property
     def priority(self):
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -68,8 +68,16 @@
             late=self._missed_objective(),
             objective_s=self._route.objective_s,
             patience_s=self._route.patience_s,
+            memory_tokens=self._memory_tokens(),
         )
 
+    def _memory_tokens(self):
+        """Returns how many tokens an engine holds, None if not known."""
+        service = self._fleet.table.services.get(self._service)
+        if service is None or service.engine is None:
+            return None
+        return service.engine.kv_tokens
+
     def _serves(self, choice):
         """Tells whether the engines of a Placement accept requests."""
         serves = self._fleet.serves
@@ -184,7 +192,11 @@
         if self._fleet.serves(decode) and decode.entry.id not in excluded:
             return placement
         other = self._gateway.placer.replace_decoder(
-            placement, self._candidates(), excluded, self._loop.time()
+            placement,
+            self._candidates(),
+            excluded,
+            self._loop.time(),
+            self._memory_tokens(),
         )
         if other is None:
             raise self._no_upstream()
