--- a/dandelionwinch/bench/overload/_simulation.py
+++ b/dandelionwinch/bench/overload/_simulation.py
@@ -1,10 +1,12 @@
 """Simulates a load under a placement policy in virtual time."""
 
+import functools
 import heapq
 
 import attrs
 
 from dandelionwinch.bench.overload import _engine
+from dandelionwinch.bench.overload import _exchange
 from dandelionwinch.bench.overload import _load
 from dandelionwinch.bench.overload import _policies
 from dandelionwinch.bench.overload import _request
@@ -107,14 +109,28 @@
 
     def _make_engines(self):
         engines = {}
+        total = sum(g.prefill + g.decode for g in self._load.engines)
         for group in self._load.engines:
             for number in range(group.prefill + group.decode):
                 name = f'{group.data_centre}-{number}'
+                slowness = functools.partial(
+                    self._slowness, name, len(engines) / total
+                )
                 engines[name] = _engine.Engine(
-                    name, group, number < group.prefill, self.schedule
+                    name, group, number, self.schedule, slowness
                 )
         return engines
 
+    def _slowness(self, name, turn, now):
+        """Returns how many times as long the work of an engine takes."""
+        factor = 1.0
+        if self._load.spells is not None:
+            factor = self._load.spells.factor_at(turn, now)
+        for burst in self._load.bursts:
+            if name in burst.slowed and burst.start_s <= now < burst.end_s:
+                factor *= burst.slow_factor
+        return factor
+
     def _make_upstreams(self):
         """Returns the upstreams of one instance, by engine name."""
         slots = {
@@ -152,6 +168,8 @@
                 engine = self.engines[name]
                 self.schedule(burst.start_s, self._crash_engine, engine)
                 self.schedule(burst.end_s, self._restart_engine, engine)
+        if self._policy == 'winch':
+            _exchange.Exchange(self, self._load.duration_s).start()
         while self._events:
             at, _sequence, callback, args = heapq.heappop(self._events)
             callback(*args, at)
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -18,8 +18,10 @@
 
 from dandelionwinch.dispatch import _engine_knowledge
 from dandelionwinch.dispatch import _groups
+from dandelionwinch.dispatch import _held_tokens
 from dandelionwinch.dispatch import _prompts
 from dandelionwinch.dispatch import _rate_limiter
+from dandelionwinch.dispatch import _session_shares
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
@@ -31,11 +33,6 @@
 FAILURE_COST_S = 0.2
 # Part of the round trip that counts in the choice for short prompts.
 ROUND_TRIP_RATIO = 0.1
-# Relative shares of the sessions: of a prefill engine, of an engine that
-# decodes, and of a prefill engine without a decode engine in its data centre.
-PREFILL_WEIGHT = 2.0
-DECODE_WEIGHT = 0.65
-FAR_PREFILL_WEIGHT = 0.5
 # Engines considered for a prompt that its affinity engine refuses.
 MAX_FALLBACK_ENGINES = 4
 # Limit of the background prompts of all instances at an engine, as a multiple
@@ -78,6 +75,7 @@
         objective_s,
         patience_s,
         standing=_prompts.NO_TEAM,
+        memory_tokens=None,
     ):
         """Chooses the engines and the priority class of a prompt.
 
@@ -91,6 +89,7 @@
             objective_s: Latency objective of the first token.
             patience_s: Time after which its caller leaves without a token.
             standing: Standing of its team.
+            memory_tokens: Tokens that fit in an engine, None for no limit.
 
         Returns:
             A Placement, or None if no engine has capacity for it.
@@ -100,7 +99,9 @@
         stable = [e for e in untried if e.role_change_until <= now]
         usable = upstreams.available(stable or untried, now)
         usable = upstreams.ramped(usable, now, self._rng)
-        groups = self._admitted_groups(usable, now)
+        claim = _held_tokens.make_claim(prompt, usable, memory_tokens)
+        takes = self._room(claim, usable, memory_tokens, now)
+        groups = self._admitted_groups(usable, now, takes)
         if groups is None:
             return None
 
@@ -108,7 +109,9 @@
             placement = self._make_placement(
                 prompt, chosen, groups, priority_class, late, objective_s, now
             )
-            return attrs.evolve(placement, urgency=standing.urgency)
+            return attrs.evolve(
+                placement, urgency=standing.urgency, claim=claim
+            )
 
         if prompt.short:
             chosen = self._choose_for_short(groups, now)
@@ -151,10 +154,10 @@
         return None
 
     @staticmethod
-    def _admitted_groups(usable, now):
+    def _admitted_groups(usable, now, takes):
         """Returns the EngineGroups of those that take a request, or None."""
         groups = _groups.group_engines(usable)
-        return groups and _groups.admitted(groups, now)
+        return groups and _groups.admitted(groups, now, takes)
 
     def _affinity_engines(self, prompt, allowed, groups, now):
         """Returns the engines for a prompt of a session, best first.
@@ -164,7 +167,7 @@
         engine are stalled, the decode-only engines follow, as they can
         prefill and decode without a transfer.
         """
-        score = self._session_score(prompt, groups)
+        score = self._session_score(prompt, groups, now)
         engines = [max(allowed, key=score)]
         if self._is_stalled(engines[0], groups, now):
             others = [e for e in groups.decode_only if e not in engines]
@@ -206,7 +209,8 @@
     def _predicted_s(self, prompt, engine, groups, now):
         """Returns the predicted time to the first token of a prompt."""
         tokens = self._uncached_tokens(prompt, engine, now)
-        predicted_s = self._read_s(engine, tokens) + self._delay_s(engine, now)
+        predicted_s = self._read_s(engine, tokens, now)
+        predicted_s += self._delay_s(engine, now)
         if engine.entry.role is upstreams.Role.PREFILL:
             decoders = groups.preferred_decoders(engine)
             delay_s = min(self._delay_s(other, now) for other in decoders)
@@ -222,7 +226,7 @@
         reduced, best first.
         """
         low_s = _rate_limiter.INCREASE_DELAY_RATIO * objective_s
-        score = self._session_score(prompt, groups)
+        score = self._session_score(prompt, groups, now)
         for engine in heapq.nlargest(MAX_FALLBACK_ENGINES, allowed, key=score):
             is_unreduced = self._limiter(engine, now).is_unreduced()
             if is_unreduced and self._delay_s(engine, now) < low_s:
@@ -272,6 +276,7 @@
             ACTIVE_REQUEST_COST_S * engine.active
             + self._delay_s(engine, now)
             + self._round_trip_s(engine) * ROUND_TRIP_RATIO
+            + FAILURE_COST_S * self._late_gap_ratio(engine, now)
             + FAILURE_COST_S * engine.failure_rate
             + self._rng.random() * ACTIVE_REQUEST_COST_S
         )
@@ -288,7 +293,7 @@
         waiting = self._in_flight.background(engine_id)
         # What all instances may let wait there, divided among them. Where a
         # share is only few usual prompts, each instance has one waiting.
-        rate = self._prefill_rate(engine)
+        rate = self._prefill_rate(engine, now)
         share = wait_limit_s * rate / self.capacity_ratio
         if (
             not waiting
@@ -302,14 +307,7 @@
             limit *= LATE_BACKGROUND_RATIO
         return waiting < max(1.0, limit)
 
-    @staticmethod
-    def _weight(engine, groups):
-        if engine.entry.role is not upstreams.Role.PREFILL:
-            return DECODE_WEIGHT
-        near = groups.has_local_decoder(engine)
-        return PREFILL_WEIGHT if near else FAR_PREFILL_WEIGHT
-
-    def _session_score(self, prompt, groups):
+    def _session_score(self, prompt, groups, now):
         """Returns a function that scores engines for a prompt's session.
 
         It is weighted rendezvous hashing by the last shared block, so the
@@ -323,7 +321,8 @@
         )
 
         def score(engine):
-            weight = self._weight(engine, groups)
+            weight = _session_shares.weight(engine, groups)
+            weight *= self.speeds.read_speed(engine.entry, now)
             return utils.rendezvous_score(weight, key, engine.entry.id)
 
         return score
@@ -332,7 +331,7 @@
         self, prompt, chosen, groups, priority_class, late, objective_s, now
     ):
         tokens = self._uncached_tokens(prompt, chosen, now)
-        expected_s = self._unhindered_s(chosen, tokens)
+        expected_s = self._unhindered_s(chosen, tokens, now)
         terms = (
             f'{tokens} of {prompt.tokens} tokens not cached, '
             f'excess {chosen.excess_s * 1e3:.1f} ms, '
@@ -369,7 +368,9 @@
         # as slowly would fill up and stay full.
         return min(groups.local_decoders(prefill) or [preferred], key=cost_s)
 
-    def replace_decoder(self, placement, candidates, exclude, now):
+    def replace_decoder(
+        self, placement, candidates, exclude, now, memory_tokens=None
+    ):
         """Returns another engine to decode a prefilled prompt.
 
         Args:
@@ -377,21 +378,27 @@
             candidates: Upstreams of all roles that accept requests.
             exclude: Ids of engines already tried.
             now: Time in seconds.
+            memory_tokens: Tokens that fit in an engine, None for no limit.
 
         Returns:
             An Upstream, or None if no other engine decodes.
         """
         untried = [e for e in candidates if e.entry.id not in exclude]
-        groups = self._admitted_groups(upstreams.available(untried, now), now)
+        takes = self._room(placement.claim, untried, memory_tokens, now)
+        usable = upstreams.available(untried, now)
+        groups = self._admitted_groups(usable, now, takes)
         if groups is None:
             return None
-        return self._choose_decoder(placement.prefill, groups, now)
+        chosen = self._choose_decoder(placement.prefill, groups, now)
+        self._held.add(placement.claim, chosen.entry.id)
+        return chosen
 
     def _decoder_cost_s(self, engine, prefill, now):
         near = engine.entry.data_centre == prefill.entry.data_centre
         return (
             self._round_trip_s(engine)
             + (0.0 if near else FAR_KV_TRANSFER_COST_S)
+            + FAILURE_COST_S * self._late_gap_ratio(engine, now)
             + self._delay_s(engine, now)
             + ACTIVE_REQUEST_COST_S * engine.active
             + FAILURE_COST_S * engine.failure_rate
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -24,6 +24,7 @@
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
 from dandelionwinch.gateway import _response_observer
+from dandelionwinch.gateway import _speed_sharing
 from dandelionwinch.gateway import _stream_versions
 from dandelionwinch.gateway import _usage_meter
 from dandelionwinch.gateway import _usage_sharing
@@ -75,6 +76,7 @@
         '_key_sharing',
         '_limits',
         '_notices',
+        '_speeds',
         '_stop_at',
         '_sweep_timer',
         '_tasks',
@@ -125,6 +127,14 @@
             self.metrics,
             self.rng,
         )
+        self._speeds = _speed_sharing.SpeedSharing(
+            loop,
+            self.fleet,
+            self.placer.speeds,
+            self.peers,
+            cfg.instance,
+            log,
+        )
         response_observer = _response_observer.ResponseObserver(
             loop,
             self.fleet,
@@ -192,6 +202,7 @@
         self._limits.start()
         self._key_sharing.start()
         self.fair_sharing.start()
+        self._speeds.start()
         self._cache_watch.start()
         if self.usage_meter.enabled:
             self.usage.start()
@@ -207,6 +218,7 @@
         self._key_sharing.close()
         self.usage.close()
         self.fair_sharing.close()
+        self._speeds.close()
         self.peers.close()
         self.fleet.close()
 
