--- a/dandelionwinch/tools/capacity.py
+++ b/dandelionwinch/tools/capacity.py
@@ -1,11 +1,9 @@
 """Shows the capacity that the holder plans, over its metrics server."""
 
 import attrs
-import urllib3
 
-from dandelionwinch import errors
+from dandelionwinch.tools import metrics_server
 
-TIMEOUT_S = 5.0
 PATH = '/-/capacity'
 
 
@@ -47,27 +45,19 @@
 def fetch(address):
     """Returns the holder's name, and the ServicePlans if it was asked.
 
+    It returns None for an instance that orders no capacity.
+
     Args:
         address: Address of a metrics server, as host:port.
 
     Raises:
         Unready: If it gave no answer, or one that cannot be read.
     """
-    try:
-        reply = urllib3.request(
-            'GET', f'http://{address}{PATH}', timeout=TIMEOUT_S, retries=False
-        )
-    except urllib3.exceptions.HTTPError as exc:
-        raise errors.Unready(
-            f'metrics server "{address}" gave no answer: {exc}'
-        ) from exc
-    try:
-        data = reply.json()
-        return data['holder'], [_plan(row) for row in data['services']]
-    except (ValueError, TypeError, KeyError) as exc:
-        raise errors.Unready(
-            f'metrics server "{address}" gave no plan of capacity'
-        ) from exc
+    return metrics_server.fetch(address, PATH, _parse, 'plan of capacity')
+
+
+def _parse(page):
+    return page['holder'], [_plan(row) for row in page['services']]
 
 
 def _plan(row):
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -166,9 +166,13 @@
     lease; any other one tells its name, and the exit code is 1.
     """
     try:
-        holder, plans = capacity.fetch(address)
+        found = capacity.fetch(address)
     except errors.DandelionwinchError as exc:
         _exit_with_error(exc)
+    if found is None:
+        click.echo('error: the settings name no orders of capacity', err=True)
+        sys.exit(1)
+    holder, plans = found
     for plan in plans:
         for line in capacity.format_plan(plan):
             click.echo(line)
--- a/dandelionwinch/tools/duties.py
+++ b/dandelionwinch/tools/duties.py
@@ -1,11 +1,9 @@
 """Shows the holder and its duties, as an instance's metrics server does."""
 
 import attrs
-import urllib3
 
-from dandelionwinch import errors
+from dandelionwinch.tools import metrics_server
 
-TIMEOUT_S = 5.0
 PATH = '/-/duties'
 
 
@@ -64,24 +62,12 @@
     Raises:
         Unready: If it gave no answer, or one that cannot be read.
     """
-    try:
-        reply = urllib3.request(
-            'GET', f'http://{address}{PATH}', timeout=TIMEOUT_S, retries=False
-        )
-    except urllib3.exceptions.HTTPError as exc:
-        raise errors.Unready(
-            f'metrics server "{address}" gave no answer: {exc}'
-        ) from exc
-    if reply.status == 404:
-        return None
-    try:
-        fields = reply.json()
-        rows = [Duty(**row) for row in fields.pop('duties')]
-        return Duties(**fields, duties=rows)
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
-        raise errors.Unready(
-            f'metrics server "{address}" gave no duties'
-        ) from exc
+    return metrics_server.fetch(address, PATH, _parse, 'duties')
+
+
+def _parse(page):
+    rows = [Duty(**row) for row in page.pop('duties')]
+    return Duties(**page, duties=rows)
 
 
 def format_lines(duties):
--- a/dandelionwinch/tools/holds.py
+++ b/dandelionwinch/tools/holds.py
@@ -3,11 +3,10 @@
 import urllib.parse
 
 import attrs
-import urllib3
 
 from dandelionwinch import errors
+from dandelionwinch.tools import metrics_server
 
-TIMEOUT_S = 5.0
 PATH = '/-/holds'
 
 
@@ -30,17 +29,6 @@
     refused: int
 
 
-def _request(address, method, path):
-    try:
-        return urllib3.request(
-            method, f'http://{address}{path}', timeout=TIMEOUT_S, retries=False
-        )
-    except urllib3.exceptions.HTTPError as exc:
-        raise errors.Unready(
-            f'metrics server "{address}" gave no answer: {exc}'
-        ) from exc
-
-
 def fetch(address):
     """Returns the Holds in force at an instance.
 
@@ -50,13 +38,16 @@
     Raises:
         Unready: If it gave no answer, or one that cannot be read.
     """
-    reply = _request(address, 'GET', PATH)
-    try:
-        return [Hold(**row) for row in reply.json()['holds']]
-    except (ValueError, TypeError, KeyError) as exc:
+    holds = metrics_server.fetch(address, PATH, _parse, 'list of holds')
+    if holds is None:
         raise errors.Unready(
-            f'metrics server "{address}" gave no list of holds'
-        ) from exc
+            f'server "{address}" is not the metrics server of an instance'
+        )
+    return holds
+
+
+def _parse(page):
+    return [Hold(**row) for row in page['holds']]
 
 
 def lift(address, subject):
@@ -69,7 +60,7 @@
         Unready: If it gave no answer, or not that of an instance.
     """
     path = f'{PATH}/{urllib.parse.quote(subject, safe="")}'
-    reply = _request(address, 'DELETE', path)
+    reply = metrics_server.request(address, 'DELETE', path)
     if reply.status not in (200, 404):
         raise errors.Unready(
             f'metrics server "{address}" answered {reply.status}'
--- a/dandelionwinch/tools/usage.py
+++ b/dandelionwinch/tools/usage.py
@@ -1,11 +1,9 @@
 """Shows the usage of teams by window, as an instance's metrics server does."""
 
 import attrs
-import urllib3
 
-from dandelionwinch import errors
+from dandelionwinch.tools import metrics_server
 
-TIMEOUT_S = 5.0
 PATH = '/-/usage'
 
 
@@ -36,22 +34,11 @@
     Raises:
         Unready: If it gave no answer, or one that cannot be read.
     """
-    try:
-        reply = urllib3.request(
-            'GET', f'http://{address}{PATH}', timeout=TIMEOUT_S, retries=False
-        )
-    except urllib3.exceptions.HTTPError as exc:
-        raise errors.Unready(
-            f'metrics server "{address}" gave no answer: {exc}'
-        ) from exc
-    if reply.status == 404:
-        return None
-    try:
-        return [Window(**row) for row in reply.json()['windows']]
-    except (ValueError, TypeError, KeyError) as exc:
-        raise errors.Unready(
-            f'metrics server "{address}" gave no usage'
-        ) from exc
+    return metrics_server.fetch(address, PATH, _parse, 'usage')
+
+
+def _parse(page):
+    return [Window(**row) for row in page['windows']]
 
 
 def format_lines(window):
