--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -500,7 +500,6 @@
             self._remove_instance(key)
         peers = self.registered.peers(self._cfg.peer_port)
         self._gateway.peers.set_peers(peers)
-        self._gateway.placer.set_instances(self._cfg.instance, peers)
         versions = self._gateway.fleet.registry.software_versions()
         self._gateway.streams.observe(versions)
 
--- a/dandelionwinch/dispatch/_engine_knowledge.py
+++ b/dandelionwinch/dispatch/_engine_knowledge.py
@@ -6,7 +6,6 @@
 
 from dandelionwinch.dispatch import _engine_model
 from dandelionwinch.dispatch import _engine_speeds
-from dandelionwinch.dispatch import _held_tokens
 from dandelionwinch.dispatch import _in_flight
 from dandelionwinch.dispatch import _overdue
 from dandelionwinch.dispatch import _prefill_rates
@@ -40,7 +39,6 @@
 
     __slots__ = (
         '_distances',
-        '_held',
         '_in_flight',
         '_limiters',
         '_model',
@@ -64,27 +62,12 @@
         self._prefill_rates = _prefill_rates.PrefillRates()
         self._model = _engine_model.EngineModel()
         self._token_gaps = _token_gaps.TokenGaps()
-        self._held = _held_tokens.HeldTokens()
         self._in_flight = _in_flight.InFlight()
         self._watch_plan = _watch_plan.WatchPlan()
         self._limiters = {}
         self.capacity_ratio = 1.0
         self.speeds = _engine_speeds.EngineSpeeds()
 
-    def set_instances(self, name, names):
-        """Sets which instances share the memory of the engines.
-
-        Args:
-            name: Name of this instance.
-            names: Names of all instances; the own one may be missing.
-        """
-        self._held.name = name
-        self._held.names = frozenset(names)
-
-    def held_tokens(self, upstream_id):
-        """Returns the tokens that an engine holds for this instance."""
-        return self._held.tokens(upstream_id)
-
     def _uncached_tokens(self, prompt, engine, now):
         cached = self._prefix_cache.hit_tokens(prompt, engine.entry.id, now)
         return prompt.tokens - cached
@@ -119,22 +102,10 @@
         speed = self.speeds.read_speed(engine.entry, now)
         return speed * self._prefill_rates.get(engine.entry)
 
-    def _late_gap_ratio(self, engine, now):
-        """Returns by how much the gaps of an engine are likely too long.
-
-        They count from where they leave no room for reading beside them; a
-        gap of twice that length yields 1.
-        """
+    def _gap_ratio(self, engine, now):
+        """Returns the predicted long gap as a part of the allowed one."""
         ratio = self._token_gaps.calm_ratio(engine.entry.service)
-        ratio /= self.speeds.decode_speed(engine.entry, now)
-        excess = ratio / _token_gaps.MAX_GAP_RATIO - 1.0
-        return min(1.0, max(0.0, excess))
-
-    def _room(self, claim, engines, memory_tokens, now):
-        """Returns a function that tells whether an engine has room."""
-        return self._held.filter(
-            claim, engines, memory_tokens, self.capacity_ratio, now
-        )
+        return ratio / self.speeds.decode_speed(engine.entry, now)
 
     def _limiter(self, engine, now):
         limiter = self._limiters.get(engine.entry.id)
@@ -163,9 +134,6 @@
     def record_sent(self, prompt, placement, now):
         """Records that a prompt is sent to the engine that prefills it."""
         upstream_id = placement.prefill_engine.entry.id
-        if placement.claim is not None:
-            for engine_id in {upstream_id, placement.decode.entry.id}:
-                self._held.add(placement.claim, engine_id)
         self._prefix_cache.record(prompt, upstream_id, now)
         if placement.priority_class is _prompts.PriorityClass.URGENT:
             due_at = now + placement.expected_s
@@ -199,8 +167,6 @@
 
     def record_end(self, placement):
         """Records that a request has ended, with or without a response."""
-        if placement.claim is not None:
-            self._held.remove(placement.claim)
         self._overdue.remove(placement.prefill_engine.entry.id, placement)
         self._decode_responded(placement)
         self._in_flight.remove(placement)
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -18,10 +18,9 @@
 
 from dandelionwinch.dispatch import _engine_knowledge
 from dandelionwinch.dispatch import _groups
-from dandelionwinch.dispatch import _held_tokens
 from dandelionwinch.dispatch import _prompts
 from dandelionwinch.dispatch import _rate_limiter
-from dandelionwinch.dispatch import _session_shares
+from dandelionwinch.dispatch import _token_gaps
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
@@ -33,6 +32,11 @@
 FAILURE_COST_S = 0.2
 # Part of the round trip that counts in the choice for short prompts.
 ROUND_TRIP_RATIO = 0.1
+# Relative shares of the sessions: of a prefill engine, of an engine that
+# decodes, and of a prefill engine without a decode engine in its data centre.
+PREFILL_WEIGHT = 2.0
+DECODE_WEIGHT = 0.65
+FAR_PREFILL_WEIGHT = 0.5
 # Engines considered for a prompt that its affinity engine refuses.
 MAX_FALLBACK_ENGINES = 4
 # Limit of the background prompts of all instances at an engine, as a multiple
@@ -75,7 +79,6 @@
         objective_s,
         patience_s,
         standing=_prompts.NO_TEAM,
-        memory_tokens=None,
     ):
         """Chooses the engines and the priority class of a prompt.
 
@@ -89,7 +92,6 @@
             objective_s: Latency objective of the first token.
             patience_s: Time after which its caller leaves without a token.
             standing: Standing of its team.
-            memory_tokens: Tokens that fit in an engine, None for no limit.
 
         Returns:
             A Placement, or None if no engine has capacity for it.
@@ -99,9 +101,7 @@
         stable = [e for e in untried if e.role_change_until <= now]
         usable = upstreams.available(stable or untried, now)
         usable = upstreams.ramped(usable, now, self._rng)
-        claim = _held_tokens.make_claim(prompt, usable, memory_tokens)
-        takes = self._room(claim, usable, memory_tokens, now)
-        groups = self._admitted_groups(usable, now, takes)
+        groups = self._admitted_groups(usable, now)
         if groups is None:
             return None
 
@@ -109,9 +109,7 @@
             placement = self._make_placement(
                 prompt, chosen, groups, priority_class, late, objective_s, now
             )
-            return attrs.evolve(
-                placement, urgency=standing.urgency, claim=claim
-            )
+            return attrs.evolve(placement, urgency=standing.urgency)
 
         if prompt.short:
             chosen = self._choose_for_short(groups, now)
@@ -154,10 +152,10 @@
         return None
 
     @staticmethod
-    def _admitted_groups(usable, now, takes):
+    def _admitted_groups(usable, now):
         """Returns the EngineGroups of those that take a request, or None."""
         groups = _groups.group_engines(usable)
-        return groups and _groups.admitted(groups, now, takes)
+        return groups and _groups.admitted(groups, now)
 
     def _affinity_engines(self, prompt, allowed, groups, now):
         """Returns the engines for a prompt of a session, best first.
@@ -271,12 +269,21 @@
         )
         return self._in_flight.decodes(engine.entry.id) < max(1.0, slots)
 
+    def _late_gap_cost_s(self, engine, now):
+        """Returns the cost of gaps that are predicted to be late.
+
+        They count from where they leave no room for reading beside them; a
+        gap of twice that length counts as a failure.
+        """
+        excess = self._gap_ratio(engine, now) / _token_gaps.MAX_GAP_RATIO - 1.0
+        return FAILURE_COST_S * min(1.0, max(0.0, excess))
+
     def _short_cost_s(self, engine, now):
         return (
             ACTIVE_REQUEST_COST_S * engine.active
             + self._delay_s(engine, now)
             + self._round_trip_s(engine) * ROUND_TRIP_RATIO
-            + FAILURE_COST_S * self._late_gap_ratio(engine, now)
+            + self._late_gap_cost_s(engine, now)
             + FAILURE_COST_S * engine.failure_rate
             + self._rng.random() * ACTIVE_REQUEST_COST_S
         )
@@ -307,6 +314,13 @@
             limit *= LATE_BACKGROUND_RATIO
         return waiting < max(1.0, limit)
 
+    @staticmethod
+    def _weight(engine, groups):
+        if engine.entry.role is not upstreams.Role.PREFILL:
+            return DECODE_WEIGHT
+        near = groups.has_local_decoder(engine)
+        return PREFILL_WEIGHT if near else FAR_PREFILL_WEIGHT
+
     def _session_score(self, prompt, groups, now):
         """Returns a function that scores engines for a prompt's session.
 
@@ -321,7 +335,7 @@
         )
 
         def score(engine):
-            weight = _session_shares.weight(engine, groups)
+            weight = self._weight(engine, groups)
             weight *= self.speeds.read_speed(engine.entry, now)
             return utils.rendezvous_score(weight, key, engine.entry.id)
 
@@ -368,9 +382,7 @@
         # as slowly would fill up and stay full.
         return min(groups.local_decoders(prefill) or [preferred], key=cost_s)
 
-    def replace_decoder(
-        self, placement, candidates, exclude, now, memory_tokens=None
-    ):
+    def replace_decoder(self, placement, candidates, exclude, now):
         """Returns another engine to decode a prefilled prompt.
 
         Args:
@@ -378,27 +390,22 @@
             candidates: Upstreams of all roles that accept requests.
             exclude: Ids of engines already tried.
             now: Time in seconds.
-            memory_tokens: Tokens that fit in an engine, None for no limit.
 
         Returns:
             An Upstream, or None if no other engine decodes.
         """
         untried = [e for e in candidates if e.entry.id not in exclude]
-        takes = self._room(placement.claim, untried, memory_tokens, now)
-        usable = upstreams.available(untried, now)
-        groups = self._admitted_groups(usable, now, takes)
+        groups = self._admitted_groups(upstreams.available(untried, now), now)
         if groups is None:
             return None
-        chosen = self._choose_decoder(placement.prefill, groups, now)
-        self._held.add(placement.claim, chosen.entry.id)
-        return chosen
+        return self._choose_decoder(placement.prefill, groups, now)
 
     def _decoder_cost_s(self, engine, prefill, now):
         near = engine.entry.data_centre == prefill.entry.data_centre
         return (
             self._round_trip_s(engine)
             + (0.0 if near else FAR_KV_TRANSFER_COST_S)
-            + FAILURE_COST_S * self._late_gap_ratio(engine, now)
+            + self._late_gap_cost_s(engine, now)
             + self._delay_s(engine, now)
             + ACTIVE_REQUEST_COST_S * engine.active
             + FAILURE_COST_S * engine.failure_rate
--- a/dandelionwinch/dispatch/_groups.py
+++ b/dandelionwinch/dispatch/_groups.py
@@ -64,10 +64,8 @@
         return [e for e in self.decode if e.entry.data_centre == data_centre]
 
 
-def admitted(groups, now, takes):
-    """Returns the groups without the engines that take no request.
-
-    These are at their rate limit, or their memory has no room.
+def admitted(groups, now):
+    """Returns the groups without the engines that are at their rate limit.
 
     An engine stays in its group, whatever others take, so that sessions keep
     their engines.
@@ -75,14 +73,13 @@
     Args:
         groups: EngineGroups.
         now: Time in seconds.
-        takes: Function that tells whether an engine has room.
 
     Returns:
         EngineGroups, or None if no engine that decodes takes a request.
     """
 
     def admits(engine):
-        return engine.rate_limit.admits(now) and takes(engine)
+        return engine.rate_limit.admits(now)
 
     decode_only = tuple(filter(admits, groups.decode_only))
     mixed = tuple(filter(admits, groups.mixed))
--- a/dandelionwinch/dispatch/_prompts.py
+++ b/dandelionwinch/dispatch/_prompts.py
@@ -116,7 +116,6 @@
             with the round trip.
         terms: Description of the decision, for the log.
         urgency: Urgency of the Standing of its team.
-        claim: Claim on the memory of its engines, or None.
     """
 
     prefill: object
@@ -128,7 +127,6 @@
     expected_s: float
     terms: str
     urgency: int = 0
-    claim: object = None
 
     @property
     def priority(self):
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -72,7 +72,6 @@
             objective_s=self._route.objective_s,
             patience_s=self._route.patience_s,
             standing=self._standing,
-            memory_tokens=self._memory_tokens(),
         )
         if not (late or self._sent_count):
             self._count(placement)
@@ -99,13 +98,6 @@
         elif placement.priority_class is dispatch.PriorityClass.BACKGROUND:
             self._gateway.fair_sharing.record_delayed(self._req.team)
 
-    def _memory_tokens(self):
-        """Returns how many tokens an engine holds, None if not known."""
-        service = self._fleet.table.services.get(self._service)
-        if service is None or service.engine is None:
-            return None
-        return service.engine.kv_tokens
-
     def _serves(self, choice):
         """Tells whether the engines of a Placement accept requests."""
         serves = self._fleet.serves
@@ -221,11 +213,7 @@
         if self._fleet.serves(decode) and decode.entry.id not in excluded:
             return placement
         other = self._gateway.placer.replace_decoder(
-            placement,
-            self._candidates(),
-            excluded,
-            self._loop.time(),
-            self._memory_tokens(),
+            placement, self._candidates(), excluded, self._loop.time()
         )
         if other is None:
             raise self._no_upstream()
