--- a/dandelionwinch/tests/test_control.py
+++ b/dandelionwinch/tests/test_control.py
@@ -27,6 +27,7 @@
 CFG = _boot.read(samples.settings())
 CAPACITY = CFG.capacity
 INSTANCE_PREFIX = 'dandelionwinch/instances/'
+SCALING = {'minReplicas': 1, 'maxReplicas': 8, 'bootS': 4.0}
 
 
 class Node:
@@ -416,6 +417,30 @@
     run_leaders(scenario)
 
 
+@pytest.mark.parametrize(
+    ('scaling', 'least', 'most'), [(None, 5.0, 8.0), (SCALING, 1.0, 4.0)]
+)
+def test_roles_follow_sooner_where_engines_come_and_go(scaling, least, most):
+    """Half of a fleet is replaced at once at the start."""
+
+    async def scenario(group, items):
+        engine = {'slots': 24, 'kvTokens': 1000, 'kvTokenBytes': 10}
+        service = samples.service(engine=engine, scaling=scaling)
+        value = samples.config(2, [samples.route()], [service])
+        items.put(samples.CONFIG_KEY, value)
+        for number in range(24):
+            name = f'j-{number}'
+            put_upstream(items, name, zone='abc'[number % 3], phase='decode')
+        await asyncio.sleep(40)
+        times = [at for at, *_rest in group.sent]
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        assert len(gaps) >= 3
+        assert least < min(gaps)
+        assert max(gaps) < most
+
+    run_leaders(scenario, count=1)
+
+
 def test_a_holder_that_is_cut_off_is_followed_after_a_pause():
     async def scenario(group, items):
         await asyncio.sleep(25)
