--- a/dandelionwinch/dispatch/_engine_knowledge.py
+++ b/dandelionwinch/dispatch/_engine_knowledge.py
@@ -5,6 +5,8 @@
 """
 
 from dandelionwinch.dispatch import _engine_model
+from dandelionwinch.dispatch import _engine_speeds
+from dandelionwinch.dispatch import _held_tokens
 from dandelionwinch.dispatch import _in_flight
 from dandelionwinch.dispatch import _overdue
 from dandelionwinch.dispatch import _prefill_rates
@@ -33,10 +35,12 @@
     Attributes:
         capacity_ratio: Capacity of all instances that share the engines
             over this instance's capacity.
+        speeds: EngineSpeeds.
     """
 
     __slots__ = (
         '_distances',
+        '_held',
         '_in_flight',
         '_limiters',
         '_model',
@@ -48,6 +52,7 @@
         '_transfers',
         '_watch_plan',
         'capacity_ratio',
+        'speeds',
     )
 
     def __init__(self, distances, rng):
@@ -59,10 +64,26 @@
         self._prefill_rates = _prefill_rates.PrefillRates()
         self._model = _engine_model.EngineModel()
         self._token_gaps = _token_gaps.TokenGaps()
+        self._held = _held_tokens.HeldTokens()
         self._in_flight = _in_flight.InFlight()
         self._watch_plan = _watch_plan.WatchPlan()
         self._limiters = {}
         self.capacity_ratio = 1.0
+        self.speeds = _engine_speeds.EngineSpeeds()
+
+    def set_instances(self, name, names):
+        """Sets which instances share the memory of the engines.
+
+        Args:
+            name: Name of this instance.
+            names: Names of all instances; the own one may be missing.
+        """
+        self._held.name = name
+        self._held.names = frozenset(names)
+
+    def held_tokens(self, upstream_id):
+        """Returns the tokens that an engine holds for this instance."""
+        return self._held.tokens(upstream_id)
 
     def _uncached_tokens(self, prompt, engine, now):
         cached = self._prefix_cache.hit_tokens(prompt, engine.entry.id, now)
@@ -76,31 +97,50 @@
     def _round_trip_s(self, engine):
         return self._distances.round_trip_s(engine.entry.data_centre)
 
-    def _unhindered_s(self, engine, tokens):
+    def _unhindered_s(self, engine, tokens, now):
         """Returns the time to read tokens at the rate of the limits.
 
         It is the base of the delays to which the rate limits adapt.
         """
-        read_s = tokens / self._prefill_rate(engine)
+        read_s = tokens / self._prefill_rate(engine, now)
         return self._round_trip_s(engine) + read_s
 
-    def _read_s(self, engine, tokens):
+    def _read_s(self, engine, tokens, now):
         """Returns the learnt time to read tokens, with the round trip."""
         read_s = self._model.read_s(engine.entry, tokens)
+        read_s /= self.speeds.read_speed(engine.entry, now)
         return self._round_trip_s(engine) + read_s
 
     def work_s(self, engine, tokens):
         """Returns the learnt time in which an engine reads tokens."""
         return self._model.read_s(engine.entry, tokens)
 
-    def _prefill_rate(self, engine):
-        return self._prefill_rates.get(engine.entry)
+    def _prefill_rate(self, engine, now):
+        speed = self.speeds.read_speed(engine.entry, now)
+        return speed * self._prefill_rates.get(engine.entry)
+
+    def _late_gap_ratio(self, engine, now):
+        """Returns by how much the gaps of an engine are likely too long.
+
+        They count from where they leave no room for reading beside them; a
+        gap of twice that length yields 1.
+        """
+        ratio = self._token_gaps.calm_ratio(engine.entry.service)
+        ratio /= self.speeds.decode_speed(engine.entry, now)
+        excess = ratio / _token_gaps.MAX_GAP_RATIO - 1.0
+        return min(1.0, max(0.0, excess))
+
+    def _room(self, claim, engines, memory_tokens, now):
+        """Returns a function that tells whether an engine has room."""
+        return self._held.filter(
+            claim, engines, memory_tokens, self.capacity_ratio, now
+        )
 
     def _limiter(self, engine, now):
         limiter = self._limiters.get(engine.entry.id)
         if limiter is None:
             limiter = _rate_limiter.RateLimiter(
-                self._prefill_rate(engine), self.capacity_ratio, now
+                self._prefill_rate(engine, now), self.capacity_ratio, now
             )
             self._limiters[engine.entry.id] = limiter
         return limiter
@@ -123,6 +163,9 @@
     def record_sent(self, prompt, placement, now):
         """Records that a prompt is sent to the engine that prefills it."""
         upstream_id = placement.prefill_engine.entry.id
+        if placement.claim is not None:
+            for engine_id in {upstream_id, placement.decode.entry.id}:
+                self._held.add(placement.claim, engine_id)
         self._prefix_cache.record(prompt, upstream_id, now)
         if placement.priority_class is _prompts.PriorityClass.URGENT:
             due_at = now + placement.expected_s
@@ -156,6 +199,8 @@
 
     def record_end(self, placement):
         """Records that a request has ended, with or without a response."""
+        if placement.claim is not None:
+            self._held.remove(placement.claim)
         self._overdue.remove(placement.prefill_engine.entry.id, placement)
         self._decode_responded(placement)
         self._in_flight.remove(placement)
@@ -172,7 +217,7 @@
         engine = placement.prefill
         self._overdue.remove(engine.entry.id, placement)
         tokens = placement.uncached_tokens
-        expected_s = self._unhindered_s(engine, tokens)
+        expected_s = self._unhindered_s(engine, tokens, now)
         self._observe(engine, placement, taken_s, expected_s, now)
 
     def record_first_token(self, placement, taken_s, now):
@@ -210,6 +255,9 @@
 
         Only prompts of the class URGENT update the two rates.
         """
+        tokens = placement.uncached_tokens
+        read_s = taken_s - self._round_trip_s(engine)
+        self.speeds.observe_read(engine.entry, tokens, read_s, now)
         if placement.priority_class is _prompts.PriorityClass.BACKGROUND:
             # It waits behind all others, so its latency is no sample. The
             # average itself as the sample leaves the average unchanged.
@@ -217,17 +265,17 @@
             return
         excess_s = taken_s - expected_s
         engine.record_success(excess_s, now)
-        tokens = placement.uncached_tokens
-        read_s = taken_s - self._round_trip_s(engine)
-        self._model.observe(engine.entry, tokens, read_s)
+        # The service's times are those of an engine of the speed 1.
+        usual_s = read_s * self.speeds.read_speed(engine.entry, now)
+        self._model.observe(engine.entry, tokens, usual_s)
         if placement.priority_class is _prompts.PriorityClass.ANSWER:
             return
-        self._prefill_rates.observe(engine.entry, tokens, read_s)
+        self._prefill_rates.observe(engine.entry, tokens, usual_s)
         overdue_s = self._transfers.overdue_s(engine, now)
         self._limiter(engine, now).observe(
             max(excess_s, overdue_s),
             placement.objective_s,
-            self._prefill_rate(engine),
+            self._prefill_rate(engine, now),
             self.capacity_ratio,
             now,
         )
@@ -241,14 +289,18 @@
             allowed_s: Longest allowed gap, 0 for no limit.
             now: Time in seconds.
         """
+        engine = placement.decode
+        reading = self._in_flight.is_reading(engine.entry.id)
+        if not reading:
+            self.speeds.observe_gap(engine.entry, gap_s)
         if not allowed_s:
             return
-        engine = placement.decode
+        speed = self.speeds.decode_speed(engine.entry, now)
         self._token_gaps.observe(
             engine.entry.service,
-            gap_s / allowed_s,
+            gap_s * speed / allowed_s,
             now,
-            reading=self._in_flight.is_reading(engine.entry.id),
+            reading=reading,
         )
         if gap_s > TOKEN_GAP_RATIO * allowed_s:
             self._limiter(engine, now).decrease(now)
@@ -256,5 +308,6 @@
     def forget(self, upstream_id):
         """Drops the state of an engine, as after its restart."""
         self._limiters.pop(upstream_id, None)
+        self.speeds.forget(upstream_id)
         self._transfers.forget(upstream_id)
         self._prefix_cache.forget(upstream_id)
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from dandelionwinch.gateway import _crash_guard
 from dandelionwinch.gateway import _demand_link
 from dandelionwinch.gateway import _demand_meter
+from dandelionwinch.gateway import _fair_sharing
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
 from dandelionwinch.gateway import _key_sharing
@@ -23,6 +24,7 @@
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
 from dandelionwinch.gateway import _response_observer
+from dandelionwinch.gateway import _speed_sharing
 from dandelionwinch.gateway import _stream_versions
 from dandelionwinch.gateway import _usage_meter
 from dandelionwinch.gateway import _usage_sharing
@@ -56,6 +58,7 @@
         crash_guard: The CrashGuard.
         demand: The DemandLink.
         distances: Round-trip times to data centres.
+        fair_sharing: The FairSharing.
         fleet: Upstreams and their connection pools.
         peers: The PeerLink to other instances.
         placer: Chooses the engines of a generation.
@@ -73,6 +76,7 @@
         '_key_sharing',
         '_limits',
         '_notices',
+        '_speeds',
         '_stop_at',
         '_sweep_timer',
         '_tasks',
@@ -82,6 +86,7 @@
         'crash_guard',
         'demand',
         'distances',
+        'fair_sharing',
         'fleet',
         'log',
         'loop',
@@ -122,6 +127,14 @@
             self.metrics,
             self.rng,
         )
+        self._speeds = _speed_sharing.SpeedSharing(
+            loop,
+            self.fleet,
+            self.placer.speeds,
+            self.peers,
+            cfg.instance,
+            log,
+        )
         response_observer = _response_observer.ResponseObserver(
             loop,
             self.fleet,
@@ -146,6 +159,9 @@
         self.demand = _demand_link.DemandLink(
             loop, self.peers, self._demand_meter, cfg.instance
         )
+        self.fair_sharing = _fair_sharing.FairSharing(
+            loop, self.peers, self.fleet, log, cfg.instance
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -185,6 +201,8 @@
         self.crash_guard.start()
         self._limits.start()
         self._key_sharing.start()
+        self.fair_sharing.start()
+        self._speeds.start()
         self._cache_watch.start()
         if self.usage_meter.enabled:
             self.usage.start()
@@ -199,6 +217,8 @@
         self._limits.close()
         self._key_sharing.close()
         self.usage.close()
+        self.fair_sharing.close()
+        self._speeds.close()
         self.peers.close()
         self.fleet.close()
 
