--- a/dandelionwinch/control/_registered.py
+++ b/dandelionwinch/control/_registered.py
@@ -4,7 +4,7 @@
 others, together they would exceed a limit. So an instance whose entry is
 gone still counts for some time, and an instance that has just started,
 possibly together with all others, counts at least the total capacity that
-the order leader keeps in the store.
+the holder of the lease keeps in the store.
 """
 
 from dandelionwinch.control import _config
--- a/dandelionwinch/platform/_call_rate.py
+++ b/dandelionwinch/platform/_call_rate.py
@@ -4,6 +4,8 @@
 BURST_S = 1.0
 # Longest pause that one answer can ask for.
 MAX_PAUSE_S = 2.0
+# Shortest wait, so that rounding makes no busy loop.
+MIN_WAIT_S = 0.001
 
 
 class CallRate:
@@ -31,7 +33,7 @@
         self._calls = min(self._limit, self._calls + gained)
         self._seen = now
         if self._calls < 1.0:
-            return (1.0 - self._calls) / self._calls_per_s
+            return max(MIN_WAIT_S, (1.0 - self._calls) / self._calls_per_s)
         self._calls -= 1.0
         return 0.0
 
--- a/dandelionwinch/platform/_duty_api.py
+++ b/dandelionwinch/platform/_duty_api.py
@@ -17,8 +17,6 @@
 # Part of the API's rate of calls that this instance uses. A former holder
 # may have used the same part just before.
 RATE_RATIO = 0.2
-# Shortest wait for the rate, so that rounding makes no busy loop.
-MIN_WAIT_S = 0.001
 HOLDER_HEADER = 'X-Dandelionwinch-Lease-Holder'
 TOKEN_HEADER = 'X-Dandelionwinch-Fencing-Token'
 USAGE_PATH = '/usage'
@@ -98,7 +96,7 @@
                 return True
             if now + wait_s >= deadline:
                 return False
-            await asyncio.sleep(max(MIN_WAIT_S, wait_s))
+            await asyncio.sleep(wait_s)
 
     async def _exchange(self, pool, conn, request, may_act, deadline):
         conn.limit_delivery(leadership.CALL_DELIVERY_S)
