--- a/dandelionwinch/tests/instance_harness.py
+++ b/dandelionwinch/tests/instance_harness.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from dandelionwinch import control
 from dandelionwinch.platform import _boot
 from dandelionwinch.platform import _entry
 from dandelionwinch.platform import samples
@@ -21,6 +22,7 @@
         ip: Loopback address that it listens on.
         peer_port: Port on which instances speak to each other.
         more_settings: Text that is added to its settings.
+        duty_settings: DutySettings, or None for no duty.
 
     Attributes:
         log: Recorder of its events.
@@ -36,7 +38,9 @@
         ip='127.0.0.1',
         peer_port=0,
         more_settings='',
+        duty_settings=None,
     ):
+        self._duty_settings = duty_settings or control.DutySettings()
         self._kv = kv
         self._path = path
         self._ip = ip
@@ -55,6 +59,7 @@
             callers=f'{self._ip}:0',
             readiness=f'{self._ip}:0',
             directory=f'{self._ip}:0',
+            duty_settings=self._duty_settings,
         )
         self.process = _entry.PlatformProcess(
             loop, cfg, self._path, 0, self.log
