--- a/dandelionwinch/gateway/_usage_sharing.py
+++ b/dandelionwinch/gateway/_usage_sharing.py
@@ -139,7 +139,7 @@
         self._log = log
         self._rng = rng
         self._final_latest_s = min(FINAL_LATEST_S, FINAL_LATEST_RATIO * due_s)
-        self._phase = rng.random()
+        self._phase = 0.0
         self._incarnation = 0
         self._sendings = {}
         self._receivers = ()
@@ -167,6 +167,7 @@
 
     def start(self):
         """Starts the periodic work."""
+        self._phase = self._rng.random()
         self._incarnation = round(self._clock.now() * MS)
         self._tick()
 
