--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -45,6 +45,7 @@
                 response = await exchange.read_response(
                     head, self._read_timeout_s()
                 )
+                await self._check_end(head, upstream)
         except _upstream_exchange.AttemptFailed as exc:
             if not begun:
                 await self._suspicion.note_failure(exc, upstream)
--- a/dandelionwinch/gateway/_crash_guard.py
+++ b/dandelionwinch/gateway/_crash_guard.py
@@ -148,6 +148,12 @@
             self._report(crash, subjects)
         return crashed
 
+    async def has_crashed(self, upstream):
+        """Tells whether an upstream that closed a connection crashed."""
+        if not upstream.in_service:
+            return False
+        return await asyncio.shield(self._crash_of(upstream).confirmed)
+
     def _crash_of(self, upstream):
         incarnation = upstream.entry.incarnation
         crash = self._crashes.get(incarnation)
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -1,7 +1,6 @@
 """Connects routing, upstream state, placement and retry budgets."""
 
 import asyncio
-import json
 import random
 import traceback
 
@@ -20,6 +19,7 @@
 from dandelionwinch.gateway import _limit_sharing
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
+from dandelionwinch.gateway import _refusals
 from dandelionwinch.gateway import _response_observer
 from dandelionwinch.gateway import _stream_versions
 
@@ -60,6 +60,7 @@
         '_ended',
         '_key_sharing',
         '_limits',
+        '_refusals',
         '_stop_at',
         '_sweep_timer',
         '_tasks',
@@ -98,6 +99,7 @@
             loop, self.peers, self.fleet, self.rng, log
         )
         self.metrics = _metrics.Metrics()
+        self._refusals = _refusals.Refusals(wire_codec, log, self.metrics)
         self._limits = _limit_sharing.LimitSharing(
             loop,
             self.fleet,
@@ -175,13 +177,8 @@
         self.active += 1
         try:
             await self._serve(incoming, caller)
-        except errors.Unauthorized as exc:
-            self._reject_unauthorized(caller, incoming, exc)
-        except _authenticator.OutOfContact as exc:
-            headers = self.wire_codec.retry_after_headers(exc.retry_after_s)
-            self._reject(caller, incoming, exc.status, exc.message, headers)
         except errors.DandelionwinchError as exc:
-            self._reject(caller, incoming, exc.status, exc.message)
+            self._refusals.refuse_for(caller, incoming, exc)
         except Exception:
             self.log.event('gateway.fault', trace=traceback.format_exc())
             if caller.responded:
@@ -196,28 +193,23 @@
         head = incoming.head
         table = self.fleet.table
         if table is None:
-            headers = self.wire_codec.retry_after_headers(
-                NO_ROUTES_RETRY_AFTER_S
+            self._refusals.refuse_later(
+                caller, incoming, 'no routes yet', NO_ROUTES_RETRY_AFTER_S
             )
-            self._reject(caller, incoming, 503, 'no routes yet', headers)
             return
         route = table.match(head.header('host'), head.path)
         if route is None:
-            self._reject(caller, incoming, 404, 'no route matches')
+            self._refusals.refuse(caller, incoming, 404, 'no route matches')
             return
-        team = None
-        if table.teams is not None:
-            key = self.wire_codec.parse_key(head)
-            team = self.authenticator.authenticate(table, route, key)
-        req = self.wire_codec.parse_request(head, bytes(incoming.body))
-        if table.teams is not None:
-            req = self.wire_codec.with_team(req, team)
+        req = self._read_request(incoming, table, route)
         if not self._ends_in_time(req, route):
-            headers = self.wire_codec.retry_after_headers(
-                STOPPING_RETRY_AFTER_S
+            self._refusals.refuse_later(
+                caller,
+                incoming,
+                'it could not end before the instance stops',
+                STOPPING_RETRY_AFTER_S,
+                req.id,
             )
-            reason = 'it could not end before the instance stops'
-            self._reject(caller, incoming, 503, reason, headers, req.id)
             return
         handler_class = _call_handler.CallHandler
         if route.streaming and req.prompt is not None:
@@ -239,6 +231,22 @@
         finally:
             self._tasks.discard(task)
 
+    def _read_request(self, incoming, table, route):
+        """Returns the CallerRequest, after its key was checked.
+
+        Raises:
+            Unauthorized: If it needs a key and has no valid one.
+            OutOfContact: If its key can't be checked.
+            BadRequest: If it is malformed.
+        """
+        head, body = incoming.head, bytes(incoming.body)
+        if table.teams is None:
+            return self.wire_codec.parse_request(head, body)
+        key = self.wire_codec.parse_key(head)
+        team = self.authenticator.authenticate(table, route, key)
+        req = self.wire_codec.parse_request(head, body)
+        return self.wire_codec.with_team(req, team)
+
     def _log_left(self, request_id, exc, incoming):
         self.log.event(
             'request.left',
@@ -293,33 +301,6 @@
             return None
         return round(received_at - self.stop_began_at, 3)
 
-    def _reject(
-        self, caller, incoming, status, reason, headers=(), request_id=''
-    ):
-        self._log_refused(incoming, status, reason, request_id)
-        caller.respond(status, headers, reason.encode())
-
-    def _log_refused(self, incoming, status, reason, request_id=''):
-        self.log.event(
-            'request.refused',
-            request=request_id,
-            host=incoming.head.header('host'),
-            path=incoming.head.path,
-            status=status,
-            reason=reason,
-        )
-
-    def _reject_unauthorized(self, caller, incoming, exc):
-        self.metrics.unauthorized_requests.inc()
-        self._log_refused(incoming, exc.status, exc.message)
-        headers = [
-            ('Content-Type', 'application/json'),
-            *self.wire_codec.unauthorized_headers(),
-        ]
-        error = {'code': exc.code, 'message': exc.message}
-        body = json.dumps({'error': error}).encode()
-        caller.respond(exc.status, headers, body)
-
     def log_early_rejection(self, status, reason):
         """Logs a request that was rejected before it was complete."""
         self.log.event('request.refused', status=status, reason=reason)
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -320,6 +320,7 @@
             )
         if not (head.framed or self._begun or self._streaming):
             raise self._closed_without_an_event()
+        await self._check_end(head, placement.decode)
         self._end_stream(head, placement)
 
     @staticmethod
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -11,6 +11,7 @@
 import attrs
 
 from dandelionwinch import attempts
+from dandelionwinch.gateway import _connection
 from dandelionwinch.gateway import _messages
 from dandelionwinch.gateway import _pool
 from dandelionwinch.gateway import _reservation
@@ -455,6 +456,30 @@
         headers = response.head.end_to_end()
         self._caller_conn.respond(response.head.status, headers, response.body)
 
+    async def _check_end(self, head, upstream):
+        """Checks a body that ended with its connection.
+
+        The system closes the connections of a process that was killed in the
+        same way as those of one that has sent all. A body that ends with the
+        death of its upstream may have broken off.
+
+        Raises:
+            AttemptFailed: If the upstream crashed.
+        """
+        without_body = (
+            self._req.method == 'HEAD'
+            or head.status in _connection.NO_BODY_STATUSES
+        )
+        if head.framed or without_body:
+            return
+        if await self._gateway.crash_guard.has_crashed(upstream):
+            reason = 'the upstream crashed at the end of its answer'
+            raise _upstream_exchange.AttemptFailed(
+                attempts.AttemptOutcome.UNKNOWN, reason
+            ) from _connection.ConnectionLost(
+                _connection.LossCause.CLOSED, reason
+            )
+
     def _accept_response(self, upstream, response, started_at):
         """Relays a complete response, unless it is an error to retry.
 
--- a/dandelionwinch/tests/test_calls.py
+++ b/dandelionwinch/tests/test_calls.py
@@ -137,6 +137,63 @@
     assert closed >= 2
 
 
+@pytest.mark.parametrize('kept', [0, 1, 40])
+@pytest.mark.parametrize(
+    'copy',
+    [
+        gateway_harness.response(b'late copy', request_id='r0'),
+        samples.refusal(more=f'{samples.REQUEST_ID}: r0\r\n'),
+    ],
+    ids=['answer', 'refusal'],
+)
+def test_a_late_second_copy_of_an_answer_reaches_no_other_request(kept, copy):
+    """The copy may begin in time and go on when the connection is reused.
+
+    Args:
+        kept: Bytes of the copy that come with the first answer.
+        copy: The second copy.
+    """
+    first = [gateway_harness.response(b'first') + copy[:kept]]
+    rest = copy[kept:]
+    second = [rest, scripted.HOLD, gateway_harness.response(b'second')]
+
+    async def scenario(harness):
+        harness.send('/once/1', 'r0')
+        found = [await harness.read_response()]
+        harness.send('/once/1', 'r1')
+        await harness.log.wait_until(lambda: len(harness.requests) == 2)
+        harness.upstreams[0].release.set()
+        found.append(await harness.read_response())
+        return found
+
+    found = gateway_harness.run_scenario([[first, second]], scenario)
+    assert [(status, body) for status, _h, body in found] == [
+        (200, b'first'),
+        (200, b'second'),
+    ]
+
+
+def test_a_late_refusal_without_an_id_ends_with_its_connection():
+    """It can't be told whose it is, so a refused connection is not reused.
+
+    A second copy taken for the refusal of the next request would have that
+    one sent again, and executed twice.
+    """
+    refusal = samples.refusal()
+    scripts = [[refusal + refusal[:30]], [gateway_harness.response()]]
+
+    async def scenario(harness):
+        statuses = []
+        for number in range(2):
+            harness.send('/once/1', f'r{number}')
+            statuses.append((await harness.read_response())[0])
+        return statuses, harness.upstreams[0].closed_connections
+
+    statuses, closed = gateway_harness.run_scenario([scripts], scenario)
+    assert statuses == [503, 200]
+    assert closed >= 1
+
+
 def test_a_body_without_length_is_whole_when_its_connection_ends():
     head = samples.response_head('{id}')
     response, _seen = gateway_harness.send_one(
--- a/dandelionwinch/tests/test_close_framed.py
+++ b/dandelionwinch/tests/test_close_framed.py
@@ -108,6 +108,32 @@
     assert after[2] == REST
 
 
+@pytest.mark.parametrize('head', HEADS, ids=['1.1', '1.0'])
+@pytest.mark.parametrize(
+    ('path', 'status', 'sent'),
+    [('/safe/1', 200, 2), ('/once/1', 502, 1), ('/failover/1', 502, 1)],
+)
+def test_a_call_whose_upstream_is_killed_is_not_complete(
+    head, path, status, sent
+):
+    """The system closes a killed process's connections in an orderly way."""
+    script = [head + b'ha', scripted.EXIT]
+    first, after, count = _exchange(path, script, [gateway_harness.response()])
+    assert (first[0], count) == (status, sent)
+    assert (first[2] == b'hello') == (status == 200)
+    assert after[2] == b'hello'
+
+
+@pytest.mark.parametrize('head', HEADS, ids=['1.1', '1.0'])
+def test_a_stream_whose_engine_is_killed_between_events_is_not_complete(head):
+    script = [head + FIRST, scripted.EXIT]
+    cut, _after, _sent = _exchange('/stream/1', script, SECOND, (50, 50))
+    assert (cut[0], cut[2]) == (200, FIRST + b'<cut>')
+    whole, after, sent = _exchange('/resume/1', script, SECOND, (50, 50))
+    assert (whole[0], whole[2], sent) == (200, FIRST + REST, 2)
+    assert after[2] == REST
+
+
 @pytest.mark.parametrize('head', HEADS, ids=['1.1', '1.0'])
 @pytest.mark.parametrize(
     'end', [[scripted.RESET], [b'id: 1\nda', scripted.CLOSE]]
