--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -146,11 +146,14 @@
         except BaseException:
             pool.discard(conn)
             raise
-        pool.release(conn)
         events = self._wire_codec.parse_cache_events(body)
         if head.status != 200 or events is None:
+            # Such a response names no request: a late second copy could be
+            # taken for the refusal of a caller's request on the connection.
+            pool.discard(conn)
             raise _connection.ConnectionLost(
                 _connection.LossCause.PROTOCOL_ERROR,
                 f'status {head.status} without cache events',
             )
+        pool.release(conn)
         return events
--- a/dandelionwinch/tests/test_caches.py
+++ b/dandelionwinch/tests/test_caches.py
@@ -8,7 +8,9 @@
 from dandelionwinch import dispatch
 from dandelionwinch import gateway
 from dandelionwinch.gateway import _cache_watch
+from dandelionwinch.gateway import _connection
 from dandelionwinch.platform import _wire_codec
+from dandelionwinch.platform import samples
 from dandelionwinch.tests import fixtures
 from dandelionwinch.tests import gateway_harness
 from dandelionwinch.tests import recorder
@@ -201,6 +203,26 @@
     assert names.count('cache.unknown') == 1
 
 
+@pytest.mark.parametrize(
+    'script', [[samples.refusal()], [gateway_harness.response(b'nonsense')]]
+)
+def test_a_connection_is_not_reused_after_a_watch_that_failed(script):
+    """Its response names no request.
+
+    A late second copy of a refusal would be taken for that of the caller's
+    request on the connection, which would be sent again and run twice.
+    """
+
+    async def scenario(harness):
+        fleet = harness.gateway.fleet
+        engine = fleet.registry.get('u0')
+        with pytest.raises(_connection.ConnectionLost):
+            await harness.gateway._cache_watch._fetch(engine, 0)
+        return fleet.pool(engine).open
+
+    assert gateway_harness.run_scenario([[script]], scenario) == 0
+
+
 def test_the_gateway_starts_the_watch_without_any_engine():
     """The first look once failed, as there were neither engines nor calls."""
 
--- a/dandelionwinch/tests/test_keys.py
+++ b/dandelionwinch/tests/test_keys.py
@@ -1,5 +1,6 @@
 """Keys of callers: who is served, and what upstreams and logs are told."""
 
+import asyncio
 import json
 
 import attrs
@@ -16,6 +17,8 @@
 from dandelionwinch.tests.gateway_harness import LAST_CHUNK
 from dandelionwinch.tests.gateway_harness import response
 from dandelionwinch.tests.gateway_harness import STREAM_HEAD
+from dandelionwinch.tests import instance_harness
+from dandelionwinch.tests import test_control
 from dandelionwinch import upstreams
 
 KEY = 'k3y-of-blue'
@@ -296,6 +299,23 @@
     assert KEY not in text
 
 
+def test_the_subjects_of_a_call_do_not_depend_on_its_key():
+    """They are told to other instances and logged."""
+    subjects = set()
+    for key in (KEY, 'second'):
+
+        async def scenario(harness, key=key):
+            harness.send('/once/1', headers=[samples.key_header(key)])
+            await harness.read_response()
+            return dict(harness.log.events)['attempt.failed']['subjects']
+
+        found = gateway_harness.run_scenario(
+            [[[scripted.RESET]]], scenario, directory=DIRECTORY
+        )
+        subjects.add(tuple(found))
+    assert len(subjects) == 1
+
+
 def test_changes_name_the_keys_that_differ():
     newer = _directory(
         (BLUE, [b'second', b'third']),
@@ -308,3 +328,66 @@
         teams.digest(b'k3y-of-red'): teams.Team('red', 4),
     }
     assert not newer.changes(newer)
+
+
+def test_a_running_instance_follows_the_keys_of_its_configuration(
+    kv, tmp_path
+):
+    """A version with an error must leave the last good one in force."""
+
+    async def ask(running, key):
+        more = [samples.key_header(key), ('Connection', 'close')]
+        request = samples.request('/a/1', 'r1', more=more)
+        return (await running.exchange('callers', request))[0]
+
+    async def write(running, version, team_list, event_name):
+        seen = running.log.names().count(event_name)
+        value = samples.config(
+            version, [samples.route()], [samples.service()], team_list
+        )
+        kv.write(samples.CONFIG_KEY, value)
+        await running.log.wait_until(
+            lambda: running.log.names().count(event_name) > seen
+        )
+
+    async def run():
+        running = instance_harness.RunningInstance(kv, tmp_path / 'none')
+        upstream = scripted.ScriptedUpstream(
+            samples.REQUEST_ID, [[response()]]
+        )
+        await upstream.start()
+        async with running:
+            await running.serve(upstream.address, samples.route())
+            found = [await ask(running, KEY)]
+            blue, red = samples.team('blue', KEY), samples.team('red', 'r')
+            await write(running, 2, [blue, red], 'config.applied')
+            found += [await ask(running, KEY), await ask(running, 'other')]
+            twice = [blue, samples.team('red', KEY)]
+            await write(running, 3, twice, 'config.invalid')
+            found += [await ask(running, KEY), await ask(running, 'r')]
+            await write(running, 4, [red], 'keys.changed')
+            found += [await ask(running, KEY), await ask(running, 'r')]
+            text = repr(running.log.events)
+        await upstream.close()
+        return found, text
+
+    found, text = asyncio.run(run())
+    assert found == [200, 200, 401, 200, 200, 401, 200]
+    assert KEY not in text
+
+
+@pytest.mark.parametrize('strict', [True, False])
+def test_strictly_the_view_of_an_idle_store_stays_young(strict, monkeypatch):
+    """A bound shorter than a watch must not refuse keys in between."""
+    cfg = attrs.evolve(test_control.CFG, strict_revoke=strict, revoke_s=2.0)
+    monkeypatch.setattr(test_control, 'CFG', cfg)
+    ages = []
+
+    async def scenario(node, _items):
+        await asyncio.sleep(2.0)
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            ages.append(node.sync.age_s())
+
+    test_control.run_node(scenario)
+    assert (max(ages) < 2.0) == strict
