--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -146,6 +146,8 @@
             events = self._read_events(head, body)
         except BaseException:
             # Its response may still come, if this was one to another request.
+            # A response to such a call names no request: a late second copy
+            # could be taken for the refusal of a caller's request.
             pool.discard(conn)
             raise
         pool.release(conn)
