--- a/dandelionwinch/dispatch/_engine_speeds.py
+++ b/dandelionwinch/dispatch/_engine_speeds.py
@@ -26,6 +26,10 @@
 # Other engines without which an engine is not compared. Of two, neither is the
 # usual one, and what they read may differ.
 MIN_OTHERS = 2
+# Octaves by which an engine must be slower than it usually is to count as slow
+# now, and below which it no longer does.
+BEGIN_SLOW_OCTAVES = 1.0
+END_SLOW_OCTAVES = 0.5
 # Largest difference from the typical speed in octaves.
 MAX_OCTAVES = 2.0
 # Age from which a published speed no longer counts.
@@ -72,12 +76,14 @@
         quartiles: Logarithms to base 2 of the quartiles of the time in
             seconds, of a token of a prompt or of a gap.
         speed: Speed relative to the others, 1 for a usual one.
+        slowness: How many times as long its work takes at the moment.
     """
 
     upstream_id: str
     work: Work
     quartiles: tuple[float, float, float]
     speed: float
+    slowness: float = 1.0
 
 
 class EngineSpeeds:
@@ -106,7 +112,7 @@
 
     def _speed(self, upstream_id, work, now):
         verdict = self._verdict(upstream_id, work, now)
-        return 1.0 if verdict is None else verdict.speed
+        return 1.0 if verdict is None else verdict.speed / verdict.slowness
 
     def _verdict(self, upstream_id, work, now):
         verdict, at = self._verdicts.get((upstream_id, work), (None, 0.0))
@@ -152,7 +158,7 @@
         for sample in samples:
             if sample.work is Work.DECODE:
                 self._window(sample.upstream_id, Work.DECODE).add(
-                    sample.taken_s, now
+                    sample.taken_s, sample.ended_at
                 )
                 continue
             reads = self._reads.setdefault(
@@ -207,14 +213,18 @@
             return True
         pairs = zip(known.quartiles, verdict.quartiles, strict=True)
         moved = max(abs(now_ - before) for before, now_ in pairs)
-        return verdict.speed != known.speed or moved > STEP_OCTAVES
+        changed = (known.speed, known.slowness) != (
+            verdict.speed,
+            verdict.slowness,
+        )
+        return changed or moved > STEP_OCTAVES
 
     def _add_reads(self, upstream_id, now):
         reads = self._reads.get(upstream_id)
-        for tokens, taken_s in reads.take(now) if reads else ():
+        for ended_at, tokens, taken_s in reads.take(now) if reads else ():
             if tokens >= MIN_SAMPLE_TOKENS:
                 window = self._window(upstream_id, Work.READ)
-                window.add(taken_s / tokens, now)
+                window.add(taken_s / tokens, ended_at)
 
     def _judge(self, entry, work, entries, now):
         window = self._windows.get((entry.id, work))
@@ -230,7 +240,24 @@
         known = [other.quartiles for other in others if other is not None]
         ahead = _ahead(typical.quartiles, known)
         speed = self._stepped(entry, work, ahead, typical.error, now)
-        return Verdict(entry.id, work, typical.quartiles, speed)
+        slowness = self._slowness(entry, work, typical, now)
+        return Verdict(entry.id, work, typical.quartiles, speed, slowness)
+
+    def _slowness(self, entry, work, typical, now):
+        """Returns how many times as long as usual its work takes now.
+
+        It is a power of 2, and above 1 only until the engine is no slower
+        than usual or gives no samples.
+        """
+        recent = self._windows[entry.id, work].recent(now)
+        if recent is None:
+            return 1.0
+        octaves = recent - typical.quartiles[0]
+        known = self._verdict(entry.id, work, now)
+        is_slow = known is not None and known.slowness > 1.0
+        if octaves < (END_SLOW_OCTAVES if is_slow else BEGIN_SLOW_OCTAVES):
+            return 1.0
+        return 2.0 ** min(MAX_OCTAVES, max(1.0, math.floor(octaves)))
 
     def _stepped(self, entry, work, ahead, error, now):
         """Returns a speed that changes in steps.
@@ -245,7 +272,8 @@
         surplus = abs(ahead) - ERRORS_FOR_DIFFERENCE * error
         surplus = min(MAX_OCTAVES, max(0.0, surplus))
         octaves = math.copysign(surplus, ahead)
-        before = math.log2(self._speed(entry.id, work, now))
+        known = self._verdict(entry.id, work, now)
+        before = math.log2(known.speed) if known is not None else 0.0
         if abs(octaves - before) <= STEP_OCTAVES:
             octaves = before
         # Rounded, so that it is the same in a datagram.
--- a/dandelionwinch/dispatch/_speed_window.py
+++ b/dandelionwinch/dispatch/_speed_window.py
@@ -20,8 +20,14 @@
 MAX_SAMPLES = 256
 MAX_AGE_S = 30.0
 MIN_SAMPLES = 8
-# Time within which the reports of all instances arrive.
-REPORT_DELAY_S = 1.5
+# Time within which the reports of all instances arrive, which they send each
+# quarter of a second.
+REPORT_DELAY_S = 0.4
+# Time over which an engine must be slow to count as slow now. The spells of
+# 0.6 s that engines have leave a lower quartile of it as it was.
+RECENT_S = 1.0
+# Samples in it that are needed.
+MIN_RECENT_SAMPLES = 5
 # Standard error of a median as a multiple of the standard deviation over the
 # root of the number of samples, for a normal distribution.
 MEDIAN_ERROR_FACTOR = 1.25
@@ -50,9 +56,21 @@
     def __init__(self):
         self._samples = collections.deque(maxlen=MAX_SAMPLES)
 
-    def add(self, unit_s, now):
+    def add(self, unit_s, ended_at):
         """Adds the time for a unit of work in seconds."""
-        self._samples.append((now, math.log2(unit_s)))
+        self._samples.append((ended_at, math.log2(unit_s)))
+
+    def recent(self, now):
+        """Returns the lower quartile of the latest samples, or None."""
+        since = now - RECENT_S - REPORT_DELAY_S
+        values = []
+        for ended_at, octaves in reversed(self._samples):
+            if ended_at < since:
+                break
+            values.append(octaves)
+        if len(values) < MIN_RECENT_SAMPLES:
+            return None
+        return statistics.quantiles(values, n=4)[0]
 
     def typical(self, now):
         """Returns the Typical times, or None if too few samples are recent."""
@@ -84,12 +102,16 @@
             bisect.insort(self._pending, (ended_at, tokens, taken_s))
 
     def take(self, now):
-        """Returns tokens and seconds of what was reported by all instances."""
+        """Returns what all instances have reported.
+
+        Returns:
+            List of the time of a response, its tokens and its seconds.
+        """
         taken = []
         while self._pending and now - self._pending[0][0] > REPORT_DELAY_S:
             ended_at, tokens, latency_s = self._pending.pop(0)
             begun_at = max(ended_at - latency_s, self._last_end)
             if ended_at > begun_at:
-                taken.append((tokens, ended_at - begun_at))
+                taken.append((ended_at, tokens, ended_at - begun_at))
             self._last_end = ended_at
         return taken
--- a/dandelionwinch/gateway/_speed_link.py
+++ b/dandelionwinch/gateway/_speed_link.py
@@ -1,7 +1,8 @@
 """Messages by which instances agree on the speeds of engines.
 
     ["times", [[upstream, work, age, tokens, seconds], ...]]
-    ["speeds", [[upstream, work, quartile, quartile, quartile, speed], ...]]
+    ["speeds", [[upstream, work, quartile, quartile, quartile, speed,
+                slowness], ...]]
 
 The "times" of an engine go to the instance that judges it, its "speeds" from
 there to all. An age is that before the datagram was sent, as clocks differ.
@@ -71,6 +72,7 @@
                 verdict.work.value,
                 *(round(octaves, 2) for octaves in verdict.quartiles),
                 round(verdict.speed, 4),
+                verdict.slowness,
             ]
             for verdict in verdicts
         ]
@@ -120,13 +122,14 @@
     raise ValueError('not rows of speeds')
 
 
-def _read_verdict(upstream_id, work, low, median, high, speed):
+def _read_verdict(upstream_id, work, low, median, high, speed, slowness):
     most = MAX_QUARTILE_OCTAVES
     return dispatch.Verdict(
         _checked_text(upstream_id),
         dispatch.Work(work),
         tuple(_checked(value, -most, most) for value in (low, median, high)),
         _checked(speed, 2.0**-MAX_SPEED_OCTAVES, 2.0**MAX_SPEED_OCTAVES),
+        _checked(slowness, 1.0, 2.0**MAX_SPEED_OCTAVES),
     )
 
 
--- a/dandelionwinch/gateway/_speed_sharing.py
+++ b/dandelionwinch/gateway/_speed_sharing.py
@@ -10,8 +10,9 @@
 from dandelionwinch import upstreams
 from dandelionwinch import utils
 
-# Interval of reports and judgements.
-TICK_S = 1.0
+# Interval of reports and judgements. An engine that gets slow must lose its
+# work within about a second.
+TICK_S = 0.25
 
 
 class SpeedSharing:
@@ -75,12 +76,13 @@
         if registry.get(verdict.upstream_id) is None:
             return
         before = self._speeds.take_verdict(verdict, self._loop.time())
-        if before != verdict.speed:
+        speed = verdict.speed / verdict.slowness
+        if before != speed:
             self._log.event(
                 'upstream.speed',
                 upstream=verdict.upstream_id,
                 work=verdict.work.value,
-                speed=round(verdict.speed, 3),
+                speed=round(speed, 3),
                 before=round(before, 3),
                 source=source,
             )
