--- a/dandelionwinch/dispatch/_engine_speeds.py
+++ b/dandelionwinch/dispatch/_engine_speeds.py
@@ -158,7 +158,7 @@
         for sample in samples:
             if sample.work is Work.DECODE:
                 self._window(sample.upstream_id, Work.DECODE).add(
-                    sample.taken_s, sample.ended_at
+                    sample.ended_at, 1, sample.taken_s
                 )
                 continue
             reads = self._reads.setdefault(
@@ -224,7 +224,7 @@
         for ended_at, tokens, taken_s in reads.take(now) if reads else ():
             if tokens >= MIN_SAMPLE_TOKENS:
                 window = self._window(upstream_id, Work.READ)
-                window.add(taken_s / tokens, ended_at)
+                window.add(ended_at, tokens, taken_s)
 
     def _judge(self, entry, work, entries, now):
         window = self._windows.get((entry.id, work))
@@ -249,10 +249,15 @@
         It is a power of 2, and above 1 only until the engine is no slower
         than usual or gives no samples.
         """
-        recent = self._windows[entry.id, work].recent(now)
+        window = self._windows[entry.id, work]
+        low, median, _high = typical.quartiles
+        if work is Work.READ:
+            usual, recent = median, window.recent_mean(now)
+        else:
+            usual, recent = low, window.recent_quartile(now)
         if recent is None:
             return 1.0
-        octaves = recent - typical.quartiles[0]
+        octaves = recent - usual
         known = self._verdict(entry.id, work, now)
         is_slow = known is not None and known.slowness > 1.0
         if octaves < (END_SLOW_OCTAVES if is_slow else BEGIN_SLOW_OCTAVES):
--- a/dandelionwinch/tests/test_engine_speeds.py
+++ b/dandelionwinch/tests/test_engine_speeds.py
@@ -302,3 +302,55 @@
         overload.simulate(load, name, seed) for name in ('winch', 'one_speed')
     )
     assert learnt.credit > one.credit + 0.03
+
+
+def watch_slowness(span_s, factor, seed=1):
+    """Returns when an engine counted as slow, of three that serve 15 s.
+
+    The first engine is slower by a factor from 10.0 s on.
+    """
+    rng = random.Random(seed)
+    entries = [e.entry for e in fixtures.make_engines(3, PREFILL)]
+    speeds = dispatch.EngineSpeeds()
+    free_at = dict.fromkeys(entries, 0.0)
+    ended = []
+    slow_at = []
+    for step in range(1, 1800):
+        now = step / 120.0
+        entry = rng.choice(entries)
+        if step % 4 == 0:
+            tokens = rng.randint(2000, 6000)
+            slow = entry is entries[0] and 10.0 <= now < 10.0 + span_s
+            taken_s = (factor if slow else 1.0) * tokens / 120e3
+            free_at[entry] = max(now, free_at[entry]) + taken_s
+            latency_s = free_at[entry] - now
+            ended.append(
+                dispatch.Sample(
+                    entry.id, READ, free_at[entry], tokens, latency_s
+                )
+            )
+        if step % 30 == 0:
+            speeds.add_samples([s for s in ended if s.ended_at <= now], now)
+            ended = [s for s in ended if s.ended_at > now]
+            judged = {entry.id for entry in entries}
+            for verdict in speeds.judge(entries, judged, now):
+                speeds.take_verdict(verdict, now)
+            if speeds.read_speed(entries[0], now) < 0.6:
+                slow_at.append(now)
+            for other in entries[1:]:
+                assert speeds.read_speed(other, now) > 0.6
+    return slow_at
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_slowness_of_seconds_is_known_soon_and_ends_soon(seed):
+    """At 89 instances an engine that was slow for 6 s kept its sessions."""
+    slow_at = watch_slowness(3.0, 4.0, seed)
+    assert 10.0 < slow_at[0] <= 11.75
+    # It works off what had queued before.
+    assert 13.0 <= slow_at[-1] <= 14.75
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_slowness_of_a_moment_moves_nothing(seed):
+    assert not watch_slowness(0.6, 2.5, seed)
