--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 import traceback
 
 from dandelionwinch import attempts
@@ -37,10 +36,6 @@
 SUCCESS_STATUS = 200
 
 
-def _boot_time():
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Gateway:
     """Serves callers' requests.
 
@@ -179,7 +174,7 @@
 
     def _init_usage(self, cfg):
         duties = cfg.duty_settings
-        clock = usage.TrueClock(time.time, _boot_time)
+        clock = usage.system_clock()
         counts = usage.WindowCounts(duties.report_window_s)
         self.usage_meter = _usage_meter.UsageMeter(
             self.loop, clock, counts, self.distances, self.metrics
--- a/dandelionwinch/usage/__init__.py
+++ b/dandelionwinch/usage/__init__.py
@@ -4,6 +4,7 @@
 from dandelionwinch.usage._begin import begin_of_lost
 from dandelionwinch.usage._begin import WorkTimes
 from dandelionwinch.usage._clock import median_offset
+from dandelionwinch.usage._clock import system_clock
 from dandelionwinch.usage._clock import TrueClock
 from dandelionwinch.usage._counts import KEPT_WINDOWS
 from dandelionwinch.usage._counts import WindowCounts
@@ -26,6 +27,7 @@
     'Send',
     'Totals',
     'TrueClock',
+    'system_clock',
     'WindowCounts',
     'WorkTimes',
     'Write',
--- a/dandelionwinch/usage/_clock.py
+++ b/dandelionwinch/usage/_clock.py
@@ -1,6 +1,7 @@
 """Estimates the true time without following jumps of the wall clock."""
 
 import statistics
+import time
 
 # Offset to other instances up to which the own clock is left as it is.
 MIN_CORRECTION_S = 0.25
@@ -30,6 +31,18 @@
         self._offset_s += offset_s
 
 
+def system_clock():
+    """Returns the TrueClock of this machine.
+
+    Only the windows of usage are in true time. No decision depends on it.
+    """
+    return TrueClock(time.time, _boot_time)
+
+
+def _boot_time():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def median_offset(offsets_s):
     """Returns the correction of a clock, from its offsets to other clocks.
 
