--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -14,6 +14,7 @@
 from dandelionwinch.control import _order_sender
 from dandelionwinch.control import _registration
 from dandelionwinch.control import _role_orders
+from dandelionwinch.control import _share_duty
 from dandelionwinch.control import _sync
 from dandelionwinch.control import _usage_duty
 from dandelionwinch.control import _workers
@@ -163,6 +164,11 @@
         wanted = self._cfg.duty_settings.duties
         if _config.Duty.USAGE in wanted:
             duties.append(self._create_usage_duty())
+            duties.append(
+                _share_duty.ShareDuty(
+                    self._gateway.usage, self._gateway.fair_sharing
+                )
+            )
         if _config.Duty.CAPACITY in wanted:
             self._capacity_duty = _capacity_duty.CapacityDuty(
                 self._loop,
