--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -66,7 +66,9 @@
 
     def _begin_counting(self, upstream):
         return self._gateway.usage_meter.open_call(
-            '' if self._counted else self._req.team, self._service, upstream
+            '' if self._usage_counted else self._req.team,
+            self._service,
+            upstream,
         )
 
     def _end_counting(self, counting, outcome):
@@ -77,4 +79,4 @@
             outcome: AttemptOutcome, None after a complete response.
         """
         if counting.end(outcome):
-            self._counted = True
+            self._usage_counted = True
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -25,7 +25,7 @@
 class GenerationHandler(_request_handler.RequestHandler):
     """Serves one generation on model engines."""
 
-    __slots__ = ('_begun', '_counted', '_standing', '_version')
+    __slots__ = ('_begun', '_shortage_counted', '_standing', '_version')
 
     def __init__(self, *args):
         super().__init__(*args)
@@ -34,7 +34,7 @@
         # Software version of the engine that began the stream.
         self._version = None
         self._standing = self._find_standing()
-        self._counted = False
+        self._shortage_counted = False
 
     def _prompt_parts(self):
         """Returns the keys of the parts that the prompt shares."""
@@ -74,7 +74,7 @@
             standing=self._standing,
         )
         if not (late or self._sent_count):
-            self._count(placement)
+            self._count_shortage(placement)
         return placement
 
     def _find_standing(self):
@@ -88,11 +88,11 @@
             urgency = (priority > usual) - (priority < usual)
         return self._gateway.fair_sharing.standing(self._req.team, urgency)
 
-    def _count(self, placement):
+    def _count_shortage(self, placement):
         """Counts once if the request must wait or is refused."""
-        if self._counted:
+        if self._shortage_counted:
             return
-        self._counted = True
+        self._shortage_counted = True
         if placement is None:
             self._gateway.fair_sharing.record_refused(self._req.team)
         elif placement.priority_class is dispatch.PriorityClass.BACKGROUND:
@@ -409,8 +409,8 @@
 
     def _count_stream(self, upstream):
         """Counts the request, unless an earlier attempt brought an event."""
-        if not self._counted:
-            self._counted = True
+        if not self._usage_counted:
+            self._usage_counted = True
             self._gateway.usage_meter.stream_begins(self._req.team, upstream)
 
     async def _handle_error(self, exchange, head, upstream, read_timeout_s):
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -82,7 +82,7 @@
         '_sent_count',
         '_failed_outcomes',
         '_caller_conn',
-        '_counted',
+        '_usage_counted',
         '_deadline',
         '_error_response',
         '_fleet',
@@ -137,7 +137,7 @@
         self._reservation = _reservation.Reservation(self._loop)
         self._silence_noted = False
         # Whether the request counts as usage of its team.
-        self._counted = False
+        self._usage_counted = False
         self._error_response = None
         self._last_event_id = req.last_event_id
         self._streaming = False
