--- a/dandelionwinch/gateway/_demand_link.py
+++ b/dandelionwinch/gateway/_demand_link.py
@@ -90,20 +90,13 @@
             self._link.send(message, self._link.peers[holder])
 
     def _take(self, items, addr):
-        sender = self._sender(addr)
+        sender = self._link.name_of(addr)
         (rows,) = items
         if not isinstance(rows, list) or len(rows) > ROWS_PER_DATAGRAM:
             raise ValueError('not a list of bounded length')
         demands = dict(_read_row(*row) for row in rows)
         self._reports.record(sender, demands, self._loop.time())
 
-    def _sender(self, addr):
-        """Returns the name of the instance at an address."""
-        for name, known in self._link.peers.items():
-            if known == tuple(addr[:2]):
-                return name
-        raise ValueError(f'{addr[0]} is no instance')
-
 
 def _read_row(service, done, short):
     if not isinstance(service, str) or len(service) > MAX_TEXT_CHARS:
--- a/dandelionwinch/gateway/_key_link.py
+++ b/dandelionwinch/gateway/_key_link.py
@@ -73,15 +73,8 @@
         """Asks an instance for what changed after a version."""
         self._link.send(['keys?', version, question], addr)
 
-    def _sender(self, addr):
-        """Returns the name of the instance at an address."""
-        for name, known in self._link.peers.items():
-            if known == tuple(addr[:2]):
-                return name
-        raise ValueError(f'{addr[0]} is no instance')
-
     def _take_report(self, items, addr):
-        sender = self._sender(addr)
+        sender = self._link.name_of(addr)
         version, bases, part, parts, question, age_s, rows = items
         if not 0 <= _checked(part) < _checked(parts) <= MAX_PARTS:
             raise ValueError(f'part {part!r} of {parts!r}')
@@ -101,7 +94,7 @@
         )
 
     def _take_question(self, items, addr):
-        sender = self._sender(addr)
+        sender = self._link.name_of(addr)
         version, question = items
         self._receiver.take_question(
             _checked(version), _checked(question), sender, addr
--- a/dandelionwinch/gateway/_share_link.py
+++ b/dandelionwinch/gateway/_share_link.py
@@ -59,15 +59,8 @@
         rows = [list(row) for row in rows[:ROWS_PER_DATAGRAM]]
         self._link.send(['unserved', round(period_s, 3), rows], addr)
 
-    def _sender(self, addr):
-        """Returns the name of the instance at an address."""
-        for name, known in self._link.peers.items():
-            if known == tuple(addr[:2]):
-                return name
-        raise ValueError(f'{addr[0]} is no instance')
-
     def _take_shares(self, items, addr):
-        sender = self._sender(addr)
+        sender = self._link.name_of(addr)
         token, rows = items
         if type(token) is not int or token < 0:
             raise ValueError('not a fencing token')
@@ -75,7 +68,7 @@
         self._receiver.take_shares(token, excesses, sender)
 
     def _take_unserved(self, items, addr):
-        sender = self._sender(addr)
+        sender = self._link.name_of(addr)
         period_s, rows = items
         if not 0 < _checked(period_s) <= MAX_PERIOD_S:
             raise ValueError(f'period {period_s!r}')
--- a/dandelionwinch/gateway/_speed_link.py
+++ b/dandelionwinch/gateway/_speed_link.py
@@ -80,21 +80,14 @@
         for part in _parts(rows):
             self._link.send_all(['speeds', part], addresses)
 
-    def _sender(self, addr):
-        """Returns the name of the instance at an address."""
-        for name, known in self._link.peers.items():
-            if known == tuple(addr[:2]):
-                return name
-        raise ValueError(f'{addr[0]} is no instance')
-
     def _take_times(self, items, addr):
-        self._sender(addr)
+        self._link.name_of(addr)
         self._receiver.take_times(
             [self._read_sample(*row) for row in _checked_rows(items)]
         )
 
     def _take_speeds(self, items, addr):
-        sender = self._sender(addr)
+        sender = self._link.name_of(addr)
         self._receiver.take_speeds(
             [_read_verdict(*row) for row in _checked_rows(items)], sender
         )
