--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -127,12 +127,14 @@
 
     @property
     def in_force(self):
-        """Whether watchers tell the other instances."""
-        return bool(
-            self._cfg.peer_port
-            and len(self._registered.entries) >= MIN_INSTANCES
-            and self._link.bound
-        )
+        """Whether watchers tell the other instances.
+
+        Those that asked count on it, though their entries may be gone.
+        """
+        if not self._cfg.peer_port or not self._link.bound:
+            return False
+        many = len(self._registered.entries) >= MIN_INSTANCES
+        return many or bool(self._listening())
 
     def known_at(self):
         """Returns the time up to which others have told what changed."""
@@ -205,6 +207,10 @@
         if role != self._role:
             self._log.event('relay.role', role=role, previous=self._role)
             self._role = role
+            if role == 'silent':
+                # The store may have failed the watchers until now, and the
+                # leases of live upstreams may have ended.
+                self._follower.failed_elsewhere(now)
         if role != 'listener':
             return True
         return self._call_due_at(now, next_due_s) <= now
@@ -284,6 +290,9 @@
         self._told_number = self._history.number
 
     def _listening(self):
+        """Returns the addresses of those that asked of late."""
+        if not self._listeners:
+            return []
         now = self._loop.time()
         self._listeners = {
             name: (addr, until)
@@ -340,6 +349,9 @@
             return
         sent_at = self._views.heard(sender, message.sent_s, now)
         known_at = sent_at - message.age_s
+        if message.failed_s is not None:
+            # Before the changes, as it delays the removal of upstreams.
+            self._follower.failed_elsewhere(sent_at - message.failed_s)
         match action:
             case relay.Action.KNOWN:
                 if self._contradicts(message, known_at):
@@ -383,8 +395,6 @@
     def _confirmed(self, message, sender, now):
         """Records that all that a sender knew is known here."""
         self._views.known(sender, message.sent_s - message.age_s)
-        if message.failed_s is not None:
-            self._follower.failed_elsewhere(now - message.failed_s)
         if self._history.number >= self._gap_number:
             self._gap_due_at = float('inf')
         if self._acting and not self._silent(now):
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -166,6 +166,11 @@
         """The Revision of the view, None while changes can't be applied."""
         return self._revision if self._listed and self.current else None
 
+    @property
+    def view_epoch(self):
+        """Epoch of the store that the view is of, None without one."""
+        return None if self._revision is None else self._revision.epoch
+
     @property
     def current(self):
         """Whether the store was listed since its last restore."""
