--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -44,6 +44,8 @@
 # A lower revision that was in force this much later than a higher one was
 # known contradicts it. A call to the store takes less time.
 CONTRADICTION_S = 3.0
+# A wait that rounding makes shorter would end before what it waits for.
+MIN_WAIT_S = 0.001
 # Shortest time between calls to the store because of contradictions.
 CHECK_INTERVAL_S = 1.0
 
@@ -78,6 +80,8 @@
         '_log',
         '_loop',
         '_metrics',
+        '_ordered',
+        '_recent',
         '_registered',
         '_rng',
         '_role',
@@ -110,6 +114,10 @@
         self._answered_at = {}
         # Address and end of the time of each instance that asked, by name.
         self._listeners = {}
+        # The same of each one that was registered when the others were told.
+        self._recent = {}
+        # Names that were ordered last, and their order.
+        self._ordered = ((), [])
         self._check_due_at = float('inf')
         self._checked_at = float('-inf')
         self._gap_due_at = float('inf')
@@ -182,16 +190,18 @@
             self._told_number = self._history.number_at(now - TELL_BACK_S)
 
     def _order(self):
-        return relay.order(
-            self._registered.names_in(self._cfg.data_centre)
-        )
+        """Returns the registered instances of the own data centre."""
+        names = tuple(self._registered.names_in(self._cfg.data_centre))
+        if names != self._ordered[0]:
+            self._ordered = (names, relay.order(names))
+        return self._ordered[1]
 
     def _tells(self, order):
         return self._acting or self._cfg.instance in order[: relay.WATCHERS]
 
     def _silent(self, now):
         heard_at = max(self._listed_at, self._views.known_at())
-        return now - heard_at >= SILENCE_S
+        return now >= heard_at + SILENCE_S
 
     def watches(self, keeps_watch, next_due_s):
         """Tells whether the instance is to call the store now.
@@ -269,23 +279,23 @@
         """
         now = self._loop.time()
         silent_at = SILENCE_S + max(self._listed_at, self._views.known_at())
-        until = min(
-            silent_at, fetch_at, self._call_due_at(now, next_due_s)
-        )
+        until = min(silent_at, fetch_at, self._call_due_at(now, next_due_s))
         self._wake.clear()
         try:
-            async with asyncio.timeout(max(0.0, until - now)):
+            async with asyncio.timeout(max(MIN_WAIT_S, until - now)):
                 await self._wake.wait()
         except TimeoutError:
             pass
 
     def _tell(self):
-        addresses = {
-            self._link.peers[name]
-            for name in self._registered.names_in(self._cfg.data_centre)
-            if name in self._link.peers
-        }
-        addresses.update(self._listening())
+        until = self._loop.time() + LISTENER_S
+        for name in self._order():
+            if name in self._link.peers:
+                self._recent[name] = (self._link.peers[name], until)
+        # Also those whose entries have gone: their leases may have ended as
+        # the store turns them away.
+        self._recent, recent = _unexpired(self._recent, self._loop.time())
+        addresses = {*recent, *self._listening()}
         self._send(self._told_number, list(addresses))
         self._told_number = self._history.number
 
@@ -293,13 +303,10 @@
         """Returns the addresses of those that asked of late."""
         if not self._listeners:
             return []
-        now = self._loop.time()
-        self._listeners = {
-            name: (addr, until)
-            for name, (addr, until) in self._listeners.items()
-            if until > now
-        }
-        return [addr for addr, _until in self._listeners.values()]
+        self._listeners, addresses = _unexpired(
+            self._listeners, self._loop.time()
+        )
+        return addresses
 
     def _send(self, number, addresses):
         """Sends what changed after a revision."""
@@ -411,7 +418,7 @@
         order = self._order()
         if self._silent(self._loop.time()):
             # Any of them may be the one that the store answers.
-            if self._follower.failing:
+            if self._follower.view_age_s() >= SILENCE_S:
                 self._ask(view, order)
         elif self._cfg.instance not in order:
             self._ask(view, order[: relay.WATCHERS])
@@ -420,3 +427,14 @@
         peers = self._link.peers
         addresses = [peers[name] for name in names if name in peers]
         self._link.ask(view.epoch, view.number, addresses)
+
+
+def _unexpired(listeners, now):
+    """Returns the listeners that are still to be told, and their addresses.
+
+    Args:
+        listeners: Address and end of the time of each one, by name.
+        now: Time in seconds.
+    """
+    left = {name: item for name, item in listeners.items() if item[1] > now}
+    return left, [addr for addr, _until in left.values()]
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -43,8 +43,6 @@
         rng: Random number generator.
         on_config: Function that is called with each new RouteTable.
 
-    Attributes:
-        failing: Whether the last call of the watch failed.
     """
 
     __slots__ = (
@@ -55,7 +53,9 @@
         '_config_number',
         '_failed_at',
         '_gateway',
+        '_consistent',
         '_listed',
+        '_listing',
         '_log',
         '_loop',
         '_relay',
@@ -67,7 +67,6 @@
         '_synced',
         '_task',
         '_watch_call',
-        'failing',
     )
 
     def __init__(
@@ -97,6 +96,10 @@
         self._task = None
         self._watch_call = None
         self._listed = False
+        self._listing = False
+        # Whether the view is that of its revision, though it may be so old
+        # that the store no longer has what changed since.
+        self._consistent = False
         self._synced = False
         self._store_reached_at = float('-inf')
         self._failed_at = float('-inf')
@@ -105,7 +108,6 @@
         self._config_number = None
         self._config_due_at = float('inf')
         self._config_missing_at = float('inf')
-        self.failing = False
 
     def start(self):
         """Starts following the store."""
@@ -164,7 +166,9 @@
     @property
     def view(self):
         """The Revision of the view, None while changes can't be applied."""
-        return self._revision if self._listed and self.current else None
+        if self._listing or not self._consistent or not self.current:
+            return None
+        return self._revision
 
     @property
     def view_epoch(self):
@@ -240,12 +244,11 @@
             try:
                 if not self._listed:
                     await asyncio.sleep(self._listing_delay_s())
-                    await self._list()
-                    self._listed = True
+                    await self._list_all()
                 await self._follow()
                 backoff_s = BACKOFF_S
             except _store.EpochChanged:
-                self._listed = False
+                self._listed = self._consistent = False
             except _store.HistoryGone as exc:
                 self._log.event('store.history_gone', reason=str(exc))
                 self._listed = False
@@ -256,7 +259,7 @@
             except Exception:
                 # One malformed response must not end the watch.
                 self._log.event('store.fault', trace=traceback.format_exc())
-                self._listed = False
+                self._listed = self._consistent = False
                 await asyncio.sleep(MAX_BACKOFF_S)
 
     async def _follow(self):
@@ -281,7 +284,6 @@
         if self._synced:
             self._log.event('store.lost', reason=str(exc))
         self._synced = False
-        self.failing = True
         self._failed_at = self._loop.time()
         self._applier.guard.store_failed(self._failed_at)
 
@@ -289,7 +291,6 @@
         if not self._synced:
             self._log.event('store.reached', revision=self._revision.number)
         self._synced = True
-        self.failing = False
         self._store_reached_at = self._loop.time()
 
     def _listing_delay_s(self):
@@ -302,6 +303,15 @@
         spread_s = calls / (LISTING_READ_RATIO * self._cfg.reads_per_s)
         return spread_s * self._rng.random()
 
+    async def _list_all(self):
+        """Lists the store; what others tell meanwhile is not applied."""
+        self._listing = True
+        try:
+            await self._list()
+            self._listed = self._consistent = True
+        finally:
+            self._listing = False
+
     async def _list(self):
         listing = await self._store.list(ALL_KEYS)
         now = self._loop.time()
@@ -412,7 +422,7 @@
             )
         except Exception:
             self._log.event('store.fault', trace=traceback.format_exc())
-            self._listed = False
+            self._listed = self._consistent = False
             self._relay.wake()
             return False
         self._revision = _epoch.Revision(message.epoch, message.after)
@@ -441,7 +451,6 @@
         listing = await self._store.list(self._store_codec.config_key)
         if listing.revision.epoch != self._revision.epoch:
             raise _store.EpochChanged('before a configuration was read')
-        self.failing = False
         await self._applier.apply_config(listing.items)
         if number == self._config_number:
             self._config_known()
