--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -175,8 +175,10 @@
     def _called(self):
         """Forgets what made a call to the store due."""
         self._check_due_at = self._gap_due_at = float('inf')
-        spread = 0.5 + self._rng.random()
-        self._safeguard_at = self._loop.time() + SAFEGUARD_S * spread
+        self._safeguard_at = float('inf')
+        if self.in_force:
+            spread = 0.5 + self._rng.random()
+            self._safeguard_at = self._loop.time() + SAFEGUARD_S * spread
 
     async def _take_over(self, order):
         """Begins to act for the watchers unless one is heard in time."""
@@ -215,6 +217,8 @@
         if self.in_force:
             role = self._current_role(keeps_watch, now)
         if role != self._role:
+            if self._role == 'alone':
+                self._called()
             self._log.event('relay.role', role=role, previous=self._role)
             self._role = role
             if role == 'silent':
@@ -415,6 +419,11 @@
         if view is None or not self.in_force:
             return
         self._views.keep(self._link.peers)
+        self._answered_at = {
+            name: at
+            for name, at in self._answered_at.items()
+            if self._loop.time() - at < ANSWER_INTERVAL_S
+        }
         order = self._order()
         if self._silent(self._loop.time()):
             # Any of them may be the one that the store answers.
--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -66,6 +66,7 @@
     'platform',
     'quarantine',
     'ratelimits',
+    'relay',
     'streams',
     'upstreams',
 )
