--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -148,12 +148,22 @@
         """Returns the time up to which others have told what changed."""
         return self._views.known_at()
 
-    def listed(self, number):
-        """Begins anew after a listing of the store."""
+    def listed(self, number, changes):
+        """Begins anew after a listing of the store.
+
+        Args:
+            number: Number of the revision of the listing.
+            changes: Change items that lead to it from the last revision,
+                None if they are not known.
+        """
         now = self._loop.time()
-        self._history.restart(number, now)
-        self._views.clear()
-        self._told_number = number
+        # A store that states no epoch may have gone back.
+        if changes is None or number < self._history.number:
+            self._history.restart(number, now)
+            self._views.clear()
+            self._told_number = number
+        else:
+            self._history.add(changes, number, now)
         self._listed_at = now
         self._called()
 
--- a/dandelionwinch/control/_changes.py
+++ b/dandelionwinch/control/_changes.py
@@ -87,6 +87,18 @@
             self.last_holder_revision,
         )
 
+    def known_keys(self):
+        """Returns the keys whose deletion a listing would tell of."""
+        keys = {
+            self._store_codec.key_of(upstream.entry.id)
+            for upstream in self._gateway.fleet.registry
+            if upstream.gone_at is None
+        }
+        keys.update(self.registered.entries)
+        if self.holder:
+            keys.add(_lease_holder.HOLDER_KEY)
+        return keys
+
     async def apply_listing(self, items, now, restored):
         """Applies a listing of the whole store.
 
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -319,9 +319,26 @@
         self._store_reached()
         epoch = listing.revision.epoch
         restored = previous is not None and previous.epoch != epoch
+        changes = None
+        if self._consistent and not restored:
+            changes = self._changes_since(previous.number, listing)
         await self._applier.apply_listing(listing.items, now, restored)
         self._config_known()
-        self._relay.listed(listing.revision.number)
+        self._relay.listed(listing.revision.number, changes)
+
+    def _changes_since(self, number, listing):
+        """Returns Change items from a revision to that of a listing.
+
+        The store's history may be gone for others too, which it may turn
+        away.
+        """
+        newer = [item for item in listing.items if item.revision > number]
+        newer.sort(key=lambda item: item.revision)
+        gone = self._applier.known_keys() - {i.key for i in listing.items}
+        return self._told_of(newer) + [
+            relay.Change(key, None, listing.revision.number)
+            for key in sorted(gone)
+        ]
 
     async def _watch(self):
         due_s = self._applier.guard.next_due_s(self._loop.time())
