--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -8,6 +8,7 @@
 
 import asyncio
 
+from dandelionwinch.control import _audience
 from dandelionwinch import gateway
 from dandelionwinch import relay
 
@@ -30,10 +31,6 @@
 SPREAD_S = 0.3
 # Time for the answer to a question, after which the store is called.
 ANSWER_TIMEOUT_S = 0.3
-# Shortest time between two answers to one instance.
-ANSWER_INTERVAL_S = 0.2
-# Time for which one that asked is told, though its entry may be gone.
-LISTENER_S = 3.0
 ASK_INTERVAL_S = 0.5
 # What is told with an older view answers no question.
 MAX_ANSWER_AGE_S = 2.0
@@ -66,7 +63,7 @@
 
     __slots__ = (
         '_acting',
-        '_answered_at',
+        '_audience',
         '_check_due_at',
         '_checked_at',
         '_cfg',
@@ -76,12 +73,10 @@
         '_history',
         '_link',
         '_listed_at',
-        '_listeners',
         '_log',
         '_loop',
         '_metrics',
         '_ordered',
-        '_recent',
         '_registered',
         '_rng',
         '_role',
@@ -111,11 +106,7 @@
         self._ticker = None
         self._told_number = 0
         self._listed_at = float('-inf')
-        self._answered_at = {}
-        # Address and end of the time of each instance that asked, by name.
-        self._listeners = {}
-        # The same of each one that was registered when the others were told.
-        self._recent = {}
+        self._audience = _audience.Audience()
         # Names that were ordered last, and their order.
         self._ordered = ((), [])
         self._check_due_at = float('inf')
@@ -142,7 +133,7 @@
         if not self._cfg.peer_port or not self._link.bound:
             return False
         many = len(self._registered.entries) >= MIN_INSTANCES
-        return many or bool(self._listening())
+        return many or self._audience.has_askers(self._loop.time())
 
     def known_at(self):
         """Returns the time up to which others have told what changed."""
@@ -302,26 +293,12 @@
             pass
 
     def _tell(self):
-        until = self._loop.time() + LISTENER_S
-        for name in self._order():
-            if name in self._link.peers:
-                self._recent[name] = (self._link.peers[name], until)
-        # Also those whose entries have gone: their leases may have ended as
-        # the store turns them away.
-        self._recent, recent = _unexpired(self._recent, self._loop.time())
-        addresses = {*recent, *self._listening()}
-        self._send(self._told_number, list(addresses))
+        peers = self._link.peers
+        known = {n: peers[n] for n in self._order() if n in peers}
+        addresses = self._audience.addresses(known, self._loop.time())
+        self._send(self._told_number, addresses)
         self._told_number = self._history.number
 
-    def _listening(self):
-        """Returns the addresses of those that asked of late."""
-        if not self._listeners:
-            return []
-        self._listeners, addresses = _unexpired(
-            self._listeners, self._loop.time()
-        )
-        return addresses
-
     def _send(self, number, addresses):
         """Sends what changed after a revision."""
         view = self._follower.view
@@ -343,19 +320,16 @@
         """Answers an instance that asks for what changed."""
         now = self._loop.time()
         addr = tuple(addr[:2])
-        self._listeners[sender] = (addr, now + LISTENER_S)
+        self._audience.asked(sender, addr, now)
         view = self._follower.view
         if view is None or not self.in_force:
             return
         if epoch is not None and epoch > (view.epoch or 0):
             self._check_soon(now)
-        if now - self._answered_at.get(sender, float('-inf')) < (
-            ANSWER_INTERVAL_S
-        ):
-            return
         if self._follower.view_age_s() > MAX_ANSWER_AGE_S:
             return
-        self._answered_at[sender] = now
+        if not self._audience.may_answer(sender, now):
+            return
         self._send(number if epoch == view.epoch else view.number, [addr])
 
     def take_message(self, message, sender):
@@ -429,11 +403,6 @@
         if view is None or not self.in_force:
             return
         self._views.keep(self._link.peers)
-        self._answered_at = {
-            name: at
-            for name, at in self._answered_at.items()
-            if self._loop.time() - at < ANSWER_INTERVAL_S
-        }
         order = self._order()
         if self._silent(self._loop.time()):
             # Any of them may be the one that the store answers.
@@ -446,14 +415,3 @@
         peers = self._link.peers
         addresses = [peers[name] for name in names if name in peers]
         self._link.ask(view.epoch, view.number, addresses)
-
-
-def _unexpired(listeners, now):
-    """Returns the listeners that are still to be told, and their addresses.
-
-    Args:
-        listeners: Address and end of the time of each one, by name.
-        now: Time in seconds.
-    """
-    left = {name: item for name, item in listeners.items() if item[1] > now}
-    return left, [addr for addr, _until in left.values()]
