--- a/dandelionwinch/control/_registered.py
+++ b/dandelionwinch/control/_registered.py
@@ -78,6 +78,14 @@
             for entry in self.entries.values()
         }
 
+    def regions(self):
+        """Returns the region of each instance that states one, by name."""
+        return {
+            entry.name: entry.region
+            for entry in self.entries.values()
+            if entry.region
+        }
+
     def registration_spread_s(self):
         """Returns the time over which all instances register again."""
         writes = WRITES_PER_REGISTRATION * len(self.entries)
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -465,6 +465,7 @@
             self._remove_instance(key)
         peers = self.registered.peers(self._cfg.peer_port)
         self._gateway.peers.set_peers(peers)
+        self._gateway.session_sharing.set_regions(self.registered.regions())
         versions = self._gateway.fleet.registry.software_versions()
         self._gateway.streams.observe(versions)
 
--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -12,11 +12,14 @@
 from dandelionwinch.dispatch._rate_limiter import RateLimiter
 from dandelionwinch.dispatch._roles import plan_role
 from dandelionwinch.dispatch._roles import RoleChange
+from dandelionwinch.dispatch._session_regions import Counts
+from dandelionwinch.dispatch._session_regions import SessionRegions
 from dandelionwinch.dispatch._watch_plan import WatchPlan
 
 __all__ = [
     'PREFILLED_PRIORITY',
     'CacheEvents',
+    'Counts',
     'Distances',
     'EnginePlacer',
     'Placement',
@@ -25,6 +28,7 @@
     'Prompt',
     'RateLimiter',
     'RoleChange',
+    'SessionRegions',
     'WatchPlan',
     'choose_plain',
     'plan_role',
--- a/dandelionwinch/dispatch/_distance.py
+++ b/dandelionwinch/dispatch/_distance.py
@@ -14,11 +14,18 @@
         self._data_centre = data_centre
         self._regions = regions
 
+    def in_region(self, data_centre):
+        """Tells whether a data centre is in this instance's region."""
+        region = self._regions.get(data_centre)
+        own = self._regions.get(self._data_centre)
+        return data_centre == self._data_centre or (
+            bool(region) and region == own
+        )
+
     def round_trip_s(self, data_centre):
         """Returns the round trip to a data centre in seconds."""
         if data_centre == self._data_centre:
             return SAME_DATA_CENTRE_S
-        region = self._regions.get(data_centre)
-        if region and region == self._regions.get(self._data_centre):
+        if self.in_region(data_centre):
             return SAME_REGION_S
         return CROSS_REGION_S
--- a/dandelionwinch/dispatch/_engine_knowledge.py
+++ b/dandelionwinch/dispatch/_engine_knowledge.py
@@ -11,6 +11,7 @@
 from dandelionwinch.dispatch import _prefix_cache
 from dandelionwinch.dispatch import _prompts
 from dandelionwinch.dispatch import _rate_limiter
+from dandelionwinch.dispatch import _session_regions
 from dandelionwinch.dispatch import _token_gaps
 from dandelionwinch.dispatch import _transfers
 from dandelionwinch.dispatch import _watch_plan
@@ -33,6 +34,7 @@
     Attributes:
         capacity_ratio: Capacity of all instances that share the engines
             over this instance's capacity.
+        sessions: SessionRegions.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         '_transfers',
         '_watch_plan',
         'capacity_ratio',
+        'sessions',
     )
 
     def __init__(self, distances, rng):
@@ -62,6 +65,7 @@
         self._in_flight = _in_flight.InFlight()
         self._watch_plan = _watch_plan.WatchPlan()
         self._limiters = {}
+        self.sessions = _session_regions.SessionRegions()
         self.capacity_ratio = 1.0
 
     def _uncached_tokens(self, prompt, engine, now):
--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -108,6 +108,7 @@
         if prompt.short:
             chosen = self._choose_for_short(groups, now)
             return make_placement(chosen, _prompts.PriorityClass.ANSWER)
+        self.sessions.record(prompt, now)
         allowed = groups.decode if direct else groups.prefill
         affinity_engines = self._affinity_engines(prompt, allowed, groups, now)
         if not late:
@@ -152,7 +153,8 @@
         prefill and decode without a transfer.
         """
         score = self._session_score(prompt, groups)
-        engines = [max(allowed, key=score)]
+        near = [e for e in allowed if not self._is_far_from_session(e)]
+        engines = [max(near or allowed, key=score)]
         if self._is_stalled(engines[0], groups, now):
             others = [e for e in groups.decode_only if e not in engines]
             engines += sorted(others, key=score, reverse=True)
@@ -294,6 +296,12 @@
         near = groups.has_local_decoder(engine)
         return PREFILL_WEIGHT if near else FAR_PREFILL_WEIGHT
 
+    def _is_far_from_session(self, engine):
+        """Tells whether the callers of a session are in another region."""
+        if not self.sessions.regional:
+            return False
+        return not self._distances.in_region(engine.entry.data_centre)
+
     def _session_score(self, prompt, groups):
         """Returns a function that scores engines for a prompt's session.
 
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
 from dandelionwinch.gateway import _response_observer
+from dandelionwinch.gateway import _session_sharing
 from dandelionwinch.gateway import _stream_versions
 from dandelionwinch.gateway import _usage_meter
 from dandelionwinch.gateway import _usage_sharing
@@ -60,6 +61,7 @@
         peers: The PeerLink to other instances.
         placer: Chooses the engines of a generation.
         stop_began_at: Loop time at which a graceful stop began, or None.
+        session_sharing: The SessionSharing.
         streams: The StreamVersions.
         usage: The UsageSharing with other instances.
         usage_meter: The UsageMeter.
@@ -89,6 +91,7 @@
         'peers',
         'placer',
         'rng',
+        'session_sharing',
         'stop_began_at',
         'streams',
         'usage',
@@ -146,6 +149,14 @@
         self.demand = _demand_link.DemandLink(
             loop, self.peers, self._demand_meter, cfg.instance
         )
+        self.session_sharing = _session_sharing.SessionSharing(
+            loop,
+            self.placer.sessions,
+            self.peers,
+            cfg.regions.get(cfg.data_centre, ''),
+            log,
+            self.rng,
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -184,6 +195,7 @@
         self._sweep()
         self.crash_guard.start()
         self._limits.start()
+        self.session_sharing.start()
         self._key_sharing.start()
         self._cache_watch.start()
         if self.usage_meter.enabled:
@@ -197,6 +209,7 @@
         self.crash_guard.close()
         self.demand.close()
         self._limits.close()
+        self.session_sharing.close()
         self._key_sharing.close()
         self.usage.close()
         self.peers.close()
