--- a/dandelionwinch/bench/_scaling.py
+++ b/dandelionwinch/bench/_scaling.py
@@ -85,6 +85,13 @@
     ScalingLoad('bursts', mean_load=0.8, kind_ratio=0.8),
     ScalingLoad('crashes', crashes=(50.0, 110.0, 170.0)),
     ScalingLoad('reclaims', reclaims=(45.0, 90.0, 135.0, 180.0)),
+    ScalingLoad(
+        'reclaims_in_bursts',
+        reclaims=(17.5, 24.5, 100.0, 107.0),
+        mean_load=0.9,
+        kind_ratio=0.8,
+        measured_ratio=2.0,
+    ),
     ScalingLoad('api_down', api_down=(8.0, 13.0)),
     ScalingLoad('api_slow', slow=True),
     ScalingLoad('orders_late', late_s=6.0),
--- a/dandelionwinch/capacity/_forecast.py
+++ b/dandelionwinch/capacity/_forecast.py
@@ -67,6 +67,7 @@
         cheap: With the headroom that reclaimable ones are worth.
         dear: With the headroom that ordinary ones are worth.
         urgent: For the urgent part of the smallest usual demand.
+        present: For the present demand, without a forecast.
         demand: Present demand in engine seconds a second, None if unknown.
         forecast: Forecast peak in the same unit, None if unknown.
         use_ratio: Part of an upstream's time that the plan uses.
@@ -75,6 +76,7 @@
     cheap: float
     dear: float
     urgent: float
+    present: float
     demand: float | None
     forecast: float | None
     use_ratio: float
@@ -187,6 +189,9 @@
     def need(self):
         """Returns the Need."""
         demand = forecast = None
+        present = self._dear.value
+        if len(self._samples) >= MIN_SAMPLES:
+            present = min(present, self._present_need())
         if self._samples:
             demand = self._present(self._samples[-1][0])
             forecast = self._peak(self._cheap_price)
@@ -194,6 +199,7 @@
             self._cheap.value,
             self._dear.value,
             self._urgent.value,
+            present,
             demand,
             forecast,
             self._use_ratio,
@@ -229,6 +235,10 @@
             update(self._dear, self._peak(1.0), use_ratio)
             update(self._urgent, URGENT_RATIO * self._least(), use_ratio)
 
+    def _present_need(self):
+        work = self._present(self._samples[-1][0]) * (1.0 + MIN_SPREAD)
+        return work / max(USE_RATIO, self._use_ratio)
+
     def _peak(self, price):
         """Returns the demand up to which capacity of a price pays."""
         mean, spread = self._distribution()
--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -224,11 +224,27 @@
                 name
             ) < self._least() and self._may_add_ordinary(name):
                 counts.set(name, counts.planned[name] + 1)
-        self._add_ordinary(self._need.dear - self._reclaimable.total)
+        replacements = self._reclaimable.total + self._exchangeable()
+        self._add_ordinary(self._need.dear - replacements)
+
+    def _exchangeable(self):
+        """Returns how many ordinary ones reclaimable ones can replace now.
+
+        A data centre that is full has no room for a replacement beside the
+        one that it replaces. One at a time leaves there first, as a
+        reclaimable one may still be refused.
+        """
+        if self._scaling.reclaimable_price is None:
+            return 0
+        return sum(
+            name not in self._reclaimable.refused
+            and self._room(name) <= self._reclaimable.planned[name]
+            for name in self._order
+        )
 
     def _hold_back(self):
         """Keeps what is to be given up until the others serve."""
-        spare = self._view.total - math.ceil(self._need.dear)
+        spare = self._view.total - math.ceil(self._need.present)
         for counts in (self._ordinary, self._reclaimable):
             for name in reversed(self._order):
                 before = counts.before[name]
