--- a/dandelionwinch/control/_order_sender.py
+++ b/dandelionwinch/control/_order_sender.py
@@ -34,6 +34,9 @@
 class OrderSender:
     """Sends orders of one instance.
 
+    Responses to reports and orders name no request, so each is read from a
+    connection of its own.
+
     Args:
         fleet: Fleet of the gateway, with the pools of connections.
         wire_codec: WireCodec that also has order_request(),
@@ -71,7 +74,7 @@
                     role_change, self._name, token, accepted_count
                 )
             )
-            conn = await pool.acquire(ORDER_TIMEOUT_S)
+            conn = await pool.acquire(ORDER_TIMEOUT_S, new=True)
             try:
                 # There must be no await between this check and the write.
                 if not may_send_order():
@@ -98,7 +101,7 @@
         request = gateway.request_bytes(
             *self._wire_codec.report_request(upstream.entry.id), b''
         )
-        conn = await pool.acquire(ORDER_TIMEOUT_S)
+        conn = await pool.acquire(ORDER_TIMEOUT_S, new=True)
         try:
             self._check_serves(upstream)
             conn.send(request)
--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -134,24 +134,20 @@
             b'',
         )
         pool = self._fleet.pool(engine)
-        conn = await pool.acquire(ACQUIRE_TIMEOUT_S)
-        if not self._fleet.serves(engine):
-            pool.release_unused(conn)
-            raise _pool.NotConnected('the engine accepts no requests')
+        conn = await pool.acquire(ACQUIRE_TIMEOUT_S, new=True)
+        # A response to such a call names no request. On a connection that is
+        # used again, a late second copy could be taken for the response to
+        # the next call, or for the refusal of a caller's request.
         try:
+            if not self._fleet.serves(engine):
+                raise _pool.NotConnected('the engine accepts no requests')
             conn.send(request)
             head, body = await _connection.read_response(
                 conn, WAIT_S + RESPONSE_MARGIN_S
             )
-            events = self._read_events(head, body)
-        except BaseException:
-            # Its response may still come, if this was one to another request.
-            # A response to such a call names no request: a late second copy
-            # could be taken for the refusal of a caller's request.
+        finally:
             pool.discard(conn)
-            raise
-        pool.release(conn)
-        return events
+        return self._read_events(head, body)
 
     def _read_events(self, head, body):
         events = self._wire_codec.parse_cache_events(body)
--- a/dandelionwinch/gateway/_pool.py
+++ b/dandelionwinch/gateway/_pool.py
@@ -49,13 +49,16 @@
         self.limit = limit
         self.open = 0
 
-    async def acquire(self, timeout_s, *, min_keep_alive_s=0.0):
+    async def acquire(self, timeout_s, *, min_keep_alive_s=0.0, new=False):
         """Returns an idle or a new connection.
 
         Args:
             timeout_s: Maximum wait, including that for a release.
             min_keep_alive_s: Minimum seconds before the keep-alive timeout
                 of a reused connection.
+            new: Whether the connection must be a new one. A response without
+                a request id can't be told from a late duplicate of an earlier
+                one, which only a used connection can carry.
 
         Raises:
             PoolBusy: If none was released in time.
@@ -63,9 +66,11 @@
         """
         deadline = self._loop.time() + timeout_s
         while True:
-            conn = self._pop_idle(min_keep_alive_s)
+            conn = None if new else self._pop_idle(min_keep_alive_s)
             if conn is not None:
                 return conn
+            if new and self._idle and self.open >= self.limit:
+                self._close(self._idle.popleft())
             if self.open < self.limit:
                 return await self._connect(deadline - self._loop.time())
             await self._wait_for_release(deadline)
--- a/dandelionwinch/platform/_duty_api.py
+++ b/dandelionwinch/platform/_duty_api.py
@@ -75,17 +75,17 @@
             return control.NotSent('too many calls')
         pool = self._pools[path]
         try:
-            conn = await pool.acquire(deadline - self._loop.time())
+            conn = await pool.acquire(deadline - self._loop.time(), new=True)
         except gateway.NotConnected as exc:
             return control.NotSent(str(exc))
+        # Responses name no request: a late duplicate on a connection that is
+        # used again could be taken for the response to the next call.
         try:
-            return await self._exchange(pool, conn, request, may_act, deadline)
+            return await self._exchange(conn, request, may_act, deadline)
         except gateway.ConnectionLost as exc:
-            pool.discard(conn)
             return control.Unanswered(str(exc))
-        except BaseException:
+        finally:
             pool.discard(conn)
-            raise
 
     async def _take_turn(self, deadline):
         """Waits for the rate; returns False if that takes too long."""
@@ -98,16 +98,14 @@
                 return False
             await asyncio.sleep(wait_s)
 
-    async def _exchange(self, pool, conn, request, may_act, deadline):
+    async def _exchange(self, conn, request, may_act, deadline):
         conn.limit_delivery(leadership.CALL_DELIVERY_S)
         # There must be no await between this check and the write.
         if not may_act():
-            pool.release_unused(conn)
             return control.NotSent('the lease is not certain')
         conn.send(request)
         left_s = deadline - self._loop.time()
         head, _body = await gateway.read_response(conn, left_s)
-        pool.release(conn)
         return self._result(head)
 
     def _result(self, head):
