--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -9,6 +9,7 @@
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
 from dandelionwinch.gateway import _connection
+from dandelionwinch.gateway import _next_attempt
 from dandelionwinch.gateway import _request_handler
 from dandelionwinch.gateway import _sse
 from dandelionwinch.gateway import _upstream_exchange
@@ -43,7 +44,7 @@
 
     async def _find_refusal(self):
         """Returns why a stream that has begun may not go on, or ''."""
-        if self._last_event_id is None:
+        if self._state.last_event_id is None:
             return ''
         self._version = await self._gateway.streams.find(
             self._req.began_as, self._service, self._route.timeout_s
@@ -67,13 +68,13 @@
             self._candidates(),
             self._tried | self._unavailable,
             self._loop.time(),
-            direct=bool(self._sent_count),
+            direct=bool(self._state.sent_count),
             late=late,
             objective_s=self._route.objective_s,
             patience_s=self._route.patience_s,
             standing=self._standing,
         )
-        if not (late or self._sent_count):
+        if not (late or self._state.sent_count):
             self._count_shortage(placement)
         return placement
 
@@ -169,8 +170,8 @@
         params = self._params(
             upstream, prefill_only=True, priority=placement.priority
         )
-        pool, conn = await self._acquire(upstream)
-        self._use_token(upstream, pool, conn)
+        pool, conn = await self._connections.acquire(upstream)
+        self._next.use_token(upstream, pool, conn)
         try:
             async with self._open_exchange(
                 upstream, pool, conn, executes=False
@@ -179,7 +180,7 @@
                     exchange, params, placement.priority_class
                 )
         except _upstream_exchange.AttemptFailed as exc:
-            self._sent_count += 1
+            self._state.sent_count += 1
             await self._note_failure(exc, upstream)
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.NOT_EXECUTED, f'prefill: {exc}'
@@ -231,11 +232,11 @@
             raise
         except _upstream_exchange.AttemptFailed as exc:
             not_sent = exc.outcome is attempts.AttemptOutcome.NOT_SENT
-            failed = len(self._failed_outcomes) + 1
-            last = failed >= _request_handler.MAX_FAILED_ATTEMPTS
+            failed = len(self._state.failed_outcomes) + 1
+            last = failed >= _next_attempt.MAX_FAILED_ATTEMPTS
             if not kv_source or not not_sent or last:
                 raise
-            self._failed_outcomes.append(exc.outcome)
+            self._state.failed_outcomes.append(exc.outcome)
             self._log_attempt(exc)
             return False
         return True
@@ -255,7 +256,7 @@
                 raise
             # The KV cache handle may have expired; the decode engine can
             # prefill the prompt itself.
-            self._failed_outcomes.append(exc.outcome)
+            self._state.failed_outcomes.append(exc.outcome)
             self._log_attempt(exc)
             now = self._loop.time()
             self._gateway.placer.record_kv_handle_refused(placement, now)
@@ -285,7 +286,7 @@
         Only complete events are relayed, as a resumed stream continues
         after the last of them.
         """
-        if self._last_event_id is not None:
+        if self._state.last_event_id is not None:
             self._log_resumption(placement.decode.entry)
         exchange.send(params)
         read_timeout_s = self._read_timeout_s()
@@ -325,7 +326,7 @@
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.UNKNOWN, 'a torn event'
             )
-        if not (head.framed or self._begun or self._streaming):
+        if not (head.framed or self._begun or self._state.streaming):
             raise self._closed_without_an_event()
         await self._check_end(head, placement.decode)
         self._end_stream(head, placement)
@@ -363,18 +364,18 @@
             request=self._req.id,
             upstream=entry.id,
             version=entry.software_version,
-            after=self._last_event_id,
+            after=self._state.last_event_id,
         )
 
     def _end_stream(self, head, placement):
-        if not self._streaming:
+        if not self._state.streaming:
             self._caller_conn.start_stream(200, head.end_to_end())
         self._caller_conn.end_stream()
         self._suspicion.answer_ends()
         placement.decode.record_success(
             placement.decode.excess_s, self._loop.time()
         )
-        self.outcome = 'whole'
+        self._state.outcome = 'whole'
         self._gateway.record_response(self, 200, '')
 
     @staticmethod
@@ -389,12 +390,12 @@
     async def _relay_event(self, head, event):
         """Sends an event to the caller unless it was sent already."""
         if event.event_id is not None:
-            last = self._last_event_id
+            last = self._state.last_event_id
             if last is not None and event.event_id <= last:
                 return
-            self._last_event_id = event.event_id
-        if not self._streaming:
-            self._streaming = True
+            self._state.last_event_id = event.event_id
+        if not self._state.streaming:
+            self._state.streaming = True
             self._caller_conn.start_stream(200, head.end_to_end())
         await self._caller_conn.send_chunk(event.data)
 
@@ -419,7 +420,7 @@
             head, await exchange.read_body(read_timeout_s)
         )
         exchange.check_executed(response)
-        if self._streaming:
+        if self._state.streaming:
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.SERVER_ERROR,
                 f'status {head.status} on resumption',
