--- a/dandelionwinch/control/_registered.py
+++ b/dandelionwinch/control/_registered.py
@@ -78,6 +78,14 @@
             for entry in self.entries.values()
         }
 
+    def names_in(self, data_centre):
+        """Returns the names of the instances of a data centre."""
+        return [
+            entry.name
+            for entry in self.entries.values()
+            if entry.data_centre == data_centre
+        ]
+
     def registration_spread_s(self):
         """Returns the time over which all instances register again."""
         writes = WRITES_PER_REGISTRATION * len(self.entries)
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -1,17 +1,13 @@
-"""Follows the store and applies its changes to the local instance."""
+"""Follows the store, by its own watch or by what other instances tell."""
 
 import asyncio
 import traceback
 
+from dandelionwinch.control import _change_relay
+from dandelionwinch.control import _changes
 from dandelionwinch.control import _epoch
-from dandelionwinch.control import _lease_holder
-from dandelionwinch.control import _registered
-from dandelionwinch.control import _registration
-from dandelionwinch.control import _role_orders
 from dandelionwinch.control import _store
-from dandelionwinch.control import _usage_duty
-from dandelionwinch import leadership
-from dandelionwinch import upstreams
+from dandelionwinch import relay
 
 ALL_KEYS = ''
 WATCH_TIMEOUT_S = 3.0
@@ -27,10 +23,15 @@
 # returns, and the part of the store's read rate that these calls may take.
 ITEMS_PER_CALL = 400
 LISTING_READ_RATIO = 0.5
+# While the order lease has no holder, this many candidates for it watch the
+# store themselves, as the next holder needs a fresh view.
+WATCHING_CANDIDATES = 3
 
 
 class StoreSync:
-    """A task that watches the store and applies each change.
+    """A task that follows the store and has each change applied.
+
+    With many instances only few of them watch the store; see ChangeRelay.
 
     Args:
         loop: Event loop.
@@ -43,46 +44,32 @@
         on_config: Function that is called with each new RouteTable.
         clock: Function that returns seconds of a clock that runs while the
             machine is suspended, or None for the loop's clock.
-
-    Attributes:
-        holder: Name of the holder of the order lease, or ''.
-        holder_revision: Number of the revision of the holder's key, 0
-            without a holder.
-        last_holder: Name of the last holder that was seen, or ''.
-        last_holder_token: Fencing token of that holder, or 0.
-        lost_role_changes: Latest time and role of announced role changes
-            that a restored store has lost, by upstream.
-        on_usage_report: Function that is called with each Item of the report
-            of usage.
-        registered: The RegisteredInstances.
     """
 
     __slots__ = (
+        '_applier',
         '_cfg',
         '_clock',
+        '_config_due_at',
+        '_config_missing_at',
+        '_config_number',
+        '_consistent',
+        '_failed_at',
         '_gateway',
-        '_guard',
+        '_listed',
+        '_listing',
         '_log',
         '_loop',
+        '_relay',
         '_revision',
         '_rng',
-        '_role_changes',
         '_store',
         '_store_codec',
         '_store_reached_at',
         '_synced',
         '_task',
-        '_unconfirmed',
         '_view_at',
         '_watch_call',
-        'holder',
-        'holder_revision',
-        'last_holder',
-        'last_holder_token',
-        'lost_role_changes',
-        'on_config',
-        'on_usage_report',
-        'registered',
     )
 
     def __init__(
@@ -107,58 +94,107 @@
         self._cfg = cfg
         self._log = log
         self._rng = rng
-        self._guard = upstreams.DeregistrationGuard()
+        self._applier = _changes.ChangeApplier(
+            loop, store_codec, gateway, cfg, log, on_config
+        )
+        self._relay = _change_relay.ChangeRelay(
+            loop,
+            gateway.peers,
+            cfg,
+            self._applier.registered,
+            self,
+            log,
+            gateway.metrics,
+            rng,
+        )
         self._revision = None
-        self._role_changes = {}
-        # Upstreams whose entry may be an older one since a restore.
-        self._unconfirmed = set()
         self._task = None
         self._watch_call = None
+        self._listed = False
+        self._listing = False
+        # Whether the view is that of its revision, though it may be so old
+        # that the store no longer has what changed since.
+        self._consistent = False
         self._synced = False
         self._store_reached_at = float('-inf')
-        self.holder = ''
-        self.holder_revision = 0
-        self.last_holder = ''
-        self.last_holder_token = 0
-        self.lost_role_changes = {}
-        self.registered = _registered.RegisteredInstances(cfg.writes_per_s)
-        self.on_config = on_config
-        self.on_usage_report = _ignore
+        self._failed_at = float('-inf')
+        # A configuration that others told of and that is to be fetched: its
+        # revision, when to fetch it, and up to when all changes are known.
+        self._config_number = None
+        self._config_due_at = float('inf')
+        self._config_missing_at = float('inf')
 
     def start(self):
         """Starts following the store."""
+        self._relay.start()
         self._task = self._loop.create_task(self._run())
 
     def close(self):
         """Stops following the store."""
+        self._relay.close()
         if self._task is not None:
             self._task.cancel()
 
     def epoch_changed(self):
         """Ends a call that still waits in an older epoch of the store."""
+        self._relay.wake()
         if self._watch_call is not None:
             self._watch_call.cancel()
 
-    def age_s(self):
-        """Returns the seconds since the store last answered.
-
-        They are infinite while nothing of the store's epoch is known.
-        """
-        if not self.current:
-            return float('inf')
-        return self._loop.time() - self._store_reached_at
-
     def view_age_s(self):
         """Returns the seconds for which the store may have changed unseen.
 
         An answer may have been under way for long, so they count from the
         earliest time at which the store can have made it. `age_s` counts
-        from its arrival.
+        from its arrival. What other instances told does not count, as the
+        lease of orders relies on this age.
         """
         if not self.current:
             return float('inf')
         return self._clock() - self._view_at
 
+    def told_age_s(self):
+        """Returns the age of the view, but for a configuration.
+
+        It is that of the store's last answer to this instance, or to
+        another one that has told all changes up to then.
+        """
+        if not self.current:
+            return float('inf')
+        return self._loop.time() - self._known_at()
+
+    def age_s(self):
+        """Returns the seconds since the store last answered.
+
+        The answer may be one to another instance that has told all changes
+        up to then. A configuration that others told of and that was not
+        fetched yet makes the view older. They are infinite while nothing of
+        the store's epoch is known.
+        """
+        if not self.current:
+            return float('inf')
+        known_at = min(self._known_at(), self._config_missing_at)
+        return self._loop.time() - known_at
+
+    def _known_at(self):
+        return max(self._store_reached_at, self._relay.known_at())
+
+    def failed_s(self):
+        """Returns the seconds since a call of the watch failed."""
+        return self._loop.time() - self._failed_at
+
+    @property
+    def view(self):
+        """The Revision of the view, None while changes can't be applied."""
+        if self._listing or not self._consistent or not self.current:
+            return None
+        return self._revision
+
+    @property
+    def view_epoch(self):
+        """Epoch of the store that the view is of, None without one."""
+        return None if self._revision is None else self._revision.epoch
+
     @property
     def current(self):
         """Whether the store was listed since its last restore."""
@@ -167,17 +203,55 @@
             and self._revision.epoch == self._store.epochs.current
         )
 
-    def candidates(self):
-        """Returns names of the instances that may follow the last holder.
+    @property
+    def holder(self):
+        """Name of the holder of the order lease, or ''."""
+        return self._applier.holder
+
+    @holder.setter
+    def holder(self, name):
+        self._applier.holder = name
+
+    @property
+    def holder_revision(self):
+        """Number of the revision of the holder's key, 0 without one."""
+        return self._applier.holder_revision
 
-        They try in this order, which is the same at all instances that know
-        the same holder and instances.
+    @property
+    def last_holder(self):
+        """Name of the last holder that was seen, or ''."""
+        return self._applier.last_holder
+
+    @property
+    def last_holder_token(self):
+        """Fencing token of the last holder that was seen, or 0."""
+        return self._applier.last_holder_token
+
+    @property
+    def lost_role_changes(self):
+        """Announced role changes that a restored store has lost.
+
+        Latest time and role of each, by upstream.
         """
-        return leadership.candidate_order(
-            [entry.name for entry in self.registered.entries.values()],
-            self.last_holder,
-            self.last_holder_token,
-        )
+        return self._applier.lost_role_changes
+
+    @property
+    def registered(self):
+        """The RegisteredInstances."""
+        return self._applier.registered
+
+    @property
+    def on_usage_report(self):
+        """Function that is called with each Item of the report of usage."""
+        return self._applier.on_usage_report
+
+    @on_usage_report.setter
+    def on_usage_report(self, function):
+        self._applier.on_usage_report = function
+
+    def candidates(self):
+        """Returns names of the instances that may follow the last holder."""
+        return self._applier.candidates()
 
     @property
     def has_routes(self):
@@ -186,20 +260,18 @@
 
     async def _run(self):
         backoff_s = BACKOFF_S
-        listed = False
         while True:
             try:
-                if not listed:
+                if not self._listed:
                     await asyncio.sleep(self._listing_delay_s())
-                    await self._list()
-                    listed = True
-                await self._watch()
+                    await self._list_all()
+                await self._follow()
                 backoff_s = BACKOFF_S
             except _store.EpochChanged:
-                listed = False
+                self._listed = self._consistent = False
             except _store.HistoryGone as exc:
                 self._log.event('store.history_gone', reason=str(exc))
-                listed = False
+                self._listed = False
             except _store.StoreFailed as exc:
                 self._store_failed(exc)
                 await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
@@ -207,14 +279,33 @@
             except Exception:
                 # One malformed response must not end the watch.
                 self._log.event('store.fault', trace=traceback.format_exc())
-                listed = False
+                self._listed = self._consistent = False
                 await asyncio.sleep(MAX_BACKOFF_S)
 
+    async def _follow(self):
+        """Calls the store if that is due, else waits for it to be due."""
+        due_s = self._applier.guard.next_due_s(self._loop.time())
+        if self._relay.watches(self._keeps_watch(), due_s):
+            await self._watch()
+        elif not self.current:
+            raise _store.EpochChanged('another call was answered in it')
+        elif self._config_due_at > self._loop.time():
+            await self._relay.listen(due_s, self._config_due_at)
+        if self._config_due_at <= self._loop.time():
+            await self._fetch_config()
+
+    def _keeps_watch(self):
+        """Tells whether the order lease needs the instance's own view."""
+        if self.holder or not self._relay.in_force:
+            return self.holder == self._cfg.instance
+        return self._cfg.instance in self.candidates()[:WATCHING_CANDIDATES]
+
     def _store_failed(self, exc):
         if self._synced:
             self._log.event('store.lost', reason=str(exc))
         self._synced = False
-        self._guard.store_failed(self._loop.time())
+        self._failed_at = self._loop.time()
+        self._applier.guard.store_failed(self._failed_at)
 
     def _store_reached(self):
         if not self._synced:
@@ -232,6 +323,15 @@
         spread_s = calls / (LISTING_READ_RATIO * self._cfg.reads_per_s)
         return spread_s * self._rng.random()
 
+    async def _list_all(self):
+        """Lists the store; what others tell meanwhile is not applied."""
+        self._listing = True
+        try:
+            await self._list()
+            self._listed = self._consistent = True
+        finally:
+            self._listing = False
+
     async def _list(self):
         sent_at = self._clock()
         listing = await self._store.list(ALL_KEYS)
@@ -239,103 +339,80 @@
         now = self._loop.time()
         previous, self._revision = self._revision, listing.revision
         self._store_reached()
-        keys = {item.key for item in listing.items}
-        if previous is not None and previous.epoch != listing.revision.epoch:
-            self._store_restored(keys, now)
-        if _lease_holder.HOLDER_KEY not in keys:
-            self.holder, self.holder_revision = '', 0
-        # An announced role change is compared with its engine's entry, so
-        # entries come first.
-        ordered = sorted(listing.items, key=_is_role_change)
-        for item in ordered:
-            if not self._is_outdated(item):
-                self._apply(item, now)
-        await self._apply_config(listing.items)
-        self._remove_upstreams(
-            [
-                upstream.entry.id
-                for upstream in self._gateway.fleet.registry
-                if upstream.gone_at is None
-                and self._store_codec.key_of(upstream.entry.id) not in keys
-            ],
-            now,
-        )
-        for key in list(self.registered.entries):
-            if key not in keys:
-                self._remove_unlisted_instance(key, now)
-        self._after_response(now)
-
-    def _store_restored(self, keys, now):
-        """Prepares for the first listing after a restore.
-
-        Args:
-            keys: Keys of the listing.
-            now: Time in seconds.
+        epoch = listing.revision.epoch
+        restored = previous is not None and previous.epoch != epoch
+        changes = None
+        if self._consistent and not restored:
+            changes = self._changes_since(previous.number, listing)
+        await self._applier.apply_listing(listing, now, restored)
+        self._config_known()
+        self._relay.listed(listing.revision.number, changes)
+
+    def _changes_since(self, number, listing):
+        """Returns Change items from a revision to that of a listing.
+
+        The store's history may be gone for others too, which it may turn
+        away.
         """
-        # Upstreams that the store has lost write their entries again, as
-        # after an outage; instances do after a pause.
-        self._guard.store_failed(now)
-        self.registered.hold(now)
-        self._unconfirmed = {
-            upstream.entry.id for upstream in self._gateway.fleet.registry
-        }
-        self.lost_role_changes = {
-            upstream_id: (until, role)
-            for upstream_id, (until, role) in self._role_changes.items()
-            if until > now
-            and _role_orders.ROLE_CHANGE_PREFIX + upstream_id not in keys
-        }
-
-    def _is_outdated(self, item):
-        """Tells whether an item was listed from an old copy of the store."""
-        upstream_id = self._store_codec.upstream_of(item.key)
-        if upstream_id not in self._unconfirmed:
-            return False
-        upstream = self._gateway.fleet.registry.get(upstream_id)
-        try:
-            entry = self._store_codec.read_upstream(upstream_id, item.value)
-        except _store.EntryInvalid:
-            return False
-        return upstream is not None and upstream.is_outdated(entry)
+        newer = [item for item in listing.items if item.revision > number]
+        newer.sort(key=lambda item: item.revision)
+        gone = self._applier.known_keys() - {i.key for i in listing.items}
+        return self._told_of(newer) + [
+            relay.Change(key, None, listing.revision.number)
+            for key in sorted(gone)
+        ]
 
     async def _watch(self):
-        due_s = self._guard.next_due_s(self._loop.time())
+        due_s = self._applier.guard.next_due_s(self._loop.time())
         wait_s = self._watch_timeout_s()
         if due_s is not None:
             wait_s = min(wait_s, due_s)
+        after = self._revision
         sent_at = self._clock()
         listing = await self._call_watch(wait_s)
         # Without a change the store answers after the whole wait.
         whole = not listing.items and self._clock() >= sent_at + wait_s
         self._view_at = sent_at + wait_s if whole else sent_at
         now = self._loop.time()
+        items = listing.items
+        if self._revision != after:
+            # Others have told newer changes, which must not be undone.
+            number = self._revision.number
+            items = [item for item in items if item.revision > number]
         self._revision = max(self._revision, listing.revision)
         self._store_reached()
-        gone = []
-        for item in listing.items:
-            upstream_id = self._store_codec.upstream_of(item.key)
-            self._unconfirmed.discard(upstream_id)
-            if upstream_id is not None and item.value is None:
-                gone.append(upstream_id)
-                continue
-            gone = [other for other in gone if other != upstream_id]
-            self._apply(item, now)
-        if gone:
-            self._remove_upstreams(gone, now)
-        await self._apply_config(listing.items)
-        self._after_response(now)
+        self._applier.apply_changes(items, self._revision.epoch, now)
+        self._relay.learned(self._told_of(items), self._revision.number)
+        await self._applier.apply_config(listing.items)
+        if self._config_number is not None and (
+            listing.revision.number >= self._config_number
+        ):
+            self._config_known()
+        self._applier.end_response(now)
+        await self._relay.answered()
         if listing.items:
             await asyncio.sleep(self._coalesce_s())
 
+    def _told_of(self, items):
+        """Returns Change items; a configuration is too large to be told."""
+        key = self._store_codec.config_key
+        return [
+            relay.Change(item.key, None, item.revision, withheld=True)
+            if item.key == key and item.value is not None
+            else relay.Change(item.key, item.value, item.revision)
+            for item in items
+        ]
+
     def _watch_timeout_s(self):
         """Returns the time after which a watch without changes ends.
 
         With strict revocation of keys the view of the store must not age
         beyond a bound while nothing changes.
         """
-        if not self._cfg.strict_revoke:
-            return WATCH_TIMEOUT_S
-        return min(WATCH_TIMEOUT_S, STRICT_WATCH_RATIO * self._cfg.revoke_s)
+        wait_s = WATCH_TIMEOUT_S
+        if self._cfg.strict_revoke:
+            wait_s = min(wait_s, STRICT_WATCH_RATIO * self._cfg.revoke_s)
+        return self._relay.watch_wait_s(wait_s, self._store_reached_at)
 
     async def _call_watch(self, wait_s):
         self._watch_call = self._loop.create_task(
@@ -356,183 +433,69 @@
         It grows with the number of instances, as all of them call the
         store.
         """
+        pause_s = self._relay.coalesce_s()
+        if pause_s is not None:
+            return pause_s
         instances = len(self.registered.entries)
         return min(
             MAX_COALESCE_S, COALESCE_S + COALESCE_PER_INSTANCE_S * instances
         )
 
-    def _apply(self, item, now):
-        upstream_id = self._store_codec.upstream_of(item.key)
-        if upstream_id is not None:
-            self._apply_upstream(upstream_id, item, now)
-        elif item.key.startswith(_registration.INSTANCE_PREFIX):
-            self._apply_instance(item)
-        elif item.key == _lease_holder.HOLDER_KEY:
-            self.holder = (item.value or b'').decode(errors='replace')
-            self.holder_revision = item.revision if self.holder else 0
-            if self.holder:
-                self.last_holder = self.holder
-                revision = _epoch.Revision(self._revision.epoch, item.revision)
-                self.last_holder_token = revision.fencing_token
-        elif item.key == _role_orders.CAPACITY_KEY:
-            self._apply_capacity(item)
-        elif item.key == _usage_duty.REPORT_KEY:
-            self.on_usage_report(item)
-        elif _is_role_change(item):
-            self._apply_role_change(item)
-
-    def _apply_capacity(self, item):
-        text = (item.value or b'').decode(errors='replace')
-        if text.isdigit():
-            self.registered.set_stored_capacity(float(text))
-
-    def _apply_role_change(self, item):
-        if item.value is None:
-            return
-        upstream_id = item.key.removeprefix(_role_orders.ROLE_CHANGE_PREFIX)
-        role = item.value.decode(errors='replace')
-        upstream = self._gateway.fleet.registry.get(upstream_id)
-        if upstream is None or upstream.entry.role.value == role:
-            return
-        self._gateway.begin_role_change(
-            upstream_id, _role_orders.ROLE_CHANGE_S
-        )
-        until = self._loop.time() + _role_orders.ROLE_CHANGE_S
-        self._role_changes[upstream_id] = (until, role)
-        self.lost_role_changes.pop(upstream_id, None)
-        self._log.event('upstream.changing', upstream=upstream_id, role=role)
-
-    async def _apply_config(self, items):
-        """Applies the configuration if it is among items."""
-        key = self._store_codec.config_key
-        for item in items:
-            if item.key == key and item.value is not None:
-                await self._apply_table(item)
-
-    async def _apply_table(self, item):
-        try:
-            table = await self._read_config(item.value)
-        except _store.EntryInvalid as exc:
-            self._log.event('config.invalid', finding=exc.message)
-            return
-        current = self._gateway.fleet.table
-        if current is not None and table.version <= current.version:
-            return
-        self._gateway.set_table(table)
-        self._log.event(
-            'config.applied', version=table.version, revision=item.revision
-        )
-        self.on_config(table)
-
-    async def _read_config(self, value):
-        """Decodes a configuration; a large one must delay no request."""
-        steps = self._store_codec.read_config_in_steps(value)
-        while True:
-            try:
-                next(steps)
-            except StopIteration as exc:
-                return exc.value
-            await asyncio.sleep(0)
+    def told(self, message, known_at):
+        """Applies changes that another instance told.
 
-    def _apply_upstream(self, upstream_id, item, now):
-        registry = self._gateway.fleet.registry
-        try:
-            entry = self._store_codec.read_upstream(upstream_id, item.value)
-        except _store.EntryInvalid as exc:
-            self._log.event('upstream.invalid', finding=exc.message)
-            registry.remove(upstream_id, now)
-            return
-        upstream = registry.get(upstream_id)
-        previous = upstream.entry if upstream else None
-        self._guard.registered(upstream_id)
-        if registry.apply(entry):
-            self._gateway.placer.forget(upstream_id)
-        if previous is not None and previous.ready and not entry.ready:
-            self._gateway.upstream_drains(registry.get(upstream_id))
-        if previous is not None and previous.role is not entry.role:
-            self._gateway.end_role_change(upstream_id)
-            self._role_changes.pop(upstream_id, None)
-            self.lost_role_changes.pop(upstream_id, None)
-        if previous is None or (
-            previous.ready,
-            previous.role,
-            previous.started_at_ms,
-            previous.software_version,
-        ) != (
-            entry.ready,
-            entry.role,
-            entry.started_at_ms,
-            entry.software_version,
-        ):
-            self._log.event(
-                'upstream.changed',
-                upstream=upstream_id,
-                service=entry.service,
-                data_centre=entry.data_centre,
-                ready=entry.ready,
-                role=entry.role.value,
-                born=entry.started_at_ms,
-                version=entry.software_version,
-                revision=item.revision,
-                reclaimable=entry.reclaimable,
-                leaves_in_s=entry.leaves_in_s,
-            )
-
-    def _remove_upstreams(self, upstream_ids, now):
-        registered = sum(
-            1
-            for upstream in self._gateway.fleet.registry
-            if upstream.gone_at is None
-        )
-        for upstream_id in self._guard.deregistered(
-            upstream_ids, registered, now
-        ):
-            self._remove_upstream(upstream_id, now, held=False)
+        Args:
+            message: relay.Message whose changes follow those that are known.
+            known_at: Time at which its sender knew them.
 
-    def _after_response(self, now):
-        """Applies what is due after each response of the store."""
-        self._gateway.set_capacity_ratio(
-            self.registered.capacity_ratio(self._cfg.capacity, now)
-        )
-        for upstream_id in self._guard.pop_due(now):
-            self._remove_upstream(upstream_id, now, held=True)
-        for key in self.registered.pop_due(now):
-            self._remove_instance(key)
-        peers = self.registered.peers(self._cfg.peer_port)
-        self._gateway.peers.set_peers(peers)
-        versions = self._gateway.fleet.registry.software_versions()
-        self._gateway.streams.observe(versions)
-
-    def _remove_upstream(self, upstream_id, now, held):
-        self._gateway.fleet.registry.remove(upstream_id, now)
-        self._log.event('upstream.gone', upstream=upstream_id, held=held)
-
-    def _apply_instance(self, item):
-        if item.value is None:
-            self._remove_instance(item.key)
-            return
+        Returns:
+            Whether they were applied; if not, the store is to be called.
+        """
+        number, key = self._revision.number, self._store_codec.config_key
+        changes = [c for c in message.changes if c.revision > number]
+        withheld = [change for change in changes if change.withheld]
+        if any(change.key != key for change in withheld):
+            return False
+        now = self._loop.time()
+        if withheld:
+            self._config_announced(withheld[-1].revision, now)
         try:
-            entry = _registration.read_entry(item.value)
-        except _store.EntryInvalid as exc:
-            self._log.event(
-                'instance.invalid', key=item.key, reason=exc.message
+            self._applier.apply_changes(
+                [change for change in changes if not change.withheld],
+                message.epoch,
+                now,
             )
-            return
-        if self.registered.add(item.key, entry):
-            self._log.event('instance.added', key=item.key)
-
-    def _remove_unlisted_instance(self, key, now):
-        if not self.registered.held(key, now):
-            self._remove_instance(key)
-
-    def _remove_instance(self, key):
-        if self.registered.remove(key):
-            self._log.event('instance.gone', key=key)
-
-
-def _ignore(_item):
-    pass
-
-
-def _is_role_change(item):
-    return item.key.startswith(_role_orders.ROLE_CHANGE_PREFIX)
+        except Exception:
+            self._log.event('store.fault', trace=traceback.format_exc())
+            self._listed = self._consistent = False
+            self._relay.wake()
+            return False
+        self._revision = _epoch.Revision(message.epoch, message.after)
+        self._relay.learned(changes, message.after)
+        self._applier.end_response(now, known_at)
+        return True
+
+    def failed_elsewhere(self, at):
+        """Records that a call of another instance to the store failed."""
+        self._applier.guard.store_failed(at)
+
+    def _config_announced(self, number, now):
+        if self._config_number is None:
+            self._config_missing_at = self._known_at()
+            delay_s = _change_relay.SPREAD_S * self._rng.random()
+            self._config_due_at = now + delay_s
+        self._config_number = number
+
+    def _config_known(self):
+        self._config_number = None
+        self._config_due_at = self._config_missing_at = float('inf')
+
+    async def _fetch_config(self):
+        """Reads the configuration that others told of."""
+        number = self._config_number
+        listing = await self._store.list(self._store_codec.config_key)
+        if listing.revision.epoch != self._revision.epoch:
+            raise _store.EpochChanged('before a configuration was read')
+        await self._applier.apply_config(listing.items)
+        if number == self._config_number:
+            self._config_known()
--- a/dandelionwinch/gateway/__init__.py
+++ b/dandelionwinch/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Data path: forwards requests of callers to upstreams, on one loop."""
 
+from dandelionwinch.gateway._change_link import ChangeLink
 from dandelionwinch.gateway._codec import BadMessage
 from dandelionwinch.gateway._codec import Head
 from dandelionwinch.gateway._codec import request_bytes
@@ -22,6 +23,7 @@
     'AttemptParams',
     'BadMessage',
     'CallerRequest',
+    'ChangeLink',
     'ConnectionLost',
     'Fleet',
     'Gateway',
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -26,6 +26,7 @@
         'limited_upstreams',
         'malformed_headers',
         'registry',
+        'relay_messages',
         'seconds',
         'unauthorized_requests',
         'usage',
@@ -96,6 +97,12 @@
             'Requests refused as they had no valid key',
             registry=registry,
         )
+        self.relay_messages = prometheus_client.Counter(
+            'dandelionwinch_relay_messages',
+            'Messages about changes of the store, by what became of them',
+            ['result'],
+            registry=registry,
+        )
         self._teams = set()
         self._add_capacity(registry)
 
--- a/dandelionwinch/gateway/_peer_link.py
+++ b/dandelionwinch/gateway/_peer_link.py
@@ -100,6 +100,11 @@
             raise ValueError(f'{addr[0]} is no instance')
         return name
 
+    @property
+    def bound(self):
+        """Whether datagrams can be sent and received."""
+        return self._transport is not None
+
     @property
     def peers(self):
         """Returns the IP and port of each other instance, by its name."""
--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -67,6 +67,7 @@
     'platform',
     'quarantine',
     'ratelimits',
+    'relay',
     'streams',
     'teams',
     'upstreams',
--- a/dandelionwinch/upstreams/_deregistration.py
+++ b/dandelionwinch/upstreams/_deregistration.py
@@ -28,8 +28,8 @@
         self._held_until = {}
 
     def store_failed(self, now):
-        """Records a failed call to the store."""
-        self._failed_at = now
+        """Records a failed call to the store, of this instance or another."""
+        self._failed_at = max(self._failed_at, now)
 
     def deregistered(self, upstream_ids, count, now):
         """Decides on upstreams whose entries vanished together.
