--- /dev/null
+++ b/dandelionwinch/tests/test_relay_authority.py
@@ -0,0 +1,166 @@
+"""What other instances tell gives no instance the authority to act."""
+
+import asyncio
+import base64
+import json
+import random
+
+import prometheus_client
+import pytest
+
+from dandelionwinch.control import _duty_calls
+from dandelionwinch.control import _lease_holder
+from dandelionwinch.control import _workers
+from dandelionwinch.platform import samples
+from dandelionwinch import relay
+from dandelionwinch.tests import relay_harness
+from dandelionwinch.tests import test_lease_holder
+
+# More than it takes to acquire a free lease and to wait for duties.
+ACTING_S = 8.0
+
+
+class Holding:
+    """A node of a World with a LeaseHolder that performs a duty."""
+
+    def __init__(self, node):
+        loop = asyncio.get_running_loop()
+        self.node = node
+        self.api = test_lease_holder.Api()
+        calls = _duty_calls.DutyCalls(
+            loop, self.api, node.log, prometheus_client.CollectorRegistry()
+        )
+        duties = [test_lease_holder.Reporting(calls)]
+        self.holder = _lease_holder.LeaseHolder(
+            loop,
+            node.store,
+            node.sync,
+            _workers.DutyRunner(loop, duties, calls, node.log),
+            node.log,
+            random.Random(1),
+            node.cfg,
+            loop.time,
+        )
+        self.holder.start()
+
+    @property
+    def calls(self):
+        """Number of calls that the duty API accepted."""
+        return len(self.api.calls)
+
+    def acts(self):
+        """Tells whether it may do anything in the name of the holder."""
+        token = self.holder.token
+        return self.holder.may_act(token) or self.holder.may_send_order(token)
+
+    def tell(self, sender, before, after, name, age_s=0.0):
+        """Delivers a message that names a holder, '' for none."""
+        change = relay.Change(
+            _lease_holder.HOLDER_KEY, name.encode() or None, after
+        )
+        (piece,) = relay.encode((change,))
+        text = base64.b64encode(piece).decode()
+        now = asyncio.get_running_loop().time()
+        epoch = self.node.sync.view.epoch
+        message = [epoch, before, after, now, age_s, None, 0, 1, text]
+        self.node.gateway.peers.datagram_received(
+            json.dumps(['changes', *message]).encode(), sender.addr
+        )
+
+
+def run(scenario):
+    """Runs a scenario with two instances of a data centre that may hold."""
+
+    async def started(world):
+        config = samples.config(1, [samples.route()], [samples.service()])
+        world.items.put(samples.CONFIG_KEY, config)
+        await asyncio.sleep(5.0)
+        nodes = [n for n in world.of('dc-1') if n.role() == 'listener'][:2]
+        holdings = [Holding(node) for node in nodes]
+        try:
+            await scenario(world, *holdings)
+        finally:
+            for holding in holdings:
+                holding.holder.close()
+
+    relay_harness.run(started, 24, 2)
+
+
+async def acquire(world, holding):
+    """Lets an instance hold the lease, and returns when it acts."""
+    world.items.remove(_lease_holder.HOLDER_KEY)
+    await asyncio.sleep(ACTING_S)
+    assert holding.acts()
+
+
+def test_a_stale_message_that_names_this_instance_gives_no_authority():
+    """It was the holder, is cut off, and is told so again by a late message.
+
+    Fails if the holder's name in the view is taken for the lease.
+    """
+
+    async def scenario(world, first, second):
+        second.holder.close()
+        await acquire(world, first)
+        revision = world.items.get(_lease_holder.HOLDER_KEY).revision
+        sender = world.watchers('dc-1')[0]
+        first.node.store.unavailable = True
+        world.network.cut_off.add(first.node.addr)
+        world.items.remove(_lease_holder.HOLDER_KEY)
+        world.items.put(_lease_holder.HOLDER_KEY, b'other')
+        await asyncio.sleep(ACTING_S)
+        calls = first.calls
+        for _ in range(50):
+            number = first.node.sync.view.number
+            first.tell(sender, revision - 1, revision, first.node.name)
+            first.tell(sender, number, number + 1, first.node.name)
+            await asyncio.sleep(0.1)
+            assert not first.acts()
+        assert first.node.sync.holder == first.node.name
+        assert first.calls == calls
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('name', ['own', ''])
+def test_a_message_names_this_instance_or_none_though_another_one_holds(name):
+    """Told so, it may ask the store for the lease, which refuses it."""
+
+    async def scenario(world, first, second):
+        second.holder.close()
+        sender = world.watchers('dc-1')[0]
+        told = first.node.name if name else ''
+        for _ in range(100):
+            number = first.node.sync.view.number
+            first.tell(sender, number, number + 1, told)
+            world.write()
+            assert first.node.sync.holder == told
+            await asyncio.sleep(0.1)
+            assert not first.acts()
+        assert (first.calls, first.holder.token) == (0, 0)
+        assert world.items.get(_lease_holder.HOLDER_KEY).value == b'n-0'
+
+    run(scenario)
+
+
+def test_a_message_that_names_another_one_takes_no_authority():
+    """The holder trusts its reads of the key; the other one gets none."""
+
+    async def scenario(world, first, second):
+        second.holder.close()
+        await acquire(world, first)
+        sender = world.watchers('dc-1')[0]
+        number = first.node.sync.view.number
+        for holding in (first, second):
+            holding.tell(sender, number - 1, number, second.node.name)
+            holding.tell(sender, number, number + 1, second.node.name)
+        assert first.node.sync.holder == second.node.name
+        calls = first.calls
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert first.acts()
+            assert not second.acts()
+        assert first.calls > calls + 3
+        assert 'orders.lost' not in first.node.log.names()
+
+    run(scenario)
