--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -286,6 +286,9 @@
         """Calls the store if that is due, else waits for it to be due."""
         due_s = self._applier.guard.next_due_s(self._loop.time())
         if self._relay.watches(self._keeps_watch(), due_s):
+            if self._config_number is not None:
+                # The watch may take longer than until the fetch is due.
+                await self._fetch_config()
             await self._watch()
         elif not self.current:
             raise _store.EpochChanged('another call was answered in it')
@@ -384,15 +387,23 @@
         self._applier.apply_changes(items, self._revision.epoch, now)
         self._relay.learned(self._told_of(items), self._revision.number)
         await self._applier.apply_config(listing.items)
-        if self._config_number is not None and (
-            listing.revision.number >= self._config_number
-        ):
+        if self._has_announced_config(after, listing):
             self._config_known()
         self._applier.end_response(now)
         await self._relay.answered()
         if listing.items:
             await asyncio.sleep(self._coalesce_s())
 
+    def _has_announced_config(self, after, listing):
+        """Tells whether a watch returned the configuration told of.
+
+        A watch that began after its revision does not return it.
+        """
+        number = self._config_number
+        if number is None:
+            return False
+        return after.number < number <= listing.revision.number
+
     def _told_of(self, items):
         """Returns Change items; a configuration is too large to be told."""
         key = self._store_codec.config_key
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -314,6 +314,22 @@
     run(scenario)
 
 
+def test_each_configuration_is_in_force_in_time_between_other_changes():
+    """Watchers pause between changes and are told of it by each other."""
+
+    async def scenario(world):
+        for version in range(3, 15):
+            for _ in range(10):
+                await asyncio.sleep(0.4 * world.rng.random())
+                world.write()
+            put_config(world, version)
+            await asyncio.sleep(2.0)
+            for node in nodes_of(world):
+                assert node.tables[-1].version == version
+
+    run(scenario)
+
+
 def test_a_missing_configuration_makes_the_view_old():
     """Strict revocation must not trust a view that lacks the keys."""
 
