--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -370,7 +370,7 @@
                     self._check_soon(now)
                     return
                 self._wake.set()
-        self._confirmed(message, sender, now)
+        self._confirmed(known_at, sender, now)
 
     def _contradicts(self, message, known_at):
         """Tells whether the store went back without a new epoch."""
@@ -394,9 +394,9 @@
         self._gap_due_at = min(self._gap_due_at, now + ANSWER_TIMEOUT_S)
         self._wake.set()
 
-    def _confirmed(self, message, sender, now):
+    def _confirmed(self, known_at, sender, now):
         """Records that all that a sender knew is known here."""
-        self._views.known(sender, message.sent_s - message.age_s)
+        self._views.known(sender, known_at)
         if self._history.number >= self._gap_number:
             self._gap_due_at = float('inf')
         if self._acting and not self._silent(now):
--- a/dandelionwinch/relay/_views.py
+++ b/dandelionwinch/relay/_views.py
@@ -10,6 +10,9 @@
 # The difference of clocks is that of the fastest datagram of this time or
 # twice that: a clock that stopped, with its machine, is believed again then.
 WINDOW_S = 15.0
+# A clock that advanced by more than this at once is another one: its sender
+# runs on another machine now, or the own machine was suspended.
+JUMP_S = 5.0
 
 
 @attrs.define
@@ -19,13 +22,23 @@
     window_at: float
     current: float
     previous: float
-    # In seconds of the sender's clock.
-    known_s: float = float('-inf')
+    known_at: float = float('-inf')
 
     @property
     def difference(self):
         return min(self.current, self.previous)
 
+    def add(self, difference, now):
+        """Records the difference of the clocks by a datagram."""
+        before = self.difference
+        if now - self.window_at > WINDOW_S:
+            self.window_at = now
+            self.previous, self.current = self.current, difference
+        self.current = min(self.current, difference)
+        # What was told is older than the slower datagrams made it look. If
+        # the clock was set back, it is not younger for that.
+        self.known_at -= max(0.0, before - self.difference)
+
 
 class SenderViews:
     """Ages of what the other instances have told.
@@ -41,7 +54,7 @@
     def clear(self):
         """Forgets what was told, as the store was restored since."""
         for sender in self._senders.values():
-            sender.known_s = float('-inf')
+            sender.known_at = float('-inf')
 
     def heard(self, name, sent_s, now):
         """Records a datagram and returns the time at which it was sent.
@@ -53,28 +66,25 @@
         """
         difference = now - sent_s
         sender = self._senders.get(name)
-        if sender is None:
+        if sender is None or difference < sender.difference - JUMP_S:
             sender = _Sender(now, difference, difference)
             self._senders[name] = sender
-        if now - sender.window_at > WINDOW_S:
-            sender.window_at = now
-            sender.previous, sender.current = sender.current, difference
-        sender.current = min(sender.current, difference)
-        return sent_s + sender.difference
+        sender.add(difference, now)
+        return min(now, sent_s + sender.difference)
 
-    def known(self, name, known_s):
+    def known(self, name, known_at):
         """Records that all that a sender knew at a time is known here.
 
         Args:
             name: Name of a sender that was heard.
-            known_s: Time in seconds of the sender's clock.
+            known_at: Time in seconds.
         """
         sender = self._senders[name]
-        sender.known_s = max(sender.known_s, known_s)
+        sender.known_at = max(sender.known_at, known_at)
 
     def known_at(self):
         """Returns the time up to which the changes of the store are known."""
-        times = [s.known_s + s.difference for s in self._senders.values()]
+        times = [sender.known_at for sender in self._senders.values()]
         return max(times, default=float('-inf'))
 
     def keep(self, names):
