--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -55,7 +55,7 @@
         link: PeerLink.
         cfg: InstanceConfig of the local instance.
         registered: RegisteredInstances.
-        follower: StoreSync; see its methods `told` and `told_age_s`.
+        follower: StoreSync; see its methods `told` and `known_age_s`.
         log: EventLog.
         metrics: Metrics of the gateway.
         rng: Random number generator.
@@ -140,6 +140,10 @@
         many = len(self._registered.entries) >= MIN_INSTANCES
         return many or self._audience.has_askers(self._loop.time())
 
+    def answered_at(self):
+        """Returns when the store last answered one that told all of it."""
+        return self._views.answered_at()
+
     def known_at(self):
         """Returns the time up to which others have told what changed."""
         return self._views.known_at()
@@ -208,7 +212,7 @@
         return self._acting or self._cfg.instance in order[: relay.WATCHERS]
 
     def _silent(self, now):
-        heard_at = max(self._listed_at, self._views.known_at())
+        heard_at = max(self._listed_at, self._views.answered_at())
         return now >= heard_at + SILENCE_S
 
     def watches(self, keeps_watch, next_due_s):
@@ -288,7 +292,8 @@
             fetch_at: Time at which the configuration is to be fetched.
         """
         now = self._loop.time()
-        silent_at = SILENCE_S + max(self._listed_at, self._views.known_at())
+        heard_at = max(self._listed_at, self._views.answered_at())
+        silent_at = heard_at + SILENCE_S
         until = min(silent_at, fetch_at, self._call_due_at(now, next_due_s))
         self._wake.clear()
         try:
@@ -314,7 +319,8 @@
             before,
             self._history.number,
             self._loop.time(),
-            self._follower.told_age_s(),
+            self._follower.answer_age_s(),
+            self._follower.known_age_s(),
             failed_s if failed_s <= MAX_FAILED_S else None,
             changes,
         )
@@ -333,7 +339,7 @@
             return
         if epoch is not None and epoch > (view.epoch or 0):
             self._check_soon(now)
-        if self._follower.told_age_s() > MAX_ANSWER_AGE_S:
+        if self._follower.answer_age_s() > MAX_ANSWER_AGE_S:
             return
         if not self._audience.may_answer(sender, now):
             return
@@ -350,7 +356,7 @@
         if action is relay.Action.DROP:
             return
         sent_at = self._views.heard(sender, message.sent_s, now)
-        known_at = sent_at - message.age_s
+        known_at = sent_at - message.view_age_s
         if message.failed_s is not None:
             # Before the changes, as it delays the removal of upstreams.
             self._follower.failed_elsewhere(sent_at - message.failed_s)
@@ -370,7 +376,8 @@
                     self._check_soon(now)
                     return
                 self._wake.set()
-        self._confirmed(known_at, sender, now)
+        self._views.known(sender, sent_at - message.age_s, known_at)
+        self._confirmed(sender, now)
 
     def _contradicts(self, message, known_at):
         """Tells whether the store went back without a new epoch."""
@@ -394,9 +401,8 @@
         self._gap_due_at = min(self._gap_due_at, now + ANSWER_TIMEOUT_S)
         self._wake.set()
 
-    def _confirmed(self, known_at, sender, now):
-        """Records that all that a sender knew is known here."""
-        self._views.known(sender, known_at)
+    def _confirmed(self, sender, now):
+        """Ends what waits until all that a sender knew is known here."""
         if self._history.number >= self._gap_number:
             self._gap_due_at = float('inf')
         if self._acting and not self._silent(now):
@@ -413,7 +419,7 @@
         order = self._order()
         if self._silent(self._loop.time()):
             # Any of them may be the one that the store answers.
-            if self._follower.told_age_s() >= SILENCE_S:
+            if self._follower.answer_age_s() >= SILENCE_S:
                 self._ask(view, order)
         elif self._cfg.instance not in order:
             self._ask(view, order[: relay.WATCHERS])
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -153,23 +153,34 @@
             return float('inf')
         return self._clock() - self._view_at
 
-    def told_age_s(self):
-        """Returns the age of the view, but for a configuration.
+    def answer_age_s(self):
+        """Returns the seconds since the store answered any instance.
 
-        It is that of the store's last answer to this instance, or to
-        another one that has told all changes up to then.
+        That is this one, or another one that has told all changes up to
+        then, but for a configuration.
         """
         if not self.current:
             return float('inf')
-        return self._loop.time() - self._known_at()
+        answered_at = max(self._store_reached_at, self._relay.answered_at())
+        return self._loop.time() - answered_at
+
+    def known_age_s(self):
+        """Returns the seconds for which all may have changed unseen.
+
+        Unlike `view_age_s`, it counts what other instances told.
+        """
+        if not self.current:
+            return float('inf')
+        told_age_s = self._loop.time() - self._relay.known_at()
+        return min(self.view_age_s(), told_age_s)
 
     def age_s(self):
         """Returns the seconds since the store last answered.
 
-        The answer may be one to another instance that has told all changes
-        up to then. A configuration that others told of and that was not
-        fetched yet makes the view older. They are infinite while nothing of
-        the store's epoch is known.
+        If another instance has told all of its view, they count from the
+        earliest time of that. A configuration that others told of and that
+        was not fetched yet makes the view older. They are infinite while
+        nothing of the store's epoch is known.
         """
         if not self.current:
             return float('inf')
--- a/dandelionwinch/relay/_message.py
+++ b/dandelionwinch/relay/_message.py
@@ -30,7 +30,11 @@
         before: Number of the revision after which the changes begin.
         after: Number of the revision that they lead to.
         sent_s: Time of sending, in seconds of the sender's clock.
-        age_s: Age of the sender's view of the store when it was sent.
+        age_s: Time since the store answered the sender, or another one whose
+            changes it was told, when it was sent.
+        view_age_s: Time for which the store may have changed since the
+            sender's view. An answer may have been under way for long, or
+            its receiver suspended.
         failed_s: Seconds since a call of the sender to the store failed, or
             None.
         changes: The Change items in their order, None if they are too large.
@@ -41,6 +45,7 @@
     after: int
     sent_s: float
     age_s: float
+    view_age_s: float
     failed_s: float | None
     changes: tuple[Change, ...] | None
 
--- a/dandelionwinch/relay/_views.py
+++ b/dandelionwinch/relay/_views.py
@@ -22,6 +22,7 @@
     window_at: float
     current: float
     previous: float
+    answered_at: float = float('-inf')
     known_at: float = float('-inf')
 
     @property
@@ -37,7 +38,9 @@
         self.current = min(self.current, difference)
         # What was told is older than the slower datagrams made it look. If
         # the clock was set back, it is not younger for that.
-        self.known_at -= max(0.0, before - self.difference)
+        older_s = max(0.0, before - self.difference)
+        self.answered_at -= older_s
+        self.known_at -= older_s
 
 
 class SenderViews:
@@ -54,7 +57,7 @@
     def clear(self):
         """Forgets what was told, as the store was restored since."""
         for sender in self._senders.values():
-            sender.known_at = float('-inf')
+            sender.answered_at = sender.known_at = float('-inf')
 
     def heard(self, name, sent_s, now):
         """Records a datagram and returns the time at which it was sent.
@@ -72,16 +75,23 @@
         sender.add(difference, now)
         return min(now, sent_s + sender.difference)
 
-    def known(self, name, known_at):
+    def known(self, name, answered_at, known_at):
         """Records that all that a sender knew at a time is known here.
 
         Args:
             name: Name of a sender that was heard.
-            known_at: Time in seconds.
+            answered_at: Time at which the store answered the sender.
+            known_at: Earliest time at which it can have made that answer.
         """
         sender = self._senders[name]
+        sender.answered_at = max(sender.answered_at, answered_at)
         sender.known_at = max(sender.known_at, known_at)
 
+    def answered_at(self):
+        """Returns when the store last answered one that told all of it."""
+        times = [sender.answered_at for sender in self._senders.values()]
+        return max(times, default=float('-inf'))
+
     def known_at(self):
         """Returns the time up to which the changes of the store are known."""
         times = [sender.known_at for sender in self._senders.values()]
