--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -179,7 +179,8 @@
         order = self._order()
         if not self._tells(order) and self._silent(self._loop.time()):
             await self._take_over(order)
-        if self._tells(order):
+        # Meanwhile another call may have been answered in a new epoch.
+        if self._tells(order) and self._follower.view is not None:
             self._tell()
 
     def _called(self):
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -449,6 +449,32 @@
     run(scenario)
 
 
+def test_a_restore_while_an_instance_begins_to_act_is_no_fault():
+    """It learns the new epoch by another call, such as that of its lease.
+
+    Fails if it tells changes of a view that is no longer of the store.
+    """
+
+    async def scenario(world):
+        for node in world.watchers('dc-1'):
+            world.kill(node.name)
+        copy = world.items.snapshot()
+        nodes = nodes_of(world)
+        while all(node.role() != 'silent' for node in nodes):
+            await asyncio.sleep(0.005)
+        await asyncio.sleep(0.02)
+        world.items.restore(copy)
+        for node in nodes:
+            epochs = node.store.epochs
+            epochs.observe(str(world.items.epoch), epochs.current)
+        await asyncio.sleep(BOUND_S)
+        for node in nodes:
+            assert 'store.fault' not in node.log.names()
+            assert node.sync.view.epoch == world.items.epoch
+
+    run(scenario)
+
+
 def test_history_that_is_gone_makes_an_instance_list_anew():
     async def scenario(world):
         node = next(n for n in world.of('dc-1') if n.role() == 'listener')
