--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -163,7 +163,7 @@
             self._views.clear()
             self._told_number = number
         else:
-            self._history.add(changes, number, now)
+            self._history.add(changes, number, now, listed=True)
         self._listed_at = now
         self._called()
 
@@ -307,18 +307,25 @@
         peers = self._link.peers
         known = {n: peers[n] for n in self._order() if n in peers}
         addresses = self._audience.addresses(known, self._loop.time())
-        self._send(self._told_number, addresses)
+        self._send(self._history.after(self._told_number), addresses)
         self._told_number = self._history.number
 
-    def _send(self, number, addresses):
-        """Sends what changed after a revision."""
+    def _send(self, told, addresses):
+        """Sends changes.
+
+        Args:
+            told: Numbers of the revisions at which they begin and of the
+                last listing among them, and the Change items or None.
+            addresses: Addresses of the receivers.
+        """
         view = self._follower.view
-        before, changes = self._history.after(number)
+        before, listed, changes = told
         failed_s = self._follower.failed_s()
         message = relay.Message(
             view.epoch,
             before,
             self._history.number,
+            listed,
             self._loop.time(),
             self._follower.answer_age_s(),
             self._follower.known_age_s(),
@@ -344,7 +351,14 @@
             return
         if not self._audience.may_answer(sender, now):
             return
-        self._send(number if epoch == view.epoch else view.number, [addr])
+        self._answer(number if epoch == view.epoch else view.number, addr)
+
+    def _answer(self, number, addr):
+        if self._history.covers(number):
+            self._send(self._history.after(number), [addr])
+        else:
+            # All that is kept may be large, and is of no use to the other.
+            self._send((number, number, None), [addr])
 
     def take_message(self, message, sender):
         """Applies what another instance tells, or calls the store for it."""
--- a/dandelionwinch/gateway/_change_link.py
+++ b/dandelionwinch/gateway/_change_link.py
@@ -1,14 +1,14 @@
 """Messages by which instances tell each other what changed in the store.
 
-    ["changes", epoch, before, after, sent, age, view, failed, part, parts,
-     piece]
+    ["changes", epoch, before, after, listed, sent, age, view, failed, part,
+     parts, piece]
     ["changes?", epoch, number]
 
-The epoch is null if the store states none. Before and after are revisions of
-the store. Sent is the time of the sender's clock, age that since the store
-answered, view that for which the store may have changed since the sender's
-view, failed that since a call of it to the store failed or null, all in
-seconds. A piece is a part of compressed changes in base64, or null if they
+The epoch is null if the store states none. Before, after and listed are
+revisions of the store. Sent is the time of the sender's clock, age that since
+the store answered, view that for which the store may have changed since the
+sender's view, failed that since a call of it to the store failed or null, all
+in seconds. A piece is a part of compressed changes in base64, or null if they
 are too large. The number of a question is the revision up to which its sender
 knows all changes. Datagrams of unknown senders are dropped.
 """
@@ -68,6 +68,7 @@
             message.epoch,
             message.before,
             message.after,
+            message.listed,
             round(message.sent_s, 3),
             round(message.age_s, 3),
             round(message.view_age_s, 3),
@@ -82,10 +83,10 @@
 
     def _take_changes(self, items, addr):
         sender = self._link.name_of(addr)
-        epoch, before, after, *times, part, parts, text = items
+        epoch, before, after, listed, *times, part, parts, text = items
         sent_s, age_s, view_age_s, failed_s = times
         _check_epoch(epoch)
-        if not _checked(before) <= _checked(after):
+        if not _checked(before) <= _checked(listed) <= _checked(after):
             raise ValueError('changes that lead backward')
         for time_s in (sent_s, age_s, view_age_s, failed_s or 0.0):
             _check_time(time_s)
@@ -101,7 +102,8 @@
                 return
             changes = relay.decode(packed, before, after)
         self._receiver.take_message(
-            relay.Message(epoch, before, after, *times, changes), sender
+            relay.Message(epoch, before, after, listed, *times, changes),
+            sender,
         )
 
     def _take_question(self, items, addr):
--- a/dandelionwinch/relay/_message.py
+++ b/dandelionwinch/relay/_message.py
@@ -29,6 +29,9 @@
         epoch: Epoch of the store, None if it states none.
         before: Number of the revision after which the changes begin.
         after: Number of the revision that they lead to.
+        listed: Number of the revision of the last listing among them, or
+            `before`. Up to it they hold for a receiver at `before` only, as
+            a listing lacks what was written and deleted in between.
         sent_s: Time of sending, in seconds of the sender's clock.
         age_s: Time since the store answered the sender, or another one whose
             changes it was told, when it was sent.
@@ -43,6 +46,7 @@
     epoch: int | None
     before: int
     after: int
+    listed: int
     sent_s: float
     age_s: float
     view_age_s: float
@@ -59,7 +63,7 @@
     # Changes between the own revision and its first one are missing.
     ASK = 'gap'
     # Only the store can tell what changed.
-    WATCH = 'too large'
+    WATCH = 'untold'
     # The store may have been restored since the own view.
     CHECK_EPOCH = 'epoch'
     # The message is from before the restore that is known here.
@@ -81,4 +85,6 @@
         return Action.KNOWN
     if message.before > number:
         return Action.ASK
-    return Action.WATCH if message.changes is None else Action.APPLY
+    if message.changes is None or message.before < number < message.listed:
+        return Action.WATCH
+    return Action.APPLY
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -205,6 +205,7 @@
         'epoch': world.items.epoch,
         'before': world.items.revision,
         'after': world.items.revision,
+        'listed': world.items.revision,
         'sent': now,
         'age': 0.0,
         'view': 0.0,
@@ -227,6 +228,8 @@
         take(message(world, after=view.number + 9), ('10.9.9.9', known[1]))
         for changes in (
             {'before': 5, 'after': 4},
+            {'listed': 1 << 30},
+            {'listed': None},
             {'epoch': -1},
             {'epoch': 'x'},
             {'sent': float('nan')},
@@ -491,6 +494,42 @@
     run(scenario)
 
 
+def test_a_listing_is_told_to_those_at_its_beginning_only():
+    """A watcher that lists does not know what it missed.
+
+    Fails if an instance that knows a newer entry takes the listing for
+    changes since its own view: it would keep the deleted upstream.
+    """
+
+    async def scenario(world):
+        for number in range(8):
+            put_upstream(world, f'i-{number}')
+        await asyncio.sleep(2.0)
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        sender = world.watchers('dc-1')[0]
+        away = {other.addr for other in world.of('dc-1')}
+        world.network.cut_off.add(sender.addr)
+        sender.store.unavailable = True
+        await asyncio.sleep(0.5)
+        put_upstream(world, 'missed')
+        await asyncio.sleep(2.0)
+        assert 'missed' in node.serving()
+        world.network.cut_off.update(away)
+        node.store.unavailable = True
+        world.items.remove(samples.entry_key('missed'))
+        world.write()
+        world.items.compact()
+        await asyncio.sleep(1.0)
+        world.network.cut_off.difference_update({node.addr, sender.addr})
+        sender.store.unavailable = False
+        await asyncio.sleep(BOUND_S)
+        node.store.unavailable = False
+        await asyncio.sleep(2 * BOUND_S)
+        assert 'missed' not in node.serving()
+
+    run(scenario)
+
+
 def test_the_holder_and_the_next_candidates_keep_a_view_of_their_own():
     """A renewal counts by the own view of the holder only."""
 
