--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -15,6 +15,8 @@
 WAIT_S = 1.0
 RESPONSE_MARGIN_S = 1.0
 ACQUIRE_TIMEOUT_S = 0.5
+# A smaller pool has no connection to spare, so each call opens its own.
+MIN_POOL_TO_KEEP = 8
 # Pause after a failed call, as a multiple of the time between two calls.
 FAILURE_FACTOR = 4.0
 
@@ -22,6 +24,10 @@
 class CacheWatch:
     """Tasks that call each engine for its cache events.
 
+    Responses to these calls name no request. A late second copy of one could
+    be taken for the refusal of a caller's request, so the calls to an engine
+    have a connection that no request uses.
+
     Args:
         loop: Event loop.
         fleet: Fleet with the engines.
@@ -31,6 +37,7 @@
     """
 
     __slots__ = (
+        '_conns',
         '_fleet',
         '_interval_s',
         '_log',
@@ -52,6 +59,8 @@
         self._planner = None
         self._positions = {}
         self._tasks = {}
+        # Pool and Connection for the next call, by id and start of an engine.
+        self._conns = {}
 
     def start(self):
         """Starts the watch."""
@@ -67,6 +76,8 @@
         for task in self._tasks.values():
             task.cancel()
         self._tasks.clear()
+        for key in list(self._conns):
+            self._drop(key)
 
     async def _plan(self):
         while True:
@@ -80,7 +91,7 @@
     def _update(self, now):
         """Starts and stops the tasks of single engines."""
         engines = {
-            (u.entry.id, u.entry.started_at_ms): u
+            _key(u): u
             for u in self._fleet.registry
             if self._fleet.serves(u)
             and u.entry.role is not upstreams.Role.PLAIN
@@ -93,6 +104,7 @@
             return
         for key in self._tasks.keys() - engines.keys():
             self._tasks.pop(key).cancel()
+            self._drop(key)
         for key in self._positions.keys() - engines.keys():
             del self._positions[key]
         for key in engines.keys() - self._tasks.keys():
@@ -133,11 +145,7 @@
             ),
             b'',
         )
-        pool = self._fleet.pool(engine)
-        conn = await pool.acquire(ACQUIRE_TIMEOUT_S, new=True)
-        # A response to such a call names no request. On a connection that is
-        # used again, a late second copy could be taken for the response to
-        # the next call, or for the refusal of a caller's request.
+        pool, conn = await self._acquire(engine)
         try:
             if not self._fleet.serves(engine):
                 raise _pool.NotConnected('the engine accepts no requests')
@@ -145,9 +153,35 @@
             head, body = await _connection.read_response(
                 conn, WAIT_S + RESPONSE_MARGIN_S
             )
-        finally:
+            events = self._read_events(head, body)
+        except BaseException:
+            pool.discard(conn)
+            raise
+        self._keep(engine, pool, conn)
+        return events
+
+    async def _acquire(self, engine):
+        """Returns the pool and the connection for a call to an engine."""
+        pool, conn = self._conns.pop(_key(engine), (None, None))
+        if conn is not None:
+            expired = conn.reusable_until <= self._loop.time()
+            if not (conn.heard or expired):
+                return pool, conn
+            pool.discard(conn)
+        pool = self._fleet.pool(engine)
+        return pool, await pool.acquire(ACQUIRE_TIMEOUT_S, new=True)
+
+    def _keep(self, engine, pool, conn):
+        """Keeps a connection for the next call, if the pool can spare it."""
+        if conn.finish() and pool.limit >= MIN_POOL_TO_KEEP:
+            self._conns[_key(engine)] = (pool, conn)
+        else:
+            pool.discard(conn)
+
+    def _drop(self, key):
+        pool, conn = self._conns.pop(key, (None, None))
+        if conn is not None:
             pool.discard(conn)
-        return self._read_events(head, body)
 
     def _read_events(self, head, body):
         events = self._wire_codec.parse_cache_events(body)
@@ -157,3 +191,7 @@
                 f'status {head.status} without cache events',
             )
         return events
+
+
+def _key(engine):
+    return engine.entry.id, engine.entry.started_at_ms
