--- a/dandelionwinch/tests/test_calls.py
+++ b/dandelionwinch/tests/test_calls.py
@@ -7,6 +7,7 @@
 
 from dandelionwinch import attempts
 from dandelionwinch.gateway import _next_attempt
+from dandelionwinch.gateway import _pool
 from dandelionwinch.platform import samples
 from dandelionwinch.standins import scripted
 from dandelionwinch.tests import gateway_harness
@@ -509,3 +510,13 @@
     )
     assert (status, body, end) == (200, b'hello', b'')
     assert headers['connection'] == 'close'
+
+
+def test_a_call_whose_connection_opens_too_late_is_not_run(monkeypatch):
+    """Nothing was sent, so the caller may send the call again."""
+    monkeypatch.setattr(_pool, 'CONNECT_TIMEOUT_S', 0.0)
+    response, requests = gateway_harness.send_one(
+        [[[gateway_harness.response()]]], '/once/1'
+    )
+    assert (response[0], requests) == (503, [])
+    assert 'retry-after' in response[1]
