--- a/dandelionwinch/control/_lease_holder.py
+++ b/dandelionwinch/control/_lease_holder.py
@@ -13,6 +13,9 @@
 RETRY_S = 1.0
 # How often a candidate looks whether its turn has come.
 TURN_POLL_S = 0.1
+# Time from the end of the wait for duties to the verification. One right at
+# the end fell short of it by rounding.
+WAIT_MARGIN_S = 0.01
 
 
 class LeaseHolder:
@@ -147,14 +150,16 @@
                 await asyncio.sleep(RETRY_S)
 
     def _renewal_pause_s(self):
-        """Returns the time to the next renewal, at the wait's end at latest.
+        """Returns the time to the next renewal.
 
-        Duties can be performed only after a renewal that follows the wait.
+        Duties can be performed only after a verification that follows the
+        wait, so the renewal is due right after its end, and again at once if
+        that one was sent too early.
         """
-        left_s = self._leadership.until_duties_s(self._clock())
-        if self._verifies and left_s > 0:
-            return min(leadership.RENEW_INTERVAL_S, left_s)
-        return leadership.RENEW_INTERVAL_S
+        if not self._verifies or self._leadership.waited:
+            return leadership.RENEW_INTERVAL_S
+        left_s = max(0.0, self._leadership.until_duties_s(self._clock()))
+        return min(leadership.RENEW_INTERVAL_S, left_s + WAIT_MARGIN_S)
 
     def _log_first_act(self):
         if not self._acting and self.may_act(self.token):
--- a/dandelionwinch/leadership/_lease.py
+++ b/dandelionwinch/leadership/_lease.py
@@ -124,6 +124,16 @@
         wait_s = MAX_VIEW_AGE_S + RENEWAL_VALID_S + self.handover_s
         return now - self._acquired_at >= wait_s
 
+    @property
+    def waited(self):
+        """Whether the key was verified after the wait before the first duty.
+
+        If the key could be verified before the end of the wait only, it might
+        have been deleted since, and the next holder's wait might have begun
+        that much earlier.
+        """
+        return self._verified_at - self._acquired_at >= self.duty_wait_s
+
     def until_duties_s(self, now):
         """Returns the seconds until the wait before the first duty ends.
 
@@ -134,13 +144,10 @@
     def may_act(self, now):
         """Returns whether this instance may send a duty call now.
 
-        The key must have been verified recently, and after the wait. If the
-        key could be verified before the end of the wait only, it might have
-        been deleted since, and the next holder's wait might have begun that
-        much earlier.
+        The key must have been verified recently, and after the wait.
         """
         return (
             self.held
             and now - self._verified_at <= RENEWAL_VALID_S
-            and self._verified_at - self._acquired_at >= self.duty_wait_s
+            and self.waited
         )
--- a/dandelionwinch/tests/test_lease_holder.py
+++ b/dandelionwinch/tests/test_lease_holder.py
@@ -147,6 +147,25 @@
     run_holder(scenario)
 
 
+def test_duties_begin_with_the_verification_that_ends_the_wait():
+    """A verification on the end of the wait fell short of it by rounding.
+
+    The next one followed a renewal interval later, and the successor of a
+    killed holder first acted after 7.3 s.
+    """
+
+    async def scenario(holding, _items):
+        loop = asyncio.get_running_loop()
+        # A timer that ends a little early by the clock of the lease.
+        holding.holder._clock = lambda: loop.time() * (1.0 - 1e-9)
+        await asyncio.sleep(ACTING_S)
+        lease = holding.holder._leadership
+        waited_s = holding.api.calls[0][0] - lease._acquired_at
+        assert lease.duty_wait_s < waited_s < lease.duty_wait_s + 0.1
+
+    run_holder(scenario)
+
+
 @pytest.mark.parametrize('other', [Stuck(), Broken()])
 def test_a_slow_or_broken_duty_delays_neither_renewals_nor_others(other):
     async def scenario(holding, _items):
