--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -260,7 +260,7 @@
         """Answers a bad request after those before it, then closes."""
         self._server.report_rejection(status, reason)
         self._rejection = (status, reason)
-        if self._task is None:
+        if self._task is None and not self._queue:
             self._respond_rejection()
 
     def _respond_rejection(self):
@@ -285,7 +285,11 @@
         In a drain it stays open for requests that have begun to arrive: a
         caller expects no more responses after `Connection: close`.
         """
-        more = self._queue or self._request_started_at is not None
+        more = (
+            self._queue
+            or self._rejection is not None
+            or self._request_started_at is not None
+        )
         return self._close_after_response or (
             self._server.draining and not more
         )
--- a/dandelionwinch/tests/test_slow_callers.py
+++ b/dandelionwinch/tests/test_slow_callers.py
@@ -137,6 +137,38 @@
     assert _run(scenario) == 1
 
 
+@pytest.mark.parametrize('draining', [False, True])
+@pytest.mark.parametrize(
+    ('behind', 'status'),
+    [(b'no request\r\n\r\n', b'400'), (16 * (POST % 0), b'503')],
+)
+def test_a_refusal_waits_for_the_requests_before_it(draining, behind, status):
+    """It was sent at once, as the response to a request that waited.
+
+    Requests wait for the reader of the response before them. Those in
+    between were dropped.
+    """
+
+    async def scenario(site):
+        reader, conn = await site.unread_connection()
+        (writer,) = site._writers
+        writer.write(2 * (POST % 0))
+        while len(conn._queue) < 2:
+            await asyncio.sleep(0)
+        if draining:
+            site.server.drain()
+        writer.write(behind)
+        while conn._rejection is None:
+            await asyncio.sleep(0)
+        data = await reader.read()
+        return data[data.rindex(b'x') + 1 :]
+
+    rest = _run(scenario)
+    statuses = [part[:3] for part in rest.split(b'HTTP/1.1 ')[1:]]
+    assert statuses[:2] == [b'200', b'200']
+    assert statuses[-1] == status
+
+
 def test_an_unread_response_yields_to_the_body_of_another_caller():
     async def scenario(site):
         _reader, conn = await site.unread_connection()
