--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -530,6 +530,28 @@
     run(scenario)
 
 
+def test_an_instance_behind_all_that_is_kept_is_not_told_it_again_and_again():
+    """Its store is down. Fails if each question is answered with all of it."""
+
+    async def scenario(world):
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        world.network.cut_off.add(node.addr)
+        node.store.unavailable = True
+        for number in range(280):
+            value = world.rng.randbytes(100)
+            world.items.put(f'other/{number}', value)
+            await asyncio.sleep(0.25)
+        world.network.cut_off.clear()
+        received = world.network.bytes_by_receiver
+        before = received[node.addr]
+        for _ in range(20):
+            world.write()
+            await asyncio.sleep(0.25)
+        assert received[node.addr] - before < 5 * 3000
+
+    run(scenario)
+
+
 def test_the_holder_and_the_next_candidates_keep_a_view_of_their_own():
     """A renewal counts by the own view of the holder only."""
 
