--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -55,7 +55,7 @@
         link: PeerLink.
         cfg: InstanceConfig of the local instance.
         registered: RegisteredInstances.
-        follower: StoreSync; see its methods `told` and `known_age_s`.
+        follower: StoreSync; see its methods `told` and `confirmed`.
         log: EventLog.
         metrics: Metrics of the gateway.
         rng: Random number generator.
@@ -380,6 +380,7 @@
                 if self._contradicts(message, known_at):
                     self._check_soon(now)
                     return
+                self._follower.confirmed(known_at)
             case relay.Action.ASK:
                 self._ask_for_gap(message, view, sender, now)
                 return
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -26,6 +26,9 @@
 # While the order lease has no holder, this many candidates for it watch the
 # store themselves, as the next holder needs a fresh view.
 WATCHING_CANDIDATES = 3
+# Shortest time between computations of what is due without changes, as
+# several instances tell the same.
+CONFIRM_INTERVAL_S = 0.8
 
 
 class StoreSync:
@@ -53,6 +56,7 @@
         '_config_due_at',
         '_config_missing_at',
         '_config_number',
+        '_confirmed_at',
         '_consistent',
         '_failed_at',
         '_gateway',
@@ -118,6 +122,7 @@
         self._synced = False
         self._store_reached_at = float('-inf')
         self._failed_at = float('-inf')
+        self._confirmed_at = float('-inf')
         # A configuration that others told of and that is to be fetched: its
         # revision, when to fetch it, and up to when all changes are known.
         self._config_number = None
@@ -494,9 +499,21 @@
             return False
         self._revision = _epoch.Revision(message.epoch, message.after)
         self._relay.learned(changes, message.after)
+        self._confirmed_at = now
         self._applier.end_response(now, known_at)
         return True
 
+    def confirmed(self, known_at):
+        """Applies what is due with time, as after each answer of the store.
+
+        Args:
+            known_at: Time at which another instance knew no other changes.
+        """
+        now = self._loop.time()
+        if now >= self._confirmed_at + CONFIRM_INTERVAL_S:
+            self._confirmed_at = now
+            self._applier.end_response(now, known_at)
+
     def failed_elsewhere(self, at):
         """Records that a call of another instance to the store failed."""
         self._applier.guard.store_failed(at)
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -530,6 +530,26 @@
     run(scenario)
 
 
+def test_shares_of_limits_follow_the_instances_without_any_change():
+    """An instance that has gone counts for 20 s, and no longer.
+
+    Fails if a listener computes its share only with changes: after a quiet
+    time it would forget the other one at once, or count it until the next.
+    """
+
+    async def scenario(world):
+        await asyncio.sleep(25.0)
+        gone = next(n for n in world.of('dc-0') if n.role() == 'listener')
+        world.kill(gone.name)
+        world.items.remove(gone.entry_key)
+        for elapsed_s, count in ((2.0, 24), (16.0, 24), (6.0, 23)):
+            await asyncio.sleep(elapsed_s)
+            for node in nodes_of(world):
+                assert node.gateway.fleet.capacity_ratio == count
+
+    run(scenario)
+
+
 def test_an_instance_behind_all_that_is_kept_is_not_told_it_again_and_again():
     """Its store is down. Fails if each question is answered with all of it."""
 
