--- a/dandelionwinch/relay/_views.py
+++ b/dandelionwinch/relay/_views.py
@@ -2,7 +2,8 @@
 
 Clocks differ, and a datagram may be late. The difference of the clocks of a
 sender and its receiver is that of the fastest of its datagrams, so a late
-one makes no knowledge look younger than it is.
+one makes no knowledge look younger than it is. The first datagram has none to
+compare with; it ends a silence, and says nothing of the age of knowledge.
 """
 
 import attrs
@@ -22,6 +23,9 @@
     window_at: float
     current: float
     previous: float
+    sent_s: float
+    # Whether datagrams of two times of sending were heard.
+    comparable: bool = False
     answered_at: float = float('-inf')
     known_at: float = float('-inf')
 
@@ -29,8 +33,10 @@
     def difference(self):
         return min(self.current, self.previous)
 
-    def add(self, difference, now):
+    def add(self, sent_s, now):
         """Records the difference of the clocks by a datagram."""
+        self.comparable = self.comparable or sent_s != self.sent_s
+        difference = now - sent_s
         before = self.difference
         if now - self.window_at > WINDOW_S:
             self.window_at = now
@@ -70,9 +76,9 @@
         difference = now - sent_s
         sender = self._senders.get(name)
         if sender is None or difference < sender.difference - JUMP_S:
-            sender = _Sender(now, difference, difference)
+            sender = _Sender(now, difference, difference, sent_s)
             self._senders[name] = sender
-        sender.add(difference, now)
+        sender.add(sent_s, now)
         return min(now, sent_s + sender.difference)
 
     def known(self, name, answered_at, known_at):
@@ -85,7 +91,8 @@
         """
         sender = self._senders[name]
         sender.answered_at = max(sender.answered_at, answered_at)
-        sender.known_at = max(sender.known_at, known_at)
+        if sender.comparable:
+            sender.known_at = max(sender.known_at, known_at)
 
     def answered_at(self):
         """Returns when the store last answered one that told all of it."""
--- a/dandelionwinch/tests/test_relay_views.py
+++ b/dandelionwinch/tests/test_relay_views.py
@@ -65,3 +65,18 @@
             told_at = views.heard('a', clock_s + now - delay_s, now)
             views.known('a', told_at, told_at)
             assert views.known_at() <= (now if jumps else sent_at + 1e-6)
+
+
+def test_the_first_datagram_of_a_sender_says_nothing_of_its_age():
+    """It may have been under way for seconds, with a clock that is unknown.
+
+    Fails if strict revocation trusts it.
+    """
+    views = relay.SenderViews()
+    for _copy in range(2):
+        told_at = views.heard('a', 100.0, 7.0)
+        views.known('a', told_at, told_at)
+    assert (views.answered_at(), views.known_at()) == (7.0, float('-inf'))
+    told_at = views.heard('a', 106.0, 8.0)
+    views.known('a', told_at, told_at)
+    assert views.known_at() == 8.0
