--- a/dandelionwinch/limits/_fair_shares.py
+++ b/dandelionwinch/limits/_fair_shares.py
@@ -5,6 +5,8 @@
 instances let the work of these teams wait or refuse it before that of others.
 """
 
+import math
+
 import attrs
 
 # A team that wants much more than all others would get almost nothing from
@@ -63,39 +65,68 @@
     Attributes:
         team: Name of the team.
         ratio: Part of its requests that is beyond its share, 0 to 1.
+        part: Its share as a part of the capacity, 0 to 1.
     """
 
     team: str
     ratio: float
+    part: float = 0.0
+
+
+@attrs.frozen
+class Shares:
+    """How the capacity of one service is divided between teams.
+
+    Attributes:
+        capacity: Requests a second that were served in time, or the least
+            that is assumed.
+        demand: Requests a second that were asked for.
+        level: Share of a team of the usual priority that wants more,
+            infinite while all work is served in time.
+        excesses: At most MAX_EXCESSES Excesses, the largest demand beyond a
+            share first; none while all work is served in time.
+    """
+
+    capacity: float = 0.0
+    demand: float = 0.0
+    level: float = math.inf
+    excesses: tuple[Excess, ...] = ()
 
 
 def find_excesses(loads):
-    """Returns the teams that want more than their fair share.
+    """Returns the excesses of `find_shares` as a list."""
+    return list(find_shares(loads).excesses)
+
+
+def find_shares(loads):
+    """Returns the Shares of one service.
 
     Args:
         loads: TeamLoad of each team, with different names.
-
-    Returns:
-        At most MAX_EXCESSES Excesses, the largest demand beyond a share
-        first; none while all work is served in time.
     """
     loads = [load for load in loads if load.demand > 0]
     capacity = sum(load.in_time for load in loads)
     demand = sum(load.demand for load in loads)
     if capacity >= demand:
-        return []
+        return Shares(capacity, demand)
     capacity = max(capacity, MIN_CAPACITY_RATIO * demand)
     floor_ratio = MIN_PROPORTION * capacity / demand
     usual = _usual_priority(loads)
-    weighted = [(load, _weight(load.priority, usual)) for load in loads]
+    weighted = [
+        (load, priority_weight(load.priority, usual)) for load in loads
+    ]
     level = _find_level(weighted, floor_ratio, capacity)
     found = []
     for load, weight in weighted:
-        beyond = load.demand - _share(load, weight, floor_ratio, level)
+        share = _share(load, weight, floor_ratio, level)
+        beyond = load.demand - share
         if beyond > MIN_RATIO * load.demand:
-            found.append((beyond, Excess(load.team, beyond / load.demand)))
+            part = min(1.0, share / capacity)
+            excess = Excess(load.team, beyond / load.demand, part)
+            found.append((beyond, excess))
     found.sort(key=lambda pair: (-pair[0], pair[1].team))
-    return [excess for _beyond, excess in found[:MAX_EXCESSES]]
+    excesses = tuple(excess for _beyond, excess in found[:MAX_EXCESSES])
+    return Shares(capacity, demand, level, excesses)
 
 
 def _usual_priority(loads):
@@ -104,7 +135,8 @@
     return known[len(known) // 2] if known else None
 
 
-def _weight(priority, usual):
+def priority_weight(priority, usual):
+    """Returns the weight of a team by its priority and the usual one."""
     if priority is None or priority == usual:
         return 1.0
     return PRIORITY_FACTOR if priority < usual else 1 / PRIORITY_FACTOR
@@ -137,10 +169,10 @@
     so that each instance contributes in proportion to its own requests.
     """
 
-    __slots__ = ('_debts', '_ratios', '_until')
+    __slots__ = ('_debts', '_excesses', '_until')
 
     def __init__(self):
-        self._ratios = {}
+        self._excesses = {}
         # By team: part of a request that is still to give way.
         self._debts = {}
         self._until = float('-inf')
@@ -152,23 +184,32 @@
             excesses: Excesses.
             now: Time in seconds.
         """
-        self._ratios = {excess.team: excess.ratio for excess in excesses}
+        self._excesses = {excess.team: excess for excess in excesses}
         self._debts = {
-            team: self._debts.get(team, 0.0) for team in self._ratios
+            team: self._debts.get(team, 0.0) for team in self._excesses
         }
         self._until = now + VALID_S
 
     def active(self, now):
         """Tells whether requests of any team are to give way."""
-        return bool(self._ratios) and now < self._until
+        return bool(self._excesses) and now < self._until
+
+    def excesses(self, now):
+        """Returns the Excesses in force."""
+        return list(self._excesses.values()) if self.active(now) else []
+
+    def excess(self, team, now):
+        """Returns the Excess of a team, None if it has its share or less."""
+        return self._excesses.get(team) if self.active(now) else None
 
     def yields(self, team, now):
         """Tells whether the next request of a team gives way.
 
         It is called once for each request.
         """
-        if not self.active(now) or team not in self._ratios:
+        excess = self.excess(team, now)
+        if excess is None:
             return False
-        debt = self._debts[team] + self._ratios[team]
+        debt = self._debts[team] + excess.ratio
         self._debts[team] = debt - (debt >= 1.0)
         return debt >= 1.0
