--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -164,11 +164,7 @@
         wanted = self._cfg.duty_settings.duties
         if _config.Duty.USAGE in wanted:
             duties.append(self._create_usage_duty())
-            duties.append(
-                _share_duty.ShareDuty(
-                    self._gateway.usage, self._gateway.fair_sharing
-                )
-            )
+            duties.append(_share_duty.ShareDuty(self._gateway.fair_sharing))
         if _config.Duty.CAPACITY in wanted:
             self._capacity_duty = _capacity_duty.CapacityDuty(
                 self._loop,
--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -1,15 +1,115 @@
 """Serves calls of plain services, which have one complete response."""
 
+import asyncio
+
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
+from dandelionwinch.gateway import _call_gate
 from dandelionwinch.gateway import _request_handler
 from dandelionwinch.gateway import _upstream_exchange
+from dandelionwinch import limits
+
+_RELAYED = 'relayed'
+_NOT_RUN = attempts.FinalStatus.NOT_RUN.name.lower()
+_TIMEOUT = attempts.FinalStatus.TIMEOUT.name.lower()
 
 
 class CallHandler(_request_handler.RequestHandler):
     """Serves one call of a plain service."""
 
-    __slots__ = ()
+    __slots__ = ('_pass', '_return_s')
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        # Permission to send a call of a team above its share, or None.
+        self._pass = None
+        # Seconds after which such a call has room, None if it had some.
+        self._return_s = None
+
+    async def run(self):
+        """Serves the call; counts what became of it for its team."""
+        try:
+            await super().run()
+        except BaseException as exc:
+            if self._pass is not None:
+                self._gateway.call_gate.leave(self._pass)
+            if isinstance(exc, asyncio.CancelledError):
+                self._record_left()
+            raise
+        if self._req.team:
+            self._record_end()
+
+    async def _find_refusal(self):
+        """Waits if the team is above its share; returns a refusal or ''."""
+        if not self._req.team:
+            return ''
+        sharing = self._gateway.fair_sharing
+        sharing.record_asked(self._service, self._req.team, self._req.id)
+        if sharing.excess(self._service, self._req.team) is None:
+            return ''
+        try:
+            self._pass = await self._gateway.call_gate.enter(
+                self._service, self._queued_call()
+            )
+        except _call_gate.CallRefused as exc:
+            self._return_s = exc.retry_after_s
+            return str(exc)
+        return ''
+
+    def _queued_call(self):
+        route, req = self._route, self._req
+        due = self._deadline
+        if route.objective_s > 0:
+            due = min(due, self._started_at + route.objective_s)
+        weight = limits.priority_weight(req.team_priority, route.priority)
+        return limits.QueuedCall(req.team, weight, due, req.id)
+
+    def _record_left(self):
+        """Counts a call that its caller left after it was sent.
+
+        It was served in time if it was not late by then, as its team has got
+        the capacity that it asked for.
+        """
+        if self._sent_count:
+            self._gateway.fair_sharing.record_served(
+                self._service,
+                self._req.team,
+                self._req.id,
+                delayed=not self._in_time(),
+            )
+
+    def _record_end(self):
+        answered = self.outcome == _RELAYED
+        if self._pass is not None:
+            self._gateway.call_gate.end(self._pass, answered=answered)
+        sharing, req = self._gateway.fair_sharing, self._req
+        if answered or self.outcome == _TIMEOUT:
+            delayed = not answered or self._is_delayed()
+            sharing.record_served(
+                self._service, req.team, req.id, delayed=delayed
+            )
+        elif self.outcome == _NOT_RUN and not self.held:
+            sharing.record_refused(self._service, req.team, req.id)
+
+    def _is_delayed(self):
+        """Tells whether the answer was late as the call had to wait.
+
+        One of a service whose calls usually take longer than the objective
+        was late by its work.
+        """
+        taken_s = self.elapsed_s()
+        usual_s = self._gateway.usage_meter.usual_work_s(
+            self._service, taken_s, answered=False
+        )
+        return usual_s <= self._route.objective_s < taken_s
+
+    def _retry_after_s(self):
+        """Returns when the caller should retry, spread over the callers."""
+        if self._return_s is None:
+            return super()._retry_after_s()
+        jitter = _request_handler.RETRY_AFTER_JITTER_S
+        least_s = max(_request_handler.MIN_RETRY_AFTER_S, self._return_s)
+        return least_s + self._gateway.rng.random() * jitter
 
     def _choose(self):
         """Returns the Upstream of the next attempt, or None."""
--- a/dandelionwinch/gateway/_fair_sharing.py
+++ b/dandelionwinch/gateway/_fair_sharing.py
@@ -1,24 +1,84 @@
-"""Shares capacity fairly between teams, with the other instances."""
+"""Shares the capacity of each service fairly between teams."""
 
-import collections
+import math
+
+import attrs
 
 from dandelionwinch import dispatch
 from dandelionwinch.gateway import _share_link
 from dandelionwinch import limits
 
 TICK_S = 1.0
-# Time over which the holder adds up what was not served in time.
+# Time over which the holder adds up what was not served in time, and for
+# which an announcement keeps out those of older holders.
 SPAN_S = 5.0
-# Teams whose counts the holder keeps, which bounds the memory that forged
-# counts take.
-MAX_TEAMS = 1024
+
+
+@attrs.frozen
+class ShareView:
+    """What an instance knows of the shares of one service.
+
+    Attributes:
+        service: Name of the service.
+        shares: limits.Shares, as this instance found or received them last.
+        source: Name of the holder that found them.
+        token: Its fencing token.
+        age_s: Seconds since then.
+        in_force: Whether teams are treated as above their share.
+    """
+
+    service: str
+    shares: limits.Shares
+    source: str
+    token: int
+    age_s: float
+    in_force: bool
+
+
+class _ServiceShares:
+    """The shares of one service, as one instance knows them.
+
+    Attributes:
+        counts: CallCounts of this instance.
+        totals: CallTotals, of all instances while this one is the holder.
+        yielding: YieldingTeams.
+        short_until: Time up to which the holder is told the counts.
+    """
+
+    __slots__ = (
+        'counts',
+        'known_at',
+        'shares',
+        'short_until',
+        'source',
+        'token',
+        'totals',
+        'yielding',
+    )
+
+    def __init__(self, now):
+        self.counts = limits.CallCounts(now)
+        self.totals = limits.CallTotals()
+        self.yielding = limits.YieldingTeams()
+        self.short_until = -math.inf
+        self.shares = limits.Shares()
+        self.source, self.token, self.known_at = '', 0, -math.inf
+
+    def take(self, token, shares, source, now):
+        """Takes over Shares; tells whether other teams are above theirs."""
+        told = {excess.team for excess in self.shares.excesses}
+        self.shares, self.source = shares, source
+        self.token, self.known_at = token, now
+        self.yielding.update(shares.excesses, now)
+        return told != {excess.team for excess in shares.excesses}
 
 
 class FairSharing:
-    """Finds which requests give way to those of other teams.
+    """Finds which teams want more than their share of a service.
 
-    Each instance counts the requests that it did not serve in time and tells
-    the holder of the duties. The holder calls `announce` once a second.
+    Each instance counts the requests of teams by service. While some are not
+    served in time, it tells the holder of the duties, which calls `announce`
+    once a second.
 
     Args:
         loop: The event loop.
@@ -32,19 +92,14 @@
     """
 
     __slots__ = (
-        '_counts',
         '_fleet',
         '_link',
         '_log',
         '_loop',
         '_name',
-        '_received',
         '_sent_at',
+        '_services',
         '_timer',
-        '_token',
-        '_token_at',
-        '_told',
-        '_yielding',
         'holder',
     )
 
@@ -54,18 +109,10 @@
         self._fleet = fleet
         self._log = log
         self._name = name
-        self._yielding = limits.YieldingTeams()
-        # Requests of this instance by team since the last tick: delayed and
-        # refused ones.
-        self._counts = {}
-        # As holder: what the instances counted, with the time.
-        self._received = collections.deque()
+        # _ServiceShares by the name of the service.
+        self._services = {}
         self._sent_at = loop.time()
         self._timer = None
-        self._token = 0
-        self._token_at = float('-inf')
-        # Names of the teams that were above their share.
-        self._told = frozenset()
         self.holder = lambda: ''
 
     def start(self):
@@ -77,121 +124,198 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def standing(self, team, urgency):
+    @property
+    def instances(self):
+        """Returns the number of registered instances, this one included."""
+        return len(self._link.peers) + 1
+
+    def standing(self, service, team, urgency):
         """Returns the dispatch.Standing of a request.
 
         It is called once for each request.
 
         Args:
+            service: Name of the service.
             team: Name of its team, '' for none.
             urgency: Urgency of its team.
         """
         now = self._loop.time()
-        if not team or not self._yielding.active(now):
+        known = self._services.get(service)
+        if not team or known is None or not known.yielding.active(now):
             return dispatch.Standing(urgency)
-        yields = self._yielding.yields(team, now)
+        yields = known.yielding.yields(team, now)
         return dispatch.Standing(urgency, yields, preferred=not yields)
 
-    def record_delayed(self, team):
-        """Counts a request that was put in the background."""
-        self._count(team, 0)
+    def excess(self, service, team):
+        """Returns the limits.Excess of a team, None if it has its share."""
+        known = self._services.get(service)
+        if known is None:
+            return None
+        return known.yielding.excess(team, self._loop.time())
 
-    def record_refused(self, team):
-        """Counts a request that no engine had room for."""
-        self._count(team, 1)
+    def limits_calls(self, service):
+        """Tells whether a team is above its share of a service."""
+        known = self._services.get(service)
+        return known is not None and known.yielding.active(self._loop.time())
+
+    def capacity_per_s(self, service):
+        """Returns the capacity of a service with a team above its share."""
+        return self._services[service].shares.capacity
+
+    def wanted(self, service):
+        """Returns what the teams above their share ask this instance for.
+
+        Returns:
+            Pairs of requests a second and limits.Excess.
+        """
+        now = self._loop.time()
+        known = self._services[service]
+        found = [
+            (known.counts.asked_per_s(excess.team, now), excess)
+            for excess in known.yielding.excesses(now)
+        ]
+        return [(asked, excess) for asked, excess in found if asked]
 
-    def _count(self, team, index):
+    def record_asked(self, service, team, request_id):
+        """Counts a request that has arrived."""
         if team:
-            self._counts.setdefault(team, [0, 0])[index] += 1
+            self._of(service).counts.ask(team, request_id, self._loop.time())
 
-    def announce(self, served, token):
+    def record_served(self, service, team, request_id, *, delayed=False):
+        """Counts a request that was served.
+
+        Args:
+            service: Name of the service.
+            team: Name of the team, or ''.
+            request_id: Id of the request.
+            delayed: Whether it was not served in time as it had to wait.
+        """
+        if team:
+            now = self._loop.time()
+            known = self._of(service)
+            known.counts.record_served(team, request_id, delayed, now)
+            if delayed:
+                known.short_until = now + SPAN_S
+
+    def record_refused(self, service, team, request_id):
+        """Counts a request that was refused as there was no room."""
+        if team:
+            now = self._loop.time()
+            known = self._of(service)
+            known.counts.record_refused(team, request_id, now)
+            known.short_until = now + SPAN_S
+
+    def _of(self, service):
+        known = self._services.get(service)
+        if known is None:
+            known = _ServiceShares(self._loop.time())
+            self._services[service] = known
+        return known
+
+    def announce(self, token):
         """Finds the teams above their share, and tells all instances.
 
         The holder of the duties calls it once a second.
 
         Args:
-            served: Requests a second that began to run, of all instances in
-                the last seconds, by name of the team.
             token: The holder's fencing token.
 
         Returns:
-            The limits.Excess items.
+            limits.Shares by service.
         """
         now = self._loop.time()
-        excesses = limits.find_excesses(self._loads(served, now))
-        # The end of a shortage is told once; it is also assumed by all that
-        # hear nothing for some seconds.
-        if excesses or self._told:
-            self._link.send_shares(token, excesses)
-        self._take(token, excesses, self._name)
-        return excesses
-
-    def _loads(self, served, now):
-        delayed, refused = collections.Counter(), collections.Counter()
-        self._drop_received(now)
-        for _at, rows in self._received:
-            for team, delayed_count, refused_count in rows:
-                delayed[team] += delayed_count / SPAN_S
-                refused[team] += refused_count / SPAN_S
+        found = {}
+        for service, known in self._services.items():
+            shares = limits.find_shares(self._loads(known, now))
+            found[service] = shares
+            # The end of a shortage is told once; it is also assumed by all
+            # that hear nothing for some seconds.
+            if shares.excesses or known.shares.excesses:
+                self._link.send_shares(service, token, shares)
+            if shares.demand or known.shares.demand:
+                self._take(service, token, shares, self._name)
+        return found
+
+    def _loads(self, known, now):
         table = self._fleet.table
         directory = table.teams if table else None
-        for name in served.keys() | delayed.keys() | refused.keys():
+        for name, rates in known.totals.rates(now).items():
             team = directory.team(name) if directory else None
             if team is not None:
-                yield limits.TeamLoad(
-                    name,
-                    served.get(name, 0.0),
-                    delayed[name],
-                    refused[name],
-                    team.priority,
-                )
-
-    def _drop_received(self, now):
-        while self._received and now - self._received[0][0] > SPAN_S:
-            self._received.popleft()
+                yield limits.TeamLoad(name, *rates, team.priority)
 
     def _tick(self):
         self._timer = self._loop.call_later(TICK_S, self._tick)
         now = self._loop.time()
         period_s, self._sent_at = now - self._sent_at, now
-        if not self._counts:
-            return
-        rows = [(team, *counts) for team, counts in self._counts.items()]
-        rows.sort(key=lambda row: (-row[1] - row[2], row[0]))
-        self._counts = {}
+        self._forget_services()
+        for service, known in self._services.items():
+            rows = known.counts.take(now)
+            short = now < known.short_until or known.yielding.active(now)
+            if rows and short:
+                self._tell(service, period_s, rows)
+
+    def _forget_services(self):
+        """Drops the services that the configuration no longer has."""
+        services = self._fleet.table.services if self._fleet.table else {}
+        for service in self._services.keys() - services.keys():
+            del self._services[service]
+
+    def _tell(self, service, period_s, rows):
         holder = self.holder()
         if holder == self._name:
-            self.take_unserved(period_s, rows, holder)
+            self.take_unserved(service, period_s, rows)
         elif holder in self._link.peers:
             addr = self._link.peers[holder]
-            self._link.send_unserved(period_s, rows, addr)
+            self._link.send_unserved(service, period_s, rows, addr)
 
-    def take_unserved(self, period_s, rows, sender):
-        """Takes in what an instance did not serve in time."""
-        now = self._loop.time()
-        self._drop_received(now)
-        known = {team for _at, others in self._received for team, *_ in others}
-        room = MAX_TEAMS - len(known)
-        new = [row for row in rows if row[0] not in known]
-        if len(new) <= room:
-            self._received.append((now, rows))
-
-    def take_shares(self, token, excesses, sender):
+    def take_unserved(self, service, period_s, rows):
+        """Takes in what an instance counted for one service.
+
+        Services and teams that the configuration does not have are left out,
+        as the memory that forged counts take must be bounded.
+        """
+        table = self._fleet.table
+        if table is None or table.teams is None:
+            return
+        rows = [row for row in rows if table.teams.team(row[0]) is not None]
+        if rows and service in table.services:
+            now = self._loop.time()
+            self._of(service).totals.add(rows, period_s, now)
+
+    def take_shares(self, service, token, shares, sender):
         """Takes over what the holder found; of two, the newer one counts."""
-        fresh = self._loop.time() - self._token_at < SPAN_S
-        if not (fresh and token < self._token):
-            self._take(token, excesses, sender)
+        table = self._fleet.table
+        if table is None or service not in table.services:
+            return
+        known = self._of(service)
+        fresh = self._loop.time() - known.known_at < SPAN_S
+        if not (fresh and token < known.token):
+            self._take(service, token, shares, sender)
 
-    def _take(self, token, excesses, sender):
+    def _take(self, service, token, shares, sender):
         now = self._loop.time()
-        self._token, self._token_at = token, now
-        self._yielding.update(excesses, now)
-        told = frozenset(excess.team for excess in excesses)
-        if told != self._told:
-            self._told = told
+        if self._of(service).take(token, shares, sender, now):
             self._log.event(
                 'shares.changed',
-                teams={e.team: round(e.ratio, 3) for e in excesses},
+                service=service,
+                teams={e.team: round(e.ratio, 3) for e in shares.excesses},
                 token=token,
                 source=sender,
             )
+
+    def view(self):
+        """Returns the ShareView of each service with known shares."""
+        now = self._loop.time()
+        return [
+            ShareView(
+                service,
+                known.shares,
+                known.source,
+                known.token,
+                now - known.known_at,
+                known.yielding.active(now),
+            )
+            for service, known in sorted(self._services.items())
+            if known.source
+        ]
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -9,6 +9,7 @@
 from dandelionwinch import errors
 from dandelionwinch.gateway import _authenticator
 from dandelionwinch.gateway import _cache_watch
+from dandelionwinch.gateway import _call_gate
 from dandelionwinch.gateway import _call_handler
 from dandelionwinch.gateway import _crash_guard
 from dandelionwinch.gateway import _demand_link
@@ -50,6 +51,7 @@
         active: Number of requests in progress.
         authenticator: The Authenticator.
         budget: The SharedRetryBudget.
+        call_gate: The CallGate.
         crash_guard: The CrashGuard.
         demand: The DemandLink.
         distances: Round-trip times to data centres.
@@ -79,6 +81,7 @@
         'active',
         'authenticator',
         'budget',
+        'call_gate',
         'crash_guard',
         'demand',
         'distances',
@@ -159,6 +162,9 @@
         self.fair_sharing = _fair_sharing.FairSharing(
             loop, self.peers, self.fleet, log, cfg.instance
         )
+        self.call_gate = _call_gate.CallGate(
+            loop, self.fleet, self.fair_sharing, self.metrics.registry
+        )
         self.active = 0
         self.stop_began_at = None
         self._stop_at = None
@@ -215,6 +221,7 @@
         self._key_sharing.close()
         self.usage.close()
         self.fair_sharing.close()
+        self.call_gate.close()
         self._speeds.close()
         self.peers.close()
         self.fleet.close()
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -86,17 +86,26 @@
         urgency = 0
         if priority is not None:
             urgency = (priority > usual) - (priority < usual)
-        return self._gateway.fair_sharing.standing(self._req.team, urgency)
+        return self._gateway.fair_sharing.standing(
+            self._service, self._req.team, urgency
+        )
 
     def _count_shortage(self, placement):
         """Counts once if the request must wait or is refused."""
         if self._shortage_counted:
             return
         self._shortage_counted = True
+        sharing, req = self._gateway.fair_sharing, self._req
         if placement is None:
-            self._gateway.fair_sharing.record_refused(self._req.team)
-        elif placement.priority_class is dispatch.PriorityClass.BACKGROUND:
-            self._gateway.fair_sharing.record_delayed(self._req.team)
+            sharing.record_refused(self._service, req.team, req.id)
+            return
+        background = dispatch.PriorityClass.BACKGROUND
+        sharing.record_served(
+            self._service,
+            req.team,
+            req.id,
+            delayed=placement.priority_class is background,
+        )
 
     def _serves(self, choice):
         """Tells whether the engines of a Placement accept requests."""
--- a/dandelionwinch/gateway/_share_link.py
+++ b/dandelionwinch/gateway/_share_link.py
@@ -1,13 +1,18 @@
 """Messages by which instances share capacity fairly between teams.
 
-    ["shares", token, [[team, ratio], ...]]
-    ["unserved", age, [[team, delayed, refused], ...]]
-
-"shares" goes from the holder of the duties to all instances: the teams that
-want more than their share, and which part of their requests is beyond it. The
-token is the holder's fencing token. "unserved" goes to the holder: numbers of
-requests in a period of the given length in seconds. Datagrams of unknown
-senders are dropped.
+    ["shares", service, token, [capacity, demand, level],
+        [[team, ratio, part], ...]]
+    ["unserved", service, period, [[team, served, delayed, refused], ...]]
+
+"shares" goes from the holder of the duties to all instances: for one service
+the requests a second that were served in time, those that were asked for, and
+the share of a team that wants more (null if there is none); the teams that
+want more than their share, which part of their requests is beyond it, and
+their share as a part of the capacity. The token is the holder's fencing
+token. "unserved" goes to the holder while requests of the service are not
+served in time: numbers of requests in a period of the given length in
+seconds. Datagrams of unknown senders, and those of versions that name no
+service, are dropped.
 """
 
 import math
@@ -15,8 +20,11 @@
 from dandelionwinch import limits
 
 ROWS_PER_DATAGRAM = 20
+# Datagrams of one instance for one service in a period.
+MAX_DATAGRAMS = 8
 MAX_NAME_CHARS = 128
 MAX_COUNT = 1 << 20
+MAX_RATE_PER_S = 1 << 30
 MAX_PERIOD_S = 60.0
 
 
@@ -25,8 +33,8 @@
 
     Args:
         link: PeerLink.
-        receiver: Object with `take_shares(token, excesses, sender)` and
-            `take_unserved(period_s, rows, sender)`.
+        receiver: Object with `take_shares(service, token, shares, sender)`
+            and `take_unserved(service, period_s, rows)`.
     """
 
     __slots__ = ('_link', '_receiver')
@@ -42,51 +50,77 @@
         """Returns the address of each other instance, by its name."""
         return self._link.peers
 
-    def send_shares(self, token, excesses):
-        """Tells all instances which teams want more than their share."""
-        rows = [[e.team, round(e.ratio, 3)] for e in excesses]
-        message = ['shares', token, rows[:ROWS_PER_DATAGRAM]]
+    def send_shares(self, service, token, shares):
+        """Tells all instances the Shares of a service."""
+        rates = [_rounded(shares.capacity), _rounded(shares.demand)]
+        rates.append(_rounded(shares.level))
+        rows = [
+            [e.team, round(e.ratio, 3), float(f'{e.part:.3g}')]
+            for e in shares.excesses
+        ]
+        message = ['shares', service, token, rates, rows[:ROWS_PER_DATAGRAM]]
         self._link.send_all(message, list(self._link.peers.values()))
 
-    def send_unserved(self, period_s, rows, addr):
-        """Tells the holder what was not served in time.
+    def send_unserved(self, service, period_s, rows, addr):
+        """Tells the holder how many requests were served, and how.
 
         Args:
+            service: Name of the service.
             period_s: Length of the period in seconds.
-            rows: Tuples of team, delayed and refused requests.
+            rows: Tuples of team, served, delayed and refused requests.
             addr: Address of the holder.
         """
-        rows = [list(row) for row in rows[:ROWS_PER_DATAGRAM]]
-        self._link.send(['unserved', round(period_s, 3), rows], addr)
+        rows = [list(row) for row in rows[: MAX_DATAGRAMS * ROWS_PER_DATAGRAM]]
+        for begin in range(0, len(rows), ROWS_PER_DATAGRAM):
+            part = rows[begin : begin + ROWS_PER_DATAGRAM]
+            message = ['unserved', service, round(period_s, 3), part]
+            self._link.send(message, addr)
 
     def _take_shares(self, items, addr):
         sender = self._link.name_of(addr)
-        token, rows = items
+        service, token, (capacity, demand, level), rows = items
         if type(token) is not int or token < 0:
             raise ValueError('not a fencing token')
-        excesses = [_read_excess(*row) for row in _checked_rows(rows)]
-        self._receiver.take_shares(token, excesses, sender)
+        shares = limits.Shares(
+            _checked_rate(capacity),
+            _checked_rate(demand),
+            math.inf if level is None else _checked_rate(level),
+            tuple(_read_excess(*row) for row in _checked_rows(rows)),
+        )
+        if shares.excesses and not shares.capacity:
+            raise ValueError('shares without a capacity')
+        self._receiver.take_shares(
+            _checked_name(service), token, shares, sender
+        )
 
     def _take_unserved(self, items, addr):
-        sender = self._link.name_of(addr)
-        period_s, rows = items
+        self._link.name_of(addr)
+        service, period_s, rows = items
         if not 0 < _checked(period_s) <= MAX_PERIOD_S:
             raise ValueError(f'period {period_s!r}')
         rows = [_read_counts(*row) for row in _checked_rows(rows)]
-        self._receiver.take_unserved(float(period_s), rows, sender)
+        self._receiver.take_unserved(
+            _checked_name(service), float(period_s), rows
+        )
+
+
+def _rounded(rate):
+    """Returns a rate with four digits, None if it is infinite."""
+    return float(f'{rate:.4g}') if math.isfinite(rate) else None
 
 
-def _read_excess(team, ratio):
-    if not 0 <= _checked(ratio) <= 1:
-        raise ValueError(f'ratio {ratio!r}')
-    return limits.Excess(_checked_name(team), float(ratio))
+def _read_excess(team, ratio, part):
+    for number in (ratio, part):
+        if not 0 <= _checked(number) <= 1:
+            raise ValueError(f'not a part: {number!r}')
+    return limits.Excess(_checked_name(team), float(ratio), float(part))
 
 
-def _read_counts(team, delayed, refused):
-    for count in (delayed, refused):
+def _read_counts(team, served, delayed, refused):
+    for count in (served, delayed, refused):
         if type(count) is not int or not 0 <= count <= MAX_COUNT:
             raise ValueError('not a number of requests')
-    return _checked_name(team), delayed, refused
+    return _checked_name(team), served, delayed, refused
 
 
 def _checked_rows(rows):
@@ -95,10 +129,16 @@
     return rows
 
 
-def _checked_name(team):
-    if not isinstance(team, str) or not 0 < len(team) <= MAX_NAME_CHARS:
-        raise ValueError('not the name of a team')
-    return team
+def _checked_name(name):
+    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_CHARS:
+        raise ValueError('not the name of a team or a service')
+    return name
+
+
+def _checked_rate(rate):
+    if not 0 <= _checked(rate) <= MAX_RATE_PER_S:
+        raise ValueError(f'rate {rate!r}')
+    return float(rate)
 
 
 def _checked(number):
--- a/dandelionwinch/limits/_call_queue.py
+++ b/dandelionwinch/limits/_call_queue.py
@@ -238,6 +238,12 @@
             self._credit_at = now
         self._refill(now)
         self._limit = limit
+        self._credit = min(self._credit, max(1.0, limit))
+
+    def lift_limit(self):
+        """Lets all waiting calls be sent, as no team is above its share."""
+        self._limit = math.inf
+        self._credit = math.inf
 
     def offer(self, call, now):
         """Decides on a call that arrives.
@@ -341,7 +347,7 @@
 
     def _has_room(self, now):
         self._refill(now)
-        free = len(self._in_flight) < math.ceil(self._limit)
+        free = len(self._in_flight) < self._limit
         return free and self._credit > 1.0 - 1e-6
 
     def _next_at(self, now):
@@ -349,7 +355,7 @@
             return None
         expiry = min(call.deadline for call in self._order)
         next_at = expiry - self._longest_s() + 1e-4
-        if len(self._in_flight) < math.ceil(self._limit):
+        if len(self._in_flight) < self._limit:
             wait_s = (1.0 - self._credit) / self._rate_per_s()
             next_at = min(next_at, now + wait_s)
         return max(now, next_at)
