--- a/dandelionwinch/gateway/_final_response.py
+++ b/dandelionwinch/gateway/_final_response.py
@@ -90,8 +90,10 @@
         if hold is not None:
             least_s = max(0.0, hold.ends_at() - now)
         else:
-            back_s = self._gateway.fleet.back_in_s(
-                self._state.service, in_time, now
-            )
+            back_s = self._state.return_s
+            if back_s is None:
+                back_s = self._gateway.fleet.back_in_s(
+                    self._state.service, in_time, now
+                )
             least_s = max(MIN_RETRY_AFTER_S, back_s or 0.0)
         return least_s + self._gateway.rng.random() * RETRY_AFTER_JITTER_S
--- a/dandelionwinch/gateway/_request_state.py
+++ b/dandelionwinch/gateway/_request_state.py
@@ -25,6 +25,8 @@
         unavailable: Ids of upstreams that it could not be sent to; neither
             are tried again.
         sent_count: Requests sent for a response, and failed prefills.
+        return_s: Seconds after which there is room for the request, None if
+            nothing was found about it.
         error_response: The last complete error response, or None.
         streaming: Whether the caller has the head of a stream.
         outcome: Outcome of the request for the log and the metrics.
@@ -43,6 +45,7 @@
     tried: set = attrs.Factory(set)
     unavailable: set = attrs.Factory(set)
     sent_count: int = 0
+    return_s: float | None = None
     error_response: object = None
     streaming: bool = False
     outcome: str = ''
