--- a/dandelionwinch/soak/_caller.py
+++ b/dandelionwinch/soak/_caller.py
@@ -82,10 +82,18 @@
         observations: Observations that all callers share.
         rng: Random generator of this caller.
         poison: The Poison of the soak.
+        teams: The Teams of the soak, or None.
     """
 
     def __init__(
-        self, name, directories, frontends, observations, rng, poison
+        self,
+        name,
+        directories,
+        frontends,
+        observations,
+        rng,
+        poison,
+        teams=None,
     ):
         self._name = name
         self._directories = directories
@@ -93,6 +101,7 @@
         self._observations = observations
         self._rng = rng
         self._poison = poison
+        self._teams = teams
         self._addresses = []
         self._resolved_at = float('-inf')
         self._conn = None
@@ -124,6 +133,7 @@
             if status == 0:
                 self._disconnect()
             self._observations.record(request_id, status)
+            self._end_use(request_id, status)
             if parts or request_id in self._poison.part_of:
                 self._poison.outcomes.append(
                     _poison.Outcome(request_id, sent_at, status)
@@ -151,16 +161,24 @@
             return
         self._disconnect()
         stream = _Stream(request_id, events)
+        again_id = f'{request_id}-again'
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 status = await self._send_request(
-                    kind, f'{request_id}-again', parts, stream
+                    kind, again_id, parts, stream
                 )
         except (OSError, asyncio.IncompleteReadError, _Broken):
             status = 0
+        self._end_use(again_id, status)
         counts = self._observations.taken_up
         counts[status] = counts.get(status, 0) + 1
 
+    def _end_use(self, request_id, status):
+        """Records the end of a request with a key, if it was sent."""
+        if self._teams is not None and request_id in self._teams.uses:
+            now = asyncio.get_running_loop().time()
+            self._teams.answered(request_id, status, now)
+
     def _disconnect(self):
         if self._conn is not None:
             self._conn[1].close()
@@ -172,8 +190,13 @@
         reader, writer = self._conn
         self._observations.sent_to[request_id] = self._instance
         more = samples.prompt_headers(parts) if parts else []
+        began_as = None
         if stream is not None:
-            more += samples.resumption(stream.began_as, len(stream.events))
+            began_as = stream.began_as
+            more += samples.resumption(began_as, len(stream.events))
+        if self._teams is not None:
+            now = asyncio.get_running_loop().time()
+            more += self._teams.headers(request_id, now, began_as)
         writer.write(samples.request(self._path, request_id, more=more))
         status, headers, body = await _read_response(reader)
         if headers.get('connection') == 'close':
--- a/dandelionwinch/soak/_checks.py
+++ b/dandelionwinch/soak/_checks.py
@@ -52,6 +52,7 @@
         executions: ExecutionLog of the upstreams.
         poison: Poison.
         limits: Limits.
+        teams: Teams, None without teams.
         folder: Folder with the logs.
         instances: The Instances; more may be added.
 
@@ -75,16 +76,25 @@
         'limits',
         'observations',
         'poison',
+        'teams',
         'unix_offset_s',
     )
 
     def __init__(
-        self, observations, executions, poison, limits, folder, instances
+        self,
+        observations,
+        executions,
+        poison,
+        limits,
+        teams,
+        folder,
+        instances,
     ):
         self.observations = observations
         self.executions = executions
         self.poison = poison
         self.limits = limits
+        self.teams = teams
         self.folder = folder
         self.instances = instances
         self.cut_offs = []
@@ -276,5 +286,26 @@
             self.observations.sent_to,
             self._interrupted,
         )
+        broken += self._check_teams()
         broken += self._check_logs()
         return broken
+
+    def _check_teams(self):
+        if self.teams is None:
+            return []
+        stops = [
+            (sent.frontend, sent.at)
+            for sent in self.poison.signals
+            if sent.kind == 'pause'
+        ]
+        logs = {
+            path.name: path.read_text(errors='replace')
+            for path in sorted(self.folder.glob('*.log'))
+        }
+        return self.teams.violations(
+            self.executions.arrivals,
+            self.executions.identities,
+            self.observations.sent_to,
+            stops,
+            logs,
+        )
--- /dev/null
+++ b/dandelionwinch/soak/_plan.py
@@ -0,0 +1,39 @@
+"""What one run of the soak has besides the faults of all runs."""
+
+import attrs
+
+from dandelionwinch.soak import _limits
+from dandelionwinch.soak import _poison
+from dandelionwinch.soak import _teams
+
+
+@attrs.frozen
+class Plan:
+    """The parts of one run, each drawn by itself from the seed.
+
+    Attributes:
+        parts: The poison Parts.
+        limits: The Limits.
+        teams: The plan of the teams, None without teams.
+    """
+
+    parts: tuple = ()
+    limits: tuple = ()
+    teams: object = None
+
+
+NONE = Plan()
+
+
+def plan(seed, for_s):
+    """Returns the Plan of a run.
+
+    Args:
+        seed: Seed of the run.
+        for_s: Seconds for which faults are injected.
+    """
+    return Plan(
+        tuple(_poison.plan(seed, for_s)),
+        tuple(_limits.plan(seed, for_s)),
+        _teams.plan(seed, for_s),
+    )
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -12,22 +12,27 @@
 import attrs
 
 from dandelionwinch.platform import samples
-from dandelionwinch import routes
 from dandelionwinch.soak import _caller
 from dandelionwinch.soak import _checks
+from dandelionwinch.soak import _configuration
+from dandelionwinch.soak import _fleet
 from dandelionwinch.soak import _limits
+from dandelionwinch.soak import _plan
 from dandelionwinch.soak import _poison
 from dandelionwinch.soak import _process
 from dandelionwinch.soak import _proxy
+from dandelionwinch.soak import _signals
+from dandelionwinch.soak import _teams
 from dandelionwinch.soak import _upstream
 from dandelionwinch.standins import kvstore
+from dandelionwinch.standins import settings_text
 from dandelionwinch import utils
 
 # Time without faults before responses are counted, and then the time for
 # which they are, to check that most requests are served again.
 RECOVERY_S = 6.0
-# Time for which an instance may drain after SIGTERM before it is killed.
-GRACE_S = 4
+# Time out of contact after which an instance refuses keys, if it must.
+REVOKE_S = 4.0
 # Retries allowed beside the retry ratio, over all instances.
 RETRY_SLACK = 200
 FAULTS = (
@@ -42,7 +47,6 @@
     'config',
     'copy',
 )
-SOFTWARE_VERSIONS = ('v1', 'v2')
 # Time between two copies of the store, and how many of them are kept.
 COPY_INTERVAL_S = 1.0
 COPIES = 4
@@ -75,16 +79,24 @@
     broken: list
 
 
+def _now():
+    return asyncio.get_running_loop().time()
+
+
 class _Soak:
     """The processes, links and records of one soak."""
 
-    def __init__(self, seed, instances, callers, folder, parts=(), limits=()):
+    def __init__(self, seed, instances, callers, folder, plan=_plan.NONE):
         self._rng = random.Random(seed)
+        self._plan = plan
         # Its draws leave those of the other faults as they are.
         poison_rng = random.Random(f'poison requests {seed}')
-        self._poison = _poison.Poison(list(parts), poison_rng)
+        self._poison = _poison.Poison(list(plan.parts), poison_rng)
         limits_rng = random.Random(f'limited upstreams {seed}')
-        self._limits = _limits.Limits(list(limits), limits_rng)
+        self._limits = _limits.Limits(list(plan.limits), limits_rng)
+        self._teams = None
+        if plan.teams is not None:
+            self._teams = _teams.Teams(random.Random(f'keys {seed}'))
         self._seed = seed
         self._instance_count = instances
         self._caller_count = callers
@@ -99,18 +111,36 @@
         self._lock, self._block = _process.reserve_address_block()
         self._tasks = set()
         self._restarts = set()
-        self._config_version = 1
-        self._next_upstream = 0
-        self._upstreams = []
+        self._configuration = _configuration.Configuration(
+            self._store, self._teams, _now
+        )
+        self._fleet = _fleet.Fleet(
+            self._store,
+            self._rng,
+            self._executions,
+            self._poison,
+            self._limits,
+            self._add_proxy,
+            self._spawn,
+            self._record_fault,
+        )
         self._instances = []
         self._checks = _checks.Checks(
             self._observations,
             self._executions,
             self._poison,
             self._limits,
+            self._teams,
             self._folder,
             self._instances,
         )
+        self._signals = _signals.Signals(
+            self._rng,
+            self._checks,
+            self._poison,
+            self._spawn,
+            self._spawn_restart,
+        )
         self._proxies = {'store': [], 'upstream': [], 'caller': []}
         self._frontends = {}
         self._store_changed = asyncio.Event()
@@ -127,8 +157,8 @@
 
     async def _run_phases(self, for_s):
         for _n in range(4):
-            await self._add_upstream()
-        self._write_config()
+            await self._fleet.add()
+        self._configuration.write_first()
         directories = await self._start_instances()
         await self._wait_until_registered()
         self._spawn(self._copy_store())
@@ -141,6 +171,7 @@
                 self._observations,
                 rng,
                 self._poison,
+                self._teams,
             )
             self._spawn(caller.run())
         loop = asyncio.get_running_loop()
@@ -149,6 +180,7 @@
         self._poison.started_at = self._started_at
         self._begin_poison()
         self._begin_limits()
+        self._begin_teams()
         until = self._started_at + for_s
         while loop.time() < until:
             await asyncio.sleep(self._rng.uniform(0.2, 1.2))
@@ -157,14 +189,23 @@
 
     def _begin_poison(self):
         for part in self._poison.parts:
-            self._faults['poison'] = self._faults.get('poison', 0) + 1
-            self._record_fault('poison', f'{part.name} {part.spans}')
+            self._count_fault('poison', f'{part.name} {part.spans}')
 
     def _begin_limits(self):
         for limit in self._limits.limits:
-            self._faults['limit'] = self._faults.get('limit', 0) + 1
-            self._record_fault('limit', f'{limit.rate_per_s:g} a second')
-            self._spawn(self._limits.state(limit, self._upstreams))
+            self._count_fault('limit', f'{limit.rate_per_s:g} a second')
+            self._spawn(self._limits.state(limit, self._fleet.upstreams))
+
+    def _begin_teams(self):
+        if self._teams is None:
+            return
+        self._spawn(
+            self._teams.run(
+                self._plan.teams.revoke_at_s,
+                self._configuration.write_next,
+                self._count_fault,
+            )
+        )
 
     async def _wait_until_registered(self):
         """Waits until all instances are registered in the store."""
@@ -217,11 +258,11 @@
                 callers_port=ports[0],
                 readiness_port=ports[1],
                 directory_port=ports[2],
-                grace_s=GRACE_S,
+                grace_s=_signals.GRACE_S,
                 retry_slack=RETRY_SLACK,
                 store=proxy.address,
             )
-            path.write_text(text)
+            path.write_text(self._add_settings(text))
             log_path = self._folder / f'{name}.log'
             instance = _process.Instance(name, frontend, path, log_path)
             await instance.start()
@@ -229,111 +270,39 @@
             directories.append(f'{ip}:{ports[2]}')
         return directories
 
+    def _add_settings(self, text):
+        """Returns a settings file with what the plan of the run needs."""
+        if self._teams is not None and self._plan.teams.strict:
+            return settings_text.strict_revocation(text, REVOKE_S)
+        return text
+
     async def _add_proxy(self, link, address):
         proxy = _proxy.Proxy(address)
         await proxy.start()
         self._proxies[link].append(proxy)
         return proxy
 
-    async def _add_upstream(self):
-        self._next_upstream += 1
-        rng = random.Random(self._rng.random())
-        upstream = _upstream.SoakUpstream(
-            f'u-{self._next_upstream}',
-            rng.choice(SOFTWARE_VERSIONS),
-            self._executions,
-            rng,
-            self._poison,
-            self._limits,
-        )
-        upstream.on_crash = self._crash_upstream
-        await upstream.start()
-        upstream.proxy = await self._add_proxy('upstream', upstream.address)
-        upstream.proxy.name = upstream.id
-        self._upstreams.append(upstream)
-        self._write_entry(upstream, 'ready')
-
-    def _crash_upstream(self, upstream, part):
-        """Makes a crash visible through the proxy; the upstream returns."""
-        now = asyncio.get_running_loop().time()
-        part.crashes.append(now)
-        self._record_fault(f'crash {part.name}', upstream.id)
-        upstream.proxy.refuse()
-        self._spawn(self._lapse(upstream))
-        if upstream in self._upstreams:
-            # One that leaves does not come back.
-            self._upstreams.remove(upstream)
-            self._spawn(self._return_upstream())
-
-    async def _lapse(self, upstream):
-        await asyncio.sleep(_poison.ENTRY_LAPSE_S)
-        self._store.remove(samples.entry_key(upstream.id))
-
-    async def _return_upstream(self):
-        await asyncio.sleep(self._poison.down_s())
-        await self._add_upstream()
-
-    def _write_entry(self, upstream, state):
-        entry = samples.entry(
-            address=upstream.proxy.address,
-            state=state,
-            version=upstream.version,
-        )
-        self._store.write(samples.entry_key(upstream.id), entry)
-
-    def _write_config(self):
-        route_list = [
-            samples.route_of('once', routes.RetryPolicy.ONCE),
-            samples.route_of(
-                'safe', routes.RetryPolicy.IDEMPOTENT, attempts=2
-            ),
-            samples.route_of(
-                'resume',
-                routes.RetryPolicy.RESUMABLE,
-                streaming=True,
-                attempts=2,
-            ),
-        ]
-        value = samples.config(
-            self._config_version, route_list, [samples.service()]
-        )
-        self._store.write(samples.CONFIG_KEY, value)
-
     def _record_fault(self, fault, target):
         at = asyncio.get_running_loop().time() - self._started_at
         self._timeline.append(f'{at:.2f} {fault} {target}')
 
-    async def _inject_fault(self, fault):
+    def _count_fault(self, fault, target):
         self._faults[fault] = self._faults.get(fault, 0) + 1
+        self._record_fault(fault, target)
+
+    async def _inject_fault(self, fault):
         instance = self._rng.choice(self._instances)
-        self._record_fault(fault, instance.name)
-        if fault in ('kill', 'term', 'pause'):
-            self._checks.record_interruption(instance.frontend)
-            now = asyncio.get_running_loop().time()
-            self._poison.signals.append(
-                _poison.Signal(instance.frontend, now, fault)
-            )
+        self._count_fault(fault, instance.name)
         match fault:
-            case 'kill':
-                self._checks.record_disturbed(instance.frontend, 0.0)
-                instance.send_signal(signal.SIGKILL)
-                self._spawn_restart(instance.restart())
-            case 'term':
-                instance.send_signal(signal.SIGTERM)
-                self._spawn_restart(self._finish_stop(instance))
-            case 'hup':
-                instance.send_signal(signal.SIGHUP)
-            case 'pause':
-                instance.send_signal(signal.SIGSTOP)
-                self._spawn(self._resume_later(instance))
+            case 'kill' | 'term' | 'hup' | 'pause':
+                self._signals.send(fault, instance)
             case 'store' | 'upstream' | 'caller':
                 proxy = self._rng.choice(self._proxies[fault])
                 self._spawn(self._disturb_link(proxy))
             case 'leave':
-                await self._replace_upstream()
+                await self._fleet.replace()
             case 'config':
-                self._config_version += self._rng.randint(1, 3)
-                self._write_config()
+                self._configuration.write_next(self._rng.randint(1, 3))
             case 'copy':
                 self._spawn(self._restore_store())
 
@@ -354,31 +323,13 @@
             self._store.go_away()
             await asyncio.sleep(self._rng.uniform(0.1, 1.0))
             self._store.come_back(self._copies[0])
+            self._configuration.store_changed()
             await asyncio.sleep(self._rng.uniform(0.1, 1.5))
         self._store.write_again()
+        self._configuration.store_changed()
         for cut_off in cut_offs:
             cut_off.end = asyncio.get_running_loop().time()
 
-    async def _finish_stop(self, instance):
-        process = instance.process
-        try:
-            async with asyncio.timeout(GRACE_S):
-                await process.wait()
-        except TimeoutError:
-            # It is killed as on the platform; a graceful stop is shorter.
-            instance.send_signal(signal.SIGKILL)
-        await instance.restart()
-
-    async def _resume_later(self, instance):
-        process = instance.process
-        cut_off = self._checks.begin_cut_off(instance.frontend)
-        pause_s = self._rng.uniform(0.5, 4.0)
-        self._checks.record_disturbed(instance.frontend, pause_s)
-        await asyncio.sleep(pause_s)
-        cut_off.end = asyncio.get_running_loop().time()
-        if process.returncode is None:
-            process.send_signal(signal.SIGCONT)
-
     async def _disturb_link(self, proxy):
         modes = [m for m in _proxy.Mode if m is not _proxy.Mode.PASS]
         mode = self._rng.choice(modes)
@@ -394,30 +345,6 @@
         proxy.set_mode(_proxy.Mode.PASS)
         cut_off.end = asyncio.get_running_loop().time()
 
-    async def _replace_upstream(self):
-        await self._add_upstream()
-        leaving = self._upstreams.pop(0)
-        match self._rng.choice(('draining', 'removed', 'announced')):
-            case 'draining':
-                self._write_entry(leaving, 'draining')
-            case 'removed':
-                self._store.remove(samples.entry_key(leaving.id))
-            case 'announced':
-                # Its entry says that it is ready until it is removed.
-                leaving.announces = True
-        self._spawn(self._withdraw_upstream(leaving))
-
-    async def _withdraw_upstream(self, leaving):
-        loop = asyncio.get_running_loop()
-        withdrawn_at = loop.time()
-        await asyncio.sleep(_upstream.DRAIN_S / 2)
-        self._store.remove(samples.entry_key(leaving.id))
-        leaving.withdrawn_at = withdrawn_at
-        await asyncio.sleep(_upstream.DRAIN_S)
-        # The port of the upstream may go to another process.
-        leaving.proxy.refuse()
-        leaving.close()
-
     async def _check_recovery(self):
         """Checks that most requests are served some time after all faults."""
         for proxy in self._all_proxies():
@@ -445,8 +372,7 @@
             await instance.process.wait()
         for proxy in self._all_proxies():
             await proxy.close()
-        for upstream in self._upstreams:
-            upstream.close()
+        self._fleet.close()
         self._store.close()
         self._lock.close()
 
@@ -489,7 +415,6 @@
     with contextlib.ExitStack() as stack:
         if folder is None:
             folder = stack.enter_context(tempfile.TemporaryDirectory())
-        parts = _poison.plan(seed, for_s)
-        limits = _limits.plan(seed, for_s)
-        soak = _Soak(seed, instances, callers, folder, parts, limits)
+        plan = _plan.plan(seed, for_s)
+        soak = _Soak(seed, instances, callers, folder, plan)
         return asyncio.run(soak.run(for_s))
--- a/dandelionwinch/soak/_upstream.py
+++ b/dandelionwinch/soak/_upstream.py
@@ -21,6 +21,7 @@
 FAULTS = ('lose', 'refuse', 'truncate', 'extra', 'close_framed', 'endless')
 # What is sent again and again by `endless`.
 FILLER = b'a' * 16384
+KEY_HEADER = samples.key_header('')[0].lower()
 # Refusals that ask for a pause, rare enough that an instance seldom has no
 # upstream left, and the length of the pause.
 PAUSE_PROBABILITY = 0.003
@@ -67,6 +68,8 @@
         announced: Upstream that announced its shutdown in the response to
             a request, by request id.
         pauses: The Pauses that upstreams asked for.
+        identities: Request id, name of the team, '' for none, and whether
+            there was a key, of each request that arrived.
     """
 
     arrived: set = attrs.Factory(set)
@@ -75,6 +78,7 @@
     arrivals: list = attrs.Factory(list)
     announced: dict = attrs.Factory(dict)
     pauses: list = attrs.Factory(list)
+    identities: list = attrs.Factory(list)
 
     def record_run(self, request_id):
         """Records an execution."""
@@ -190,6 +194,13 @@
             writer.write(samples.refusal('421 Misdirected Request'))
             return True
         self._record_arrival(request_id)
+        self._executions.identities.append(
+            (
+                request_id,
+                headers.get(samples.TEAM, ''),
+                KEY_HEADER in headers,
+            )
+        )
         fault = self._choose_fault()
         if fault == 'refuse':
             writer.write(samples.refusal(more=self._more(request_id)))
