--- a/dandelionwinch/soak/_checks.py
+++ b/dandelionwinch/soak/_checks.py
@@ -53,6 +53,7 @@
         poison: Poison.
         limits: Limits.
         teams: Teams, None without teams.
+        duties: Duties, None without duties.
         folder: Folder with the logs.
         instances: The Instances; more may be added.
 
@@ -69,6 +70,7 @@
     __slots__ = (
         'cut_offs',
         'disturbed',
+        'duties',
         'executions',
         'folder',
         'instances',
@@ -87,6 +89,7 @@
         poison,
         limits,
         teams,
+        duties,
         folder,
         instances,
     ):
@@ -95,6 +98,7 @@
         self.poison = poison
         self.limits = limits
         self.teams = teams
+        self.duties = duties
         self.folder = folder
         self.instances = instances
         self.cut_offs = []
@@ -287,6 +291,9 @@
             self._interrupted,
         )
         broken += self._check_teams()
+        if self.duties is not None:
+            begun = self.executions.begun.values()
+            broken += self.duties.violations(begun)
         broken += self._check_logs()
         return broken
 
--- a/dandelionwinch/soak/_plan.py
+++ b/dandelionwinch/soak/_plan.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from dandelionwinch.soak import _duties
 from dandelionwinch.soak import _limits
 from dandelionwinch.soak import _poison
 from dandelionwinch.soak import _teams
@@ -15,11 +16,13 @@
         parts: The poison Parts.
         limits: The Limits.
         teams: The plan of the teams, None without teams.
+        duties: The faults of the API of duties, None without duties.
     """
 
     parts: tuple = ()
     limits: tuple = ()
     teams: object = None
+    duties: object = None
 
 
 NONE = Plan()
@@ -32,8 +35,13 @@
         seed: Seed of the run.
         for_s: Seconds for which faults are injected.
     """
+    teams = _teams.plan(seed, for_s)
+    duties = _duties.plan(seed, for_s)
+    if duties is not None and teams is None:
+        teams = _teams.UNCHANGED
     return Plan(
         tuple(_poison.plan(seed, for_s)),
         tuple(_limits.plan(seed, for_s)),
-        _teams.plan(seed, for_s),
+        teams,
+        duties,
     )
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -1,7 +1,6 @@
 """One soak: starts the processes, injects faults and checks the results."""
 
 import asyncio
-import collections
 import contextlib
 import pathlib
 import random
@@ -15,12 +14,14 @@
 from dandelionwinch.soak import _caller
 from dandelionwinch.soak import _checks
 from dandelionwinch.soak import _configuration
+from dandelionwinch.soak import _duties
 from dandelionwinch.soak import _fleet
 from dandelionwinch.soak import _limits
+from dandelionwinch.soak import _links
 from dandelionwinch.soak import _plan
 from dandelionwinch.soak import _poison
 from dandelionwinch.soak import _process
-from dandelionwinch.soak import _proxy
+from dandelionwinch.soak import _restores
 from dandelionwinch.soak import _signals
 from dandelionwinch.soak import _teams
 from dandelionwinch.soak import _upstream
@@ -47,9 +48,6 @@
     'config',
     'copy',
 )
-# Time between two copies of the store, and how many of them are kept.
-COPY_INTERVAL_S = 1.0
-COPIES = 4
 START_TIMEOUT_S = 120.0
 INSTANCE_PREFIX = 'dandelionwinch/instances/'
 THREADS_PER_INSTANCE = 2
@@ -97,6 +95,11 @@
         self._teams = None
         if plan.teams is not None:
             self._teams = _teams.Teams(random.Random(f'keys {seed}'))
+        self._duties = None
+        if plan.duties is not None:
+            self._duties = _duties.Duties(
+                plan.duties, _now, lambda: self._checks.unix_offset_s
+            )
         self._seed = seed
         self._instance_count = instances
         self._caller_count = callers
@@ -114,16 +117,6 @@
         self._configuration = _configuration.Configuration(
             self._store, self._teams, _now
         )
-        self._fleet = _fleet.Fleet(
-            self._store,
-            self._rng,
-            self._executions,
-            self._poison,
-            self._limits,
-            self._add_proxy,
-            self._spawn,
-            self._record_fault,
-        )
         self._instances = []
         self._checks = _checks.Checks(
             self._observations,
@@ -131,9 +124,21 @@
             self._poison,
             self._limits,
             self._teams,
+            self._duties,
             self._folder,
             self._instances,
         )
+        self._links = _links.Links(self._rng, self._checks, self._record_fault)
+        self._fleet = _fleet.Fleet(
+            self._store,
+            self._rng,
+            self._executions,
+            self._poison,
+            self._limits,
+            self._links.add,
+            self._spawn,
+            self._record_fault,
+        )
         self._signals = _signals.Signals(
             self._rng,
             self._checks,
@@ -141,14 +146,20 @@
             self._spawn,
             self._spawn_restart,
         )
-        self._proxies = {'store': [], 'upstream': [], 'caller': []}
-        self._frontends = {}
         self._store_changed = asyncio.Event()
-        self._copies = collections.deque(maxlen=COPIES)
+        self._restores = _restores.Restores(
+            self._store,
+            self._rng,
+            self._checks,
+            self._links.frontends,
+            self._configuration,
+        )
 
     async def run(self, for_s):
         """Runs the soak and returns its Result."""
         self._store.start()
+        if self._duties is not None:
+            self._duties.api.start()
         try:
             await self._run_phases(for_s)
         finally:
@@ -161,13 +172,13 @@
         self._configuration.write_first()
         directories = await self._start_instances()
         await self._wait_until_registered()
-        self._spawn(self._copy_store())
+        self._spawn(self._restores.copy())
         for number in range(self._caller_count):
             rng = random.Random(self._rng.random())
             caller = _caller.Caller(
                 number,
                 directories,
-                self._frontends,
+                self._links.frontends,
                 self._observations,
                 rng,
                 self._poison,
@@ -185,7 +196,10 @@
         while loop.time() < until:
             await asyncio.sleep(self._rng.uniform(0.2, 1.2))
             await self._inject_fault(self._rng.choice(FAULTS))
+        ended_at = loop.time()
         await self._check_recovery()
+        if self._duties is not None:
+            await self._duties.await_reports(ended_at)
 
     def _begin_poison(self):
         for part in self._poison.parts:
@@ -197,15 +211,16 @@
             self._spawn(self._limits.state(limit, self._fleet.upstreams))
 
     def _begin_teams(self):
-        if self._teams is None:
-            return
-        self._spawn(
-            self._teams.run(
-                self._plan.teams.revoke_at_s,
-                self._configuration.write_next,
-                self._count_fault,
+        if self._teams is not None:
+            self._spawn(
+                self._teams.run(
+                    self._plan.teams.revoke_at_s,
+                    self._configuration.write_next,
+                    self._count_fault,
+                )
             )
-        )
+        if self._duties is not None:
+            self._spawn(self._duties.run(self._count_fault))
 
     async def _wait_until_registered(self):
         """Waits until all instances are registered in the store."""
@@ -244,12 +259,12 @@
         directories = []
         for number in range(self._instance_count):
             ip = f'127.{self._block}.{number // 200}.{10 + number % 200}'
-            proxy = await self._add_proxy('store', self._store.address)
+            proxy = await self._links.add('store', self._store.address)
             frontend = f'{ip}:{ports[0]}'
             # Cut-offs of this link are matched by the frontend address.
             proxy.name = frontend
-            frontend_proxy = await self._add_proxy('caller', frontend)
-            self._frontends[frontend] = frontend_proxy.address
+            frontend_proxy = await self._links.add('caller', frontend)
+            self._links.frontends[frontend] = frontend_proxy.address
             name = f'i-{number}'
             path = self._folder / f'{name}.toml'
             text = samples.settings(
@@ -273,15 +288,11 @@
     def _add_settings(self, text):
         """Returns a settings file with what the plan of the run needs."""
         if self._teams is not None and self._plan.teams.strict:
-            return settings_text.strict_revocation(text, REVOKE_S)
+            text = settings_text.strict_revocation(text, REVOKE_S)
+        if self._duties is not None:
+            return self._duties.add_settings(text)
         return text
 
-    async def _add_proxy(self, link, address):
-        proxy = _proxy.Proxy(address)
-        await proxy.start()
-        self._proxies[link].append(proxy)
-        return proxy
-
     def _record_fault(self, fault, target):
         at = asyncio.get_running_loop().time() - self._started_at
         self._timeline.append(f'{at:.2f} {fault} {target}')
@@ -297,58 +308,18 @@
             case 'kill' | 'term' | 'hup' | 'pause':
                 self._signals.send(fault, instance)
             case 'store' | 'upstream' | 'caller':
-                proxy = self._rng.choice(self._proxies[fault])
-                self._spawn(self._disturb_link(proxy))
+                proxy = self._links.choose(fault)
+                self._spawn(self._links.disturb(proxy))
             case 'leave':
                 await self._fleet.replace()
             case 'config':
                 self._configuration.write_next(self._rng.randint(1, 3))
             case 'copy':
-                self._spawn(self._restore_store())
-
-    async def _copy_store(self):
-        while True:
-            self._copies.append(self._store.snapshot())
-            await asyncio.sleep(COPY_INTERVAL_S)
-
-    async def _restore_store(self):
-        """Restores the store from its oldest copy, at times twice.
-
-        What operators and upstreams wrote since is written again later.
-        """
-        cut_offs = [
-            self._checks.begin_cut_off(name) for name in self._frontends
-        ]
-        for _number in range(self._rng.randint(1, 2)):
-            self._store.go_away()
-            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
-            self._store.come_back(self._copies[0])
-            self._configuration.store_changed()
-            await asyncio.sleep(self._rng.uniform(0.1, 1.5))
-        self._store.write_again()
-        self._configuration.store_changed()
-        for cut_off in cut_offs:
-            cut_off.end = asyncio.get_running_loop().time()
-
-    async def _disturb_link(self, proxy):
-        modes = [m for m in _proxy.Mode if m is not _proxy.Mode.PASS]
-        mode = self._rng.choice(modes)
-        cut_off = self._checks.begin_cut_off(proxy.name)
-        self._checks.record_interruption(proxy.name)
-        self._record_fault(mode.value, proxy.name)
-        proxy.set_mode(mode)
-        span_s = self._rng.uniform(0.5, 3.0)
-        for frontend, address in self._frontends.items():
-            if address == proxy.address:
-                self._checks.record_disturbed(frontend, span_s)
-        await asyncio.sleep(span_s)
-        proxy.set_mode(_proxy.Mode.PASS)
-        cut_off.end = asyncio.get_running_loop().time()
+                self._spawn(self._restores.restore())
 
     async def _check_recovery(self):
         """Checks that most requests are served some time after all faults."""
-        for proxy in self._all_proxies():
-            proxy.set_mode(_proxy.Mode.PASS)
+        self._links.restore()
         await asyncio.sleep(RECOVERY_S)
         before = dict(self._observations.statuses)
         await asyncio.sleep(RECOVERY_S)
@@ -370,15 +341,13 @@
         self._kill_all()
         for instance in self._instances:
             await instance.process.wait()
-        for proxy in self._all_proxies():
-            await proxy.close()
+        await self._links.close()
         self._fleet.close()
         self._store.close()
+        if self._duties is not None:
+            self._duties.api.close()
         self._lock.close()
 
-    def _all_proxies(self):
-        return [proxy for group in self._proxies.values() for proxy in group]
-
     def _kill_all(self):
         for instance in self._instances:
             instance.stopped = True
--- a/dandelionwinch/soak/_teams.py
+++ b/dandelionwinch/soak/_teams.py
@@ -49,6 +49,10 @@
     strict: bool
 
 
+# Teams whose keys stay.
+UNCHANGED = Plan((), False)
+
+
 def plan(seed, for_s):
     """Returns the Plan of a run, None in some of the runs.
 
@@ -59,11 +63,6 @@
     rng = random.Random(f'{seed} teams')
     if for_s < MIN_RUN_S or rng.random() >= TEAM_RUNS:
         return None
-    return draw(rng, for_s)
-
-
-def draw(rng, for_s):
-    """Draws a Plan for a number of seconds."""
     strict = rng.random() < STRICT_RUNS
     times = []
     at_s = rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S)
--- a/dandelionwinch/soak/_upstream.py
+++ b/dandelionwinch/soak/_upstream.py
@@ -70,6 +70,8 @@
         pauses: The Pauses that upstreams asked for.
         identities: Request id, name of the team, '' for none, and whether
             there was a key, of each request that arrived.
+        begun: Name of the team and event loop time at which it first began
+            to run, by request id: a stream with its first event.
     """
 
     arrived: set = attrs.Factory(set)
@@ -79,11 +81,17 @@
     announced: dict = attrs.Factory(dict)
     pauses: list = attrs.Factory(list)
     identities: list = attrs.Factory(list)
+    begun: dict = attrs.Factory(dict)
 
     def record_run(self, request_id):
         """Records an execution."""
         self.runs[request_id] = self.runs.get(request_id, 0) + 1
 
+    def record_begin(self, request_id, team):
+        """Records that a request began to run, unless it did before."""
+        now = asyncio.get_running_loop().time()
+        self.begun.setdefault(request_id, (team, now))
+
 
 class SoakUpstream:
     """An upstream that streams for prompts and sends other bodies whole.
@@ -209,6 +217,9 @@
             writer.write(self._refuse_with_pause(request_id))
             return True
         self._executions.record_run(request_id)
+        team = headers.get(samples.TEAM, '')
+        if samples.TOKEN_USAGE not in headers:
+            self._executions.record_begin(request_id, team)
         await asyncio.sleep(EXECUTION_S)
         if self.crashed or self._crash_under(request_line):
             return False
@@ -290,6 +301,7 @@
             self._crash(part)
             return False
         request_id = headers[samples.REQUEST_ID]
+        team = headers.get(samples.TEAM, '')
         first = int(headers.get(samples.LAST_EVENT_ID, 0)) + 1
         close_framed = fault == 'close_framed'
         framing = '' if close_framed else 'Transfer-Encoding: chunked'
@@ -297,6 +309,7 @@
         writer.write(samples.response_head(request_id, framing, more=more))
         for number in range(first, EVENTS_PER_STREAM + 1):
             data = event(number, request_id, self.version)
+            self._executions.record_begin(request_id, team)
             if fault == 'truncate' and number == EVENTS_PER_STREAM // 2:
                 writer.write(b'%x\r\n%b' % (len(data), data[:5]))
                 return False
