--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -174,6 +174,10 @@
             self._parser.feed(data)
         except _codec.BadMessage as exc:
             self._reject(exc.status, exc.message)
+            return
+        if self._parser.in_message and self._request_started_at is None:
+            # Its first bytes came with the end of the request before it.
+            self._request_started_at = self._server.loop.time()
 
     def on_head(self, head):
         """Checks the head of a request; sends 100 Continue if expected.
--- a/dandelionwinch/gateway/_codec.py
+++ b/dandelionwinch/gateway/_codec.py
@@ -136,6 +136,10 @@
     are counted too, for each section (a head with what is before it, or a
     body with its framing). The piece in which a section begins does not
     count, as it is not known where it does.
+
+    Attributes:
+        max_head_bytes: Maximum size of a head.
+        in_message: Whether a message has begun to arrive and not ended.
     """
 
     __slots__ = (
@@ -149,6 +153,7 @@
         '_target',
         '_trailer_bytes',
         '_unread_bytes',
+        'in_message',
         'max_head_bytes',
     )
 
@@ -166,6 +171,7 @@
         self._unread_bytes = 0
         self._room_bytes = 0
         self.max_head_bytes = max_head_bytes
+        self.in_message = False
 
     def feed(self, data):
         """Parses received bytes.
@@ -209,6 +215,7 @@
         self._section_began = True
 
     def on_message_begin(self):
+        self.in_message = True
         self._headers = []
         self._target = b''
         self._head_bytes = 0
@@ -247,6 +254,7 @@
         self._sink.on_body(body)
 
     def on_message_complete(self):
+        self.in_message = False
         self._begin_section(in_body=False)
         self._sink.on_end()
 
--- a/dandelionwinch/tests/test_server.py
+++ b/dandelionwinch/tests/test_server.py
@@ -234,6 +234,40 @@
     assert b'Connection: close' in rest
 
 
+def test_a_drain_keeps_a_connection_for_a_head_that_has_begun():
+    """Its first bytes came in one read with the end of the request before.
+
+    The connection was closed after that one, and the request was cut.
+    """
+
+    async def scenario(connected):
+        held = asyncio.get_running_loop().create_future()
+
+        async def serve(_incoming, caller):
+            await held
+            caller.respond(200, (), b'')
+
+        connected.server.handler = serve
+        connected.server.drain()
+        connected.writer.write(PART)
+        while not connected.conn._incoming:
+            await asyncio.sleep(0)
+        connected.writer.write(b'cd' + REQUEST[:9])
+        while connected.conn._incoming:
+            await asyncio.sleep(0)
+        held.set_result(None)
+        async with asyncio.timeout(recorder.TIMEOUT_S):
+            first = await connected.reader.readuntil(b'\r\n\r\n')
+            connected.writer.write(REQUEST[9:])
+            return first, await connected.reader.read()
+
+    first, rest = _run(scenario)
+    assert first.startswith(b'HTTP/1.1 200')
+    assert b'Connection: close' not in first
+    assert rest.startswith(b'HTTP/1.1 200')
+    assert b'Connection: close' in rest
+
+
 def test_a_server_that_never_listened_can_finish():
     """An instance may have no address for callers; its stop raised here."""
 
