--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -240,7 +240,9 @@
             self._respond_rejection()
         if not self._queue or self._closing:
             self._begin_idle()
-            if not self._closing:
+            if not self._closing and self._server.finishing:
+                self.finish()
+            elif not self._closing:
                 self._send_continue()
             return
         incoming = self._serving = self._queue.popleft()
@@ -394,6 +396,8 @@
     def _close_if_idle(self):
         if not self.busy:
             self._close()
+        elif self._server.finishing:
+            self.finish()
 
     def sweep(self, now):
         """Closes the connection if it is idle or slow beyond the limits."""
--- a/dandelionwinch/gateway/_server.py
+++ b/dandelionwinch/gateway/_server.py
@@ -31,6 +31,7 @@
         '_sweep_timer',
         'connections',
         'draining',
+        'finishing',
         'handler',
         'limits',
         'loop',
@@ -50,6 +51,7 @@
         self.limits = limits
         self.connections = set()
         self.draining = False
+        self.finishing = False
         self._on_rejected = on_rejected
         self._on_stalled = on_stalled
         self._max_held_bytes = max_held_bytes
@@ -147,7 +149,7 @@
 
     def finish(self):
         """Stops listening; closes each connection after its responses."""
-        self.draining = True
+        self.draining = self.finishing = True
         if self._listener is not None:
             self._listener.close()
         for conn in list(self.connections):
--- a/dandelionwinch/tests/test_server.py
+++ b/dandelionwinch/tests/test_server.py
@@ -268,6 +268,31 @@
     assert b'Connection: close' in rest
 
 
+@pytest.mark.parametrize('begun', [REQUEST[:9], REQUEST + REQUEST[:9], PART])
+def test_a_stop_refuses_what_has_begun_behind_a_request(begun):
+    """It had no response: its connection was aborted at the very end."""
+
+    async def scenario(connected):
+        held = asyncio.get_running_loop().create_future()
+
+        async def serve(_incoming, caller):
+            await held
+            caller.respond(200, (), b'')
+
+        connected.server.handler = serve
+        connected.writer.write(REQUEST + begun)
+        while connected.conn._task is None:
+            await asyncio.sleep(0)
+        connected.server.finish()
+        held.set_result(None)
+        async with asyncio.timeout(recorder.TIMEOUT_S):
+            return await connected.reader.read()
+
+    statuses = [part[:3] for part in _run(scenario).split(b'HTTP/1.1 ')[1:]]
+    served = 1 + begun.count(REQUEST)
+    assert statuses == [b'200'] * served + [b'503']
+
+
 def test_a_server_that_never_listened_can_finish():
     """An instance may have no address for callers; its stop raised here."""
 
