--- a/dandelionwinch/control/_order_sender.py
+++ b/dandelionwinch/control/_order_sender.py
@@ -5,6 +5,7 @@
 import attrs
 
 from dandelionwinch import gateway
+from dandelionwinch import leadership
 
 ORDER_TIMEOUT_S = 1.0
 
@@ -76,6 +77,7 @@
             )
             conn = await pool.acquire(ORDER_TIMEOUT_S, new=True)
             try:
+                conn.limit_delivery(leadership.CALL_DELIVERY_S)
                 # There must be no await between this check and the write.
                 if not may_send_order():
                     return Sent(0, 'the lease is not certain')
