--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -174,6 +174,10 @@
             self._parser.feed(data)
         except _codec.BadMessage as exc:
             self._reject(exc.status, exc.message)
+            return
+        if self._parser.in_message and self._request_started_at is None:
+            # Its first bytes came with the end of the request before it.
+            self._request_started_at = self._server.loop.time()
 
     def on_head(self, head):
         """Checks the head of a request; sends 100 Continue if expected.
@@ -236,7 +240,9 @@
             self._respond_rejection()
         if not self._queue or self._closing:
             self._begin_idle()
-            if not self._closing:
+            if not self._closing and self._server.finishing:
+                self.finish()
+            elif not self._closing:
                 self._send_continue()
             return
         incoming = self._serving = self._queue.popleft()
@@ -390,6 +396,8 @@
     def _close_if_idle(self):
         if not self.busy:
             self._close()
+        elif self._server.finishing:
+            self.finish()
 
     def sweep(self, now):
         """Closes the connection if it is idle or slow beyond the limits."""
