--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -24,7 +24,7 @@
 # Of those whom the store answers then, the first one in the order tells the
 # others; each further one waits this much longer for it.
 RANK_INTERVAL_S = 0.02
-# Changes of this time are in the first message of one that begins to act.
+# Changes of this time are in the first message of one that begins to tell.
 # Those that it tells were silent for SILENCE_S and that of all ranks.
 TELL_BACK_S = 5.0
 # Time over which the receivers call the store after the same message.
@@ -198,9 +198,7 @@
         place, _name = relay.rank(order, self._cfg.instance)
         await asyncio.sleep(place * RANK_INTERVAL_S)
         now = self._loop.time()
-        if self._silent(now):
-            self._acting = True
-            self._told_number = self._history.number_at(now - TELL_BACK_S)
+        self._acting = self._silent(now)
 
     def _order(self):
         """Returns the registered instances of the own data centre."""
@@ -228,18 +226,24 @@
         if self.in_force:
             role = self._current_role(keeps_watch, now)
         if role != self._role:
-            if self._role == 'alone':
-                self._called()
-            self._log.event('relay.role', role=role, previous=self._role)
-            self._role = role
-            if role == 'silent':
-                # The store may have failed the watchers until now, and the
-                # leases of live upstreams may have ended.
-                self._follower.failed_elsewhere(now)
+            self._begin_role(role, now)
         if role != 'listener':
             return True
         return self._call_due_at(now, next_due_s) <= now
 
+    def _begin_role(self, role, now):
+        previous, self._role = self._role, role
+        self._log.event('relay.role', role=role, previous=previous)
+        if previous == 'alone':
+            self._called()
+        if role == 'silent':
+            # The store may have failed the watchers until now, and the
+            # leases of live upstreams may have ended.
+            self._follower.failed_elsewhere(now)
+        elif previous in ('alone', 'holder', 'listener'):
+            # Others have told what is older.
+            self._told_number = self._history.number_at(now - CYCLE_S)
+
     def _current_role(self, keeps_watch, now):
         order = self._order()
         if self._cfg.instance in order[: relay.WATCHERS]:
@@ -304,10 +308,13 @@
             pass
 
     def _tell(self):
-        peers = self._link.peers
+        now, peers = self._loop.time(), self._link.peers
         known = {n: peers[n] for n in self._order() if n in peers}
-        addresses = self._audience.addresses(known, self._loop.time())
-        self._send(self._history.after(self._told_number), addresses)
+        addresses = self._audience.addresses(known, now)
+        # One that begins to tell may know a minute of changes.
+        late_number = self._history.number_at(now - TELL_BACK_S)
+        number = max(self._told_number, late_number)
+        self._send(self._history.after(number), addresses)
         self._told_number = self._history.number
 
     def _send(self, told, addresses):
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -550,6 +550,27 @@
     run(scenario)
 
 
+def test_a_new_watcher_does_not_tell_all_that_it_knows():
+    """Fails if it sends a minute of changes to each instance at once."""
+
+    async def scenario(world):
+        for number in range(240):
+            world.items.put(f'other/{number}', world.rng.randbytes(100))
+            await asyncio.sleep(0.25)
+        first, second = world.watchers('dc-1')
+        world.kill(first.name)
+        world.items.remove(first.entry_key)
+        await asyncio.sleep(0.2)
+        (new,) = {*world.watchers('dc-1')} - {second}
+        sent = world.network.bytes_by_sender
+        before = sent[new.addr]
+        await asyncio.sleep(3.0)
+        assert new.role() == 'watcher'
+        assert sent[new.addr] - before < 3 * 7000
+
+    run(scenario)
+
+
 def test_an_instance_behind_all_that_is_kept_is_not_told_it_again_and_again():
     """Its store is down. Fails if each question is answered with all of it."""
 
