--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -26,6 +26,8 @@
 # While the order lease has no holder, this many candidates for it watch the
 # store themselves, as the next holder needs a fresh view.
 WATCHING_CANDIDATES = 3
+# Pause before a configuration is read again that an answer lacks.
+CONFIG_RETRY_S = 0.5
 # Shortest time between computations of what is due without changes, as
 # several instances tell the same.
 CONFIRM_INTERVAL_S = 0.8
@@ -302,8 +304,9 @@
         """Calls the store if that is due, else waits for it to be due."""
         due_s = self._applier.guard.next_due_s(self._loop.time())
         if self._relay.watches(self._keeps_watch(), due_s):
-            if self._config_number is not None:
-                # The watch may take longer than until the fetch is due.
+            # The watch may take longer than until the fetch is due.
+            soon = self._loop.time() + _change_relay.SPREAD_S
+            if self._config_due_at <= soon:
                 await self._fetch_config()
             await self._watch()
         elif not self.current:
@@ -536,5 +539,8 @@
         if listing.revision.epoch != self._revision.epoch:
             raise _store.EpochChanged('before a configuration was read')
         await self._applier.apply_config(listing.items)
-        if number == self._config_number:
+        if listing.revision.number < number:
+            # The store may answer from a copy that lags.
+            self._config_due_at = self._loop.time() + CONFIG_RETRY_S
+        elif number == self._config_number:
             self._config_known()
--- a/dandelionwinch/tests/relay_harness.py
+++ b/dandelionwinch/tests/relay_harness.py
@@ -35,6 +35,7 @@
 
     Attributes:
         hanging: Whether calls get no answer for some seconds.
+        old_listing: What listings of a part return instead, or None.
         late_s: Time for which answers to watches are under way.
         read_at: Times of watches and listings.
         lists: Number of listings of all items.
@@ -43,6 +44,7 @@
     def __init__(self, loop, items):
         super().__init__(loop, items)
         self.hanging = False
+        self.old_listing = None
         self.late_s = 0.0
         self.read_at = []
         self.lists = 0
@@ -57,6 +59,8 @@
         self.read_at.append(self._loop.time())
         self.lists += not prefix
         await self._hang()
+        if prefix and self.old_listing is not None:
+            return self.old_listing
         return await super().list(prefix)
 
     async def watch(self, prefix, after, wait_s):
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -359,6 +359,23 @@
     run(scenario)
 
 
+def test_a_configuration_is_read_again_from_a_store_that_lags():
+    """Fails if an older state of the store ends the search for it."""
+
+    async def scenario(world):
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        revision = control.Revision(world.items.epoch, world.items.revision)
+        node.store.old_listing = control.Listing((), revision)
+        put_config(world, 3)
+        await asyncio.sleep(1.0)
+        assert node.tables == []
+        node.store.old_listing = None
+        await asyncio.sleep(BOUND_S)
+        assert [table.version for table in node.tables] == [3]
+
+    run(scenario)
+
+
 def test_a_missing_configuration_makes_the_view_old():
     """Strict revocation must not trust a view that lacks the keys."""
 
