--- a/dandelionwinch/control/_duty_status.py
+++ b/dandelionwinch/control/_duty_status.py
@@ -46,6 +46,44 @@
     rows: list[DutyRow]
 
 
+@attrs.frozen
+class SharesStatus:
+    """What one instance knows of the shares of teams.
+
+    Attributes:
+        instance: Name of this instance.
+        holder: Name of the holder, or ''.
+        token: Fencing token of the holder, 0 without one.
+        views: gateway.ShareView of each service.
+    """
+
+    instance: str
+    holder: str
+    token: int
+    views: list
+
+
+def read_shares(cfg, store, sync, views):
+    """Returns the SharesStatus of an instance.
+
+    Args:
+        cfg: InstanceConfig.
+        store: Store.
+        sync: StoreSync.
+        views: gateway.ShareView of each service.
+    """
+    return SharesStatus(
+        cfg.instance, sync.holder, _holder_token(store, sync), views
+    )
+
+
+def _holder_token(store, sync):
+    if not sync.holder:
+        return 0
+    revision = _epoch.Revision(store.epochs.current, sync.holder_revision)
+    return revision.fencing_token
+
+
 def read(cfg, store, sync, holder, calls):
     """Returns the DutyStatus of an instance.
 
@@ -56,10 +94,7 @@
         holder: LeaseHolder.
         calls: DutyCalls.
     """
-    token = 0
-    if sync.holder:
-        revision = _epoch.Revision(store.epochs.current, sync.holder_revision)
-        token = revision.fencing_token
+    token = _holder_token(store, sync)
     duties = sorted(cfg.duty_settings.duties, key=lambda duty: duty.value)
     rows = [
         DutyRow(duty.value, calls.in_flight[duty], calls.last.get(duty))
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -316,6 +316,15 @@
             self._cfg, self._store, self._sync, self._holder, self._calls
         )
 
+    def shares(self):
+        """Returns the SharesStatus, None if the settings name no usage."""
+        if not self._cfg.duty_settings.reports_usage:
+            return None
+        views = self._gateway.fair_sharing.view()
+        return _duty_status.read_shares(
+            self._cfg, self._store, self._sync, views
+        )
+
     def usage(self):
         """Returns the gateway.UsageView of the last windows, in their order.
 
--- a/dandelionwinch/gateway/__init__.py
+++ b/dandelionwinch/gateway/__init__.py
@@ -5,6 +5,7 @@
 from dandelionwinch.gateway._codec import request_bytes
 from dandelionwinch.gateway._connection import ConnectionLost
 from dandelionwinch.gateway._connection import read_response
+from dandelionwinch.gateway._fair_sharing import ShareView
 from dandelionwinch.gateway._fleet import Fleet
 from dandelionwinch.gateway._gateway import Gateway
 from dandelionwinch.gateway._messages import AttemptParams
@@ -31,6 +32,7 @@
     'RateLimit',
     'ReplyHeaders',
     'Server',
+    'ShareView',
     'UpstreamStatus',
     'UsageView',
     'WireCodec',
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -16,6 +16,7 @@
 from dandelionwinch.platform import _duties
 from dandelionwinch.platform import _duty_api
 from dandelionwinch.platform import _holds
+from dandelionwinch.platform import _shares_page
 from dandelionwinch.platform import _store
 from dandelionwinch.platform import _store_codec
 from dandelionwinch.platform import _usage_page
@@ -81,6 +82,9 @@
         if _usage_page.is_request(incoming.head):
             _usage_page.respond(self.instance, caller)
             return
+        if _shares_page.is_request(incoming.head):
+            _shares_page.respond(self.instance, caller)
+            return
         if _duties.is_request(incoming.head):
             _duties.respond(self.instance, self._loop.time(), caller)
             return
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -29,6 +29,7 @@
 from dandelionwinch.tools import duties
 from dandelionwinch.tools import explain
 from dandelionwinch.tools import holds
+from dandelionwinch.tools import shares
 from dandelionwinch.tools import usage
 
 FINDINGS_EXIT_CODE = 2
@@ -200,6 +201,26 @@
         click.echo(line)
 
 
+@main.command('shares')
+@click.argument('address', metavar='IP:PORT')
+def show_shares(address):
+    """Show which teams are above their share of a service, and its capacity.
+
+    IP:PORT is the metrics server of an instance; the holder of the duties
+    shows what it found, any other one what it received. Exits with 1 if its
+    settings name no reports of usage.
+    """
+    try:
+        found = shares.fetch(address)
+    except errors.DandelionwinchError as exc:
+        _exit_with_error(exc)
+    if found is None:
+        click.echo('error: the settings name no reports of usage', err=True)
+        sys.exit(1)
+    for line in shares.format_lines(found):
+        click.echo(line)
+
+
 @main.command('usage')
 @click.argument('address', metavar='IP:PORT')
 def show_usage(address):
