--- a/dandelionwinch/capacity/_orders.py
+++ b/dandelionwinch/capacity/_orders.py
@@ -1,6 +1,8 @@
 """Orders of capacity: which are due, in flight, refused or not followed."""
 
+import collections
 import enum
+import math
 
 import attrs
 
@@ -73,6 +75,9 @@
 
     Args:
         boot_s: Time from an order to a serving upstream.
+
+    Attributes:
+        most: Largest number that may be ordered in a data centre.
     """
 
     __slots__ = (
@@ -82,10 +87,15 @@
         '_ordered',
         '_refusals',
         '_seen_draining',
+        '_serving',
+        'most',
     )
 
     def __init__(self, boot_s):
         self._boot_s = boot_s
+        self.most = math.inf
+        # Numbers that serve by the entries, by Place.
+        self._serving = {}
         self._ordered = {}
         self._refusals = {}
         # Data centres with an order in flight, and the time before which
@@ -108,7 +118,25 @@
                 self._ordered[place] = _Ordered(serving, False, now)
             else:
                 self._compare(place, ordered, serving, now)
+        self._serving = view.serving
         self._observe_draining(view)
+        self._fit_presumed()
+
+    def _fit_presumed(self):
+        """Lowers numbers that were not ordered here and cannot be right.
+
+        Entries of crashed upstreams stand beside those of the ones that
+        followed them, and no order exceeds the limit.
+        """
+        totals = collections.Counter()
+        for place, ordered in self._ordered.items():
+            totals[place.data_centre] += ordered.count
+        for place, ordered in self._ordered.items():
+            excess = totals[place.data_centre] - self.most
+            if excess > 0 and not ordered.by_order:
+                lowered = max(0, ordered.count - excess)
+                totals[place.data_centre] -= ordered.count - lowered
+                ordered.count = lowered
 
     def _compare(self, place, ordered, serving, now):
         """Compares what serves at a place with what is ordered there."""
@@ -172,12 +200,24 @@
                 continue
             if count >= before and place in self.refused(now):
                 continue
+            if self._may_start(ordered, place, count):
+                continue
             order = Order(place, count, before)
             other = found.get(place.data_centre)
             if other is None or _growth(order) > _growth(other):
                 found[place.data_centre] = order
         return sorted(found.values(), key=_urgency)
 
+    def _may_start(self, ordered, place, count):
+        """Tells whether an order that is to lower a number may raise it.
+
+        What stood at a place is not known to be ordered, as some of it may
+        have been replaced.
+        """
+        if ordered is None or ordered.by_order or count >= ordered.count:
+            return False
+        return count > self._serving.get(place, 0)
+
     def _waits(self, place, now):
         name = place.data_centre
         return name in self._in_flight or self._not_before.get(name, now) > now
--- a/dandelionwinch/capacity/_planner.py
+++ b/dandelionwinch/capacity/_planner.py
@@ -69,6 +69,7 @@
             first.
         """
         self._view = view
+        self._orders.most = self.scaling.most
         if self._forecast is None:
             if not view.total:
                 return []
--- a/dandelionwinch/tests/test_capacity.py
+++ b/dandelionwinch/tests/test_capacity.py
@@ -310,6 +310,36 @@
     assert [o.place for o in orders.due(planned, 0.1)] == [at('a', ORDINARY)]
 
 
+def test_entries_above_the_limit_are_not_taken_for_orders():
+    """Those of crashed upstreams lapse late, beside those that follow.
+
+    An order above the limit followed.
+    """
+    orders = capacity.Orders(BOOT_S)
+    orders.most = 6
+    orders.observe(view({at('a', ORDINARY): 10, at('b', ORDINARY): 6}), 0.0)
+    assert orders.ordered()[at('a', ORDINARY)] == 6
+    send(orders, {at('b', RECLAIMABLE): 2}, 0.0)
+    orders.observe(view({at('a', ORDINARY): 6, at('b', ORDINARY): 6}), 1.0)
+    # The order was accepted, so four of them are left.
+    assert orders.ordered()[at('b', ORDINARY)] == 4
+
+
+def test_no_order_that_lowers_a_number_starts_upstreams():
+    """What stood there before is not known to be ordered.
+
+    An order for 5 of presumed 7 started 4 upstreams where 2 served.
+    """
+    place = at('a', ORDINARY)
+    orders = make_orders({place: 7})
+    orders.observe(view({place: 2}), 1.0)
+    assert not orders.due({place: 5}, 1.0)
+    assert [order.count for order in orders.due({place: 2}, 1.0)] == [2]
+    orders.observe(view({place: 2}), 1.0 + BOOT_S + 4.0)
+    (order,) = orders.due({place: 5}, 1.0 + BOOT_S + 4.0)
+    assert (order.before, order.count) == (2, 5)
+
+
 def test_a_refusal_is_remembered_for_longer_each_time():
     orders = make_orders({at('a', ORDINARY): 4})
     tries = []
