--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -1,5 +1,6 @@
 """Plans the number of upstreams by data centre and kind."""
 
+import collections
 import math
 
 from dandelionwinch.capacity import _places
@@ -71,6 +72,7 @@
         '_ordinary',
         '_order',
         '_reclaimable',
+        '_remaining',
         '_scaling',
         '_view',
     )
@@ -79,6 +81,12 @@
         self._scaling = scaling
         self._view = view
         self._need = need
+        # Upstreams that serve and were not ordered down, by data centre.
+        # The entries follow an order seconds later.
+        self._remaining = collections.Counter()
+        for place, serving in view.serving.items():
+            remaining = min(serving, ordered.get(place, serving))
+            self._remaining[place.data_centre] += remaining
         names = {place.data_centre for place in (*view.serving, *ordered)}
         names.update(scaling.prices)
         # Place of each data centre in the order of prices.
@@ -244,7 +252,7 @@
 
     def _hold_back(self):
         """Keeps what is to be given up until the others serve."""
-        spare = self._view.total - math.ceil(self._need.present)
+        spare = self._remaining.total() - math.ceil(self._need.present)
         for counts in (self._ordinary, self._reclaimable):
             for name in reversed(self._order):
                 before = counts.before[name]
@@ -257,8 +265,12 @@
 
     def _spare_in(self, name):
         """Returns how many a data centre can give up now."""
-        in_place = self._view.in_data_centre(name) - self._planned(name)
-        return min(in_place, self._view.spare_decoders(name))
+        remaining = self._remaining[name]
+        leaving = self._view.in_data_centre(name) - remaining
+        return min(
+            remaining - self._planned(name),
+            self._view.spare_decoders(name) - leaving,
+        )
 
     def _fit(self):
         """Lets a kind grow only into the room that the other one has left."""
--- a/dandelionwinch/tests/test_capacity.py
+++ b/dandelionwinch/tests/test_capacity.py
@@ -310,6 +310,28 @@
     assert [o.place for o in orders.due(planned, 0.1)] == [at('a', ORDINARY)]
 
 
+def test_what_is_ordered_down_is_given_up_only_once():
+    """Plans follow each answer, and the entries follow seconds later.
+
+    Found by the soak: 6 ordinary upstreams of which 3 were needed were
+    ordered down to 1, while none that replaces them served.
+    """
+    rules = scaling(least=2, most=6, prices={'a': 1.0, 'b': 0.9})
+    counts = {at('a', ORDINARY): 6}
+    orders = make_orders(counts)
+    for step in range(20):
+        orders.observe(view(counts), step / 1000)
+        planned = capacity.plan(
+            rules,
+            view(counts),
+            orders.ordered(),
+            need(8.0, 3.0, urgent=1.0),
+            frozenset(),
+        )
+        send(orders, planned, step / 1000)
+    assert orders.ordered()[at('a', ORDINARY)] >= 3
+
+
 def test_entries_above_the_limit_are_not_taken_for_orders():
     """Those of crashed upstreams lapse late, beside those that follow.
 
