--- a/dandelionwinch/soak/_caller.py
+++ b/dandelionwinch/soak/_caller.py
@@ -11,6 +11,7 @@
 TIMEOUT_S = 4.0
 ADDRESS_TTL_S = 2.0
 REQUEST_PAUSE_S = 0.02
+CUT_STATUSES = (0, 502)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -54,6 +55,8 @@
         announced: When a response was read that announced the shutdown of
             its upstream, by request id, in event loop time.
         limited: The same of responses that stated a rate limit.
+        cut: When a request ended without a complete response or with status
+            502, by id, in event loop time.
     """
 
     statuses: dict = attrs.Factory(dict)
@@ -64,6 +67,7 @@
     closed: dict = attrs.Factory(dict)
     announced: dict = attrs.Factory(dict)
     limited: dict = attrs.Factory(dict)
+    cut: dict = attrs.Factory(dict)
 
     def record(self, request_id, status):
         """Records a final response."""
@@ -133,6 +137,9 @@
             if status == 0:
                 self._disconnect()
             self._observations.record(request_id, status)
+            if status in CUT_STATUSES:
+                now = asyncio.get_running_loop().time()
+                self._observations.cut[request_id] = now
             self._end_use(request_id, status)
             if parts or request_id in self._poison.part_of:
                 self._poison.outcomes.append(
@@ -152,7 +159,7 @@
         if kind == 'resume':
             return '/resume/1'
         now = asyncio.get_running_loop().time()
-        return f'/{kind}/{self._poison.choose_call(request_id, now)}'
+        return f'/{kind}/{self._poison.choose_call(kind, request_id, now)}'
 
     async def _take_up(self, kind, request_id, parts, broken):
         """Takes a stream up again after its last whole event."""
--- a/dandelionwinch/soak/_checks.py
+++ b/dandelionwinch/soak/_checks.py
@@ -58,6 +58,7 @@
         instances: The Instances; more may be added.
 
     Attributes:
+        capacity: Capacity, None without scaling.
         cut_offs: The CutOffs.
         disturbed: Frontend address, start and end of each time in which an
             instance, or a link of its callers, was disturbed.
@@ -68,6 +69,7 @@
     """
 
     __slots__ = (
+        'capacity',
         'cut_offs',
         'disturbed',
         'duties',
@@ -99,6 +101,7 @@
         self.limits = limits
         self.teams = teams
         self.duties = duties
+        self.capacity = None
         self.folder = folder
         self.instances = instances
         self.cut_offs = []
@@ -294,9 +297,33 @@
         if self.duties is not None:
             begun = self.executions.begun.values()
             broken += self.duties.violations(begun)
+        if self.capacity is not None:
+            broken += self.capacity.violations(
+                self.executions.arrivals,
+                self.observations.cut,
+                self._may_be_cut,
+            )
         broken += self._check_logs()
         return broken
 
+    def _may_be_cut(self, request_id, start, end):
+        """Tells whether a fault may have cut a request in a period."""
+        frontend = self.observations.sent_to.get(request_id)
+        reached = {
+            other
+            for other, arrived, _at in self.executions.arrivals
+            if arrived == request_id
+        }
+        return (
+            request_id in self.executions.faulty
+            or not reached.isdisjoint(self.executions.crashed)
+            or self._interrupted((frontend, *reached), start, end)
+            or any(
+                other == frontend and since <= end and start <= until
+                for other, since, until in self.disturbed
+            )
+        )
+
     def _check_teams(self):
         if self.teams is None:
             return []
--- a/dandelionwinch/soak/_configuration.py
+++ b/dandelionwinch/soak/_configuration.py
@@ -11,11 +11,13 @@
         store: KvStore.
         teams: Teams, None for a configuration without teams.
         clock: Function that returns the event loop time.
+        service_fields: Further fields of the service, by their wire names.
     """
 
-    __slots__ = ('_clock', '_store', '_teams', '_version')
+    __slots__ = ('_clock', '_service', '_store', '_teams', '_version')
 
-    def __init__(self, store, teams, clock):
+    def __init__(self, store, teams, clock, service_fields):
+        self._service = samples.service(**service_fields)
         self._store = store
         self._teams = teams
         self._clock = clock
@@ -45,7 +47,7 @@
         ]
         teams = self._teams.rows() if self._teams else None
         value = samples.config(
-            self._version, route_list, [samples.service()], teams
+            self._version, route_list, [self._service], teams
         )
         if self._teams:
             self._teams.wrote(value, self._clock())
--- a/dandelionwinch/soak/_duties.py
+++ b/dandelionwinch/soak/_duties.py
@@ -98,6 +98,7 @@
 
     Args:
         faults: The Faults.
+        names: Names of the duties of the instances.
         clock: Function that returns the event loop time.
         unix_offset_s: Function that returns unix time less event loop time.
 
@@ -106,10 +107,18 @@
         checked: Numbers of the windows whose reports are checked.
     """
 
-    __slots__ = ('_clock', '_faults', '_unix_offset_s', 'api', 'checked')
+    __slots__ = (
+        '_clock',
+        '_faults',
+        '_names',
+        '_unix_offset_s',
+        'api',
+        'checked',
+    )
 
-    def __init__(self, faults, clock, unix_offset_s):
+    def __init__(self, faults, names, clock, unix_offset_s):
         self._faults = faults
+        self._names = names
         self._clock = clock
         self._unix_offset_s = unix_offset_s
         self.api = duty_api.DutyApi(CALLS_PER_S)
@@ -118,7 +127,7 @@
     def add_settings(self, text):
         """Returns the text of a settings file with the duties."""
         return settings_text.with_duties(
-            text, self.api.address, (USAGE,), CALLS_PER_S, WINDOW_S
+            text, self.api.address, self._names, CALLS_PER_S, WINDOW_S
         )
 
     async def run(self, record_fault):
@@ -152,6 +161,8 @@
         Args:
             ended_at: Event loop time of the last fault.
         """
+        if USAGE not in self._names:
+            return
         first = math.ceil(self._window_at(ended_at + SETTLE_S))
         after = max(first + 1, math.floor(self._window_at(self._clock())))
         self.checked = range(first, after)
--- a/dandelionwinch/soak/_poison.py
+++ b/dandelionwinch/soak/_poison.py
@@ -41,6 +41,7 @@
 SUCCESS_STATUS = 200
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 SHARED_PART = 'a0'
+CALL_ROUTES = ('once', 'safe')
 
 
 class Kind(enum.Enum):
@@ -124,6 +125,15 @@
     return Part(name, [(begin, end), (again, math.inf)])
 
 
+def call_name(route):
+    """Returns the name of the poison call of a route.
+
+    The calls of two routes are different calls, as their paths differ:
+    crashes under one don't make the other one known.
+    """
+    return f'bad{route}'
+
+
 def plan(seed, for_s):
     """Returns the Parts of a run, none in some of the runs.
 
@@ -141,9 +151,11 @@
     if rng.random() >= POISON_CALL_RUNS:
         return []
     begin = rng.uniform(*BEGIN_SHARES) * for_s
-    part = _plan_part(rng, 'badcall', begin, for_s)
-    part.kind = Kind.CALL
-    return [part]
+    spans = _plan_part(rng, '', begin, for_s).spans
+    return [
+        Part(call_name(route), list(spans), kind=Kind.CALL)
+        for route in CALL_ROUTES
+    ]
 
 
 def _plan_parts(seed, for_s):
@@ -182,23 +194,25 @@
 
     def choose(self, now):
         """Returns the name of the part of the next generation, or ''."""
-        return self._choose(Kind.PROMPT, now)
-
-    def choose_call(self, request_id, now):
-        """Returns the last part of the path of the next call."""
-        name = self._choose(Kind.CALL, now)
+        parts = [part for part in self.parts if part.kind is Kind.PROMPT]
+        return self._choose(parts, now)
+
+    def choose_call(self, route, request_id, now):
+        """Returns the last part of the path of the next call of a route."""
+        name = call_name(route)
+        parts = [part for part in self.parts if part.name == name]
+        name = self._choose(parts, now)
         if not name:
             return '1'
         self.part_of[request_id] = name
         return name
 
-    def _choose(self, kind, now):
+    def _choose(self, parts, now):
         at = now - self.started_at
         active = [
             part.name
-            for part in self.parts
-            if part.kind is kind
-            and any(start <= at < end for start, end in part.spans)
+            for part in parts
+            if any(start <= at < end for start, end in part.spans)
         ]
         if not active or self._rng.random() >= REQUEST_SHARE:
             return ''
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -12,6 +12,7 @@
 
 from dandelionwinch.platform import samples
 from dandelionwinch.soak import _caller
+from dandelionwinch.soak import _capacity
 from dandelionwinch.soak import _checks
 from dandelionwinch.soak import _configuration
 from dandelionwinch.soak import _duties
@@ -23,6 +24,7 @@
 from dandelionwinch.soak import _process
 from dandelionwinch.soak import _restores
 from dandelionwinch.soak import _signals
+from dandelionwinch.soak import _tasks
 from dandelionwinch.soak import _teams
 from dandelionwinch.soak import _upstream
 from dandelionwinch.standins import kvstore
@@ -34,6 +36,7 @@
 RECOVERY_S = 6.0
 # Time out of contact after which an instance refuses keys, if it must.
 REVOKE_S = 4.0
+START_UPSTREAMS = 4
 # Retries allowed beside the retry ratio, over all instances.
 RETRY_SLACK = 200
 FAULTS = (
@@ -96,9 +99,12 @@
         if plan.teams is not None:
             self._teams = _teams.Teams(random.Random(f'keys {seed}'))
         self._duties = None
-        if plan.duties is not None:
+        if plan.duty_names:
             self._duties = _duties.Duties(
-                plan.duties, _now, lambda: self._checks.unix_offset_s
+                plan.duties or (),
+                plan.duty_names,
+                _now,
+                lambda: self._checks.unix_offset_s,
             )
         self._seed = seed
         self._instance_count = instances
@@ -112,10 +118,9 @@
         self._timeline = []
         self._started_at = 0.0
         self._lock, self._block = _process.reserve_address_block()
-        self._tasks = set()
-        self._restarts = set()
+        self._tasks = _tasks.Tasks()
         self._configuration = _configuration.Configuration(
-            self._store, self._teams, _now
+            self._store, self._teams, _now, plan.service_fields
         )
         self._instances = []
         self._checks = _checks.Checks(
@@ -136,15 +141,26 @@
             self._poison,
             self._limits,
             self._links.add,
-            self._spawn,
+            self._tasks.spawn,
             self._record_fault,
         )
+        self._capacity = None
+        if plan.capacity is not None:
+            self._capacity = _capacity.Capacity(
+                random.Random(f'capacity {seed}'),
+                self._fleet,
+                {_fleet.START_PLACE: START_UPSTREAMS},
+                self._tasks.spawn,
+                self._record_fault,
+            )
+            self._duties.api.on_order = self._capacity.take_order
+            self._checks.capacity = self._capacity
         self._signals = _signals.Signals(
             self._rng,
             self._checks,
             self._poison,
-            self._spawn,
-            self._spawn_restart,
+            self._tasks.spawn,
+            self._tasks.spawn_restart,
         )
         self._store_changed = asyncio.Event()
         self._restores = _restores.Restores(
@@ -167,12 +183,14 @@
         return self._result()
 
     async def _run_phases(self, for_s):
-        for _n in range(4):
+        if self._capacity is not None:
+            self._capacity.start()
+        for _n in range(START_UPSTREAMS):
             await self._fleet.add()
         self._configuration.write_first()
         directories = await self._start_instances()
         await self._wait_until_registered()
-        self._spawn(self._restores.copy())
+        self._tasks.spawn(self._restores.copy())
         for number in range(self._caller_count):
             rng = random.Random(self._rng.random())
             caller = _caller.Caller(
@@ -184,14 +202,14 @@
                 self._poison,
                 self._teams,
             )
-            self._spawn(caller.run())
+            self._tasks.spawn(caller.run())
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
         self._checks.unix_offset_s = time.time() - loop.time()
         self._poison.started_at = self._started_at
         self._begin_poison()
         self._begin_limits()
-        self._begin_teams()
+        self._begin_planned()
         until = self._started_at + for_s
         while loop.time() < until:
             await asyncio.sleep(self._rng.uniform(0.2, 1.2))
@@ -208,11 +226,11 @@
     def _begin_limits(self):
         for limit in self._limits.limits:
             self._count_fault('limit', f'{limit.rate_per_s:g} a second')
-            self._spawn(self._limits.state(limit, self._fleet.upstreams))
+            self._tasks.spawn(self._limits.state(limit, self._fleet.upstreams))
 
-    def _begin_teams(self):
+    def _begin_planned(self):
         if self._teams is not None:
-            self._spawn(
+            self._tasks.spawn(
                 self._teams.run(
                     self._plan.teams.revoke_at_s,
                     self._configuration.write_next,
@@ -220,7 +238,11 @@
                 )
             )
         if self._duties is not None:
-            self._spawn(self._duties.run(self._count_fault))
+            self._tasks.spawn(self._duties.run(self._count_fault))
+        if self._capacity is not None:
+            self._tasks.spawn(
+                self._capacity.run(self._plan.capacity, self._count_fault)
+            )
 
     async def _wait_until_registered(self):
         """Waits until all instances are registered in the store."""
@@ -240,20 +262,6 @@
         )
         return entries
 
-    def _spawn(self, coroutine):
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def _spawn_restart(self, coroutine):
-        """Starts a task that is not cancelled, as it may start a process.
-
-        ``_stop`` waits for it, so that no process is left over.
-        """
-        task = asyncio.create_task(coroutine)
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
-
     async def _start_instances(self):
         ports = utils.free_ports(3)
         directories = []
@@ -309,13 +317,13 @@
                 self._signals.send(fault, instance)
             case 'store' | 'upstream' | 'caller':
                 proxy = self._links.choose(fault)
-                self._spawn(self._links.disturb(proxy))
+                self._tasks.spawn(self._links.disturb(proxy))
             case 'leave':
                 await self._fleet.replace()
             case 'config':
                 self._configuration.write_next(self._rng.randint(1, 3))
             case 'copy':
-                self._spawn(self._restores.restore())
+                self._tasks.spawn(self._restores.restore())
 
     async def _check_recovery(self):
         """Checks that most requests are served some time after all faults."""
@@ -333,11 +341,9 @@
             )
 
     async def _stop(self):
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         self._kill_all()
-        await asyncio.gather(*self._restarts, return_exceptions=True)
+        await self._tasks.finish()
         self._kill_all()
         for instance in self._instances:
             await instance.process.wait()
@@ -363,7 +369,7 @@
             dict(sorted(self._observations.taken_up.items())),
             self._faults,
             self._timeline,
-            self._checks.broken(),
+            self._checks.broken() + self._tasks.failures,
         )
 
 
--- a/dandelionwinch/soak/_upstream.py
+++ b/dandelionwinch/soak/_upstream.py
@@ -72,6 +72,8 @@
             there was a key, of each request that arrived.
         begun: Name of the team and event loop time at which it first began
             to run, by request id: a stream with its first event.
+        faulty: Ids of the requests under which an upstream had a fault.
+        crashed: Ids of the upstreams that have crashed.
     """
 
     arrived: set = attrs.Factory(set)
@@ -82,6 +84,8 @@
     pauses: list = attrs.Factory(list)
     identities: list = attrs.Factory(list)
     begun: dict = attrs.Factory(dict)
+    faulty: set = attrs.Factory(set)
+    crashed: set = attrs.Factory(set)
 
     def record_run(self, request_id):
         """Records an execution."""
@@ -109,6 +113,7 @@
             while it serves.
         announces: Whether its responses announce its shutdown.
         proxy: The Proxy in front of it.
+        place: capacity.Place, its kind and data centre.
         limit: The Limit that it states, or None.
         crashed: Whether it has crashed.
         on_crash: Called with it and the Part under which it has crashed.
@@ -129,6 +134,7 @@
         self.withdrawn_at = None
         self.announces = False
         self.proxy = None
+        self.place = None
         self.limit = None
         self.crashed = False
         self.on_crash = None
@@ -144,12 +150,15 @@
         self._server.close()
 
     def _crash(self, part):
+        if not self.crashed:
+            self.on_crash(self, part)
+            self.crash()
+
+    def crash(self):
         """Resets all connections and refuses new ones."""
-        if self.crashed:
-            return
         self.crashed = True
+        self._executions.crashed.add(self.id)
         self._server.close()
-        self.on_crash(self, part)
         for writer in self._writers:
             writer.transport.abort()
 
@@ -210,6 +219,8 @@
             )
         )
         fault = self._choose_fault()
+        if fault:
+            self._executions.faulty.add(request_id)
         if fault == 'refuse':
             writer.write(samples.refusal(more=self._more(request_id)))
             return True
--- a/dandelionwinch/standins/duty_api.py
+++ b/dandelionwinch/standins/duty_api.py
@@ -74,6 +74,9 @@
         ledger: DutyLedger of all calls that arrived, whatever the answer.
         findings: Malformed calls, and windows of usage with two reports.
         on_call: Called after each call, from any thread.
+        on_order: Called with the body of each capacity order that would
+            take effect, from any thread; tells whether it does. If not, the
+            status is 409.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         self.ledger = duty_ledger.DutyLedger(TURN_S)
         self.findings = []
         self.on_call = lambda: None
+        self.on_order = lambda _body: True
 
     def close(self):
         """Ends silent calls and stops the server."""
@@ -134,6 +138,9 @@
         self.ledger.record(duty_ledger.Call(now, subject, holder, token))
         status = self._status(now, subject, token)
         accepted = status == 200 or not status and self.accepts_unanswered
+        if accepted and req.path == CAPACITY_PATH and not self.on_order(body):
+            accepted = False
+            status = status and 409
         if accepted:
             self._tokens[subject] = max(token, self._tokens.get(subject, 0))
             self._check_window(req.path, body)
