--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -311,6 +311,17 @@
             handle.cancel()
 
     def _expire(self, waiter):
+        """Ends a wait, unless bytes have arrived that were not read yet.
+
+        After a stall of this process, timers run before sockets are read:
+        the second step comes after a look at them.
+        """
+        self._loop.call_soon(
+            self._loop.call_soon, self._expire_unheard, waiter
+        )
+
+    @staticmethod
+    def _expire_unheard(waiter):
         if not waiter.done():
             exc = ConnectionLost(LossCause.TIMEOUT, 'the peer has gone silent')
             waiter.set_exception(exc)
