--- a/dandelionwinch/gateway/_crash_link.py
+++ b/dandelionwinch/gateway/_crash_link.py
@@ -10,12 +10,9 @@
 of unknown senders are dropped.
 """
 
-import math
-
+from dandelionwinch.gateway import _datagram_rows
 from dandelionwinch import quarantine
 
-# Suspects, and holds, in one datagram; more of them take several.
-ITEMS_PER_DATAGRAM = 20
 MAX_TEXT_CHARS = 64
 MAX_AGE_S = 3600.0
 
@@ -51,7 +48,7 @@
     def send_crash(self, crash_id, suspects, at, addresses):
         """Tells instances what an engine had when it crashed."""
         rows = [[s.subject, s.depth, int(s.answered)] for s in suspects]
-        for piece in _pieces(rows):
+        for piece in _datagram_rows.pieces(rows):
             message = ['crash', crash_id, self._age_s(at), piece]
             self._link.send_all(message, addresses)
 
@@ -70,7 +67,7 @@
             ]
             for hold in holds
         ]
-        for piece in _pieces(rows):
+        for piece in _datagram_rows.pieces(rows):
             self._link.send_all(['holds', piece], addresses)
 
     def ask_holds(self, addresses):
@@ -85,16 +82,19 @@
         return round(max(0.0, self._loop.time() - at), 3)
 
     def _at(self, age_s):
-        return self._loop.time() - _checked_age(age_s)
+        return self._loop.time() - _datagram_rows.checked_number(
+            age_s, most=MAX_AGE_S
+        )
 
     def _check_sender(self, addr):
-        if not any(addr[0] == ip for ip, _port in self._link.peers.values()):
-            raise ValueError(f'{addr[0]} is no instance')
+        _datagram_rows.registered_sender(self._link, addr)
 
     def _take_crash(self, items, addr):
         self._check_sender(addr)
         crash_id, age_s, rows = items
-        suspects = [_read_suspect(*row) for row in _checked_rows(rows)]
+        suspects = [
+            _read_suspect(*row) for row in _datagram_rows.checked_rows(rows)
+        ]
         at = self._at(age_s)
         self._receiver.take_crash(_checked_text(crash_id), suspects, at)
 
@@ -102,14 +102,17 @@
         self._check_sender(addr)
         subjects, age_s = items
         subjects = [
-            _checked_text(subject) for subject in _checked_rows(subjects)
+            _checked_text(subject)
+            for subject in _datagram_rows.checked_rows(subjects)
         ]
         self._receiver.take_answers(subjects, self._at(age_s))
 
     def _take_holds(self, items, addr):
         self._check_sender(addr)
         (rows,) = items
-        holds = [self._read_hold(*row) for row in _checked_rows(rows)]
+        holds = [
+            self._read_hold(*row) for row in _datagram_rows.checked_rows(rows)
+        ]
         for hold in holds:
             self._receiver.take_hold(hold, addr[0])
 
@@ -131,31 +134,11 @@
         self._receiver.take_lift(_checked_text(subject), self._at(age_s))
 
 
-def _pieces(rows):
-    for first in range(0, len(rows), ITEMS_PER_DATAGRAM):
-        yield rows[first : first + ITEMS_PER_DATAGRAM]
-
-
 def _read_suspect(subject, depth, answered):
     if type(depth) is not int or answered not in (0, 1):
         raise ValueError(f'suspect {subject!r}')
     return quarantine.Suspect(_checked_text(subject), depth, bool(answered))
 
 
-def _checked_rows(rows):
-    if not isinstance(rows, list) or len(rows) > ITEMS_PER_DATAGRAM:
-        raise ValueError('not a list of bounded length')
-    return rows
-
-
 def _checked_text(text):
-    if not isinstance(text, str) or not 0 < len(text) <= MAX_TEXT_CHARS:
-        raise ValueError(f'text {str(text)[:MAX_TEXT_CHARS]!r}')
-    return text
-
-
-def _checked_age(age_s):
-    number = isinstance(age_s, int | float) and math.isfinite(age_s)
-    if not number or not 0 <= age_s <= MAX_AGE_S:
-        raise ValueError(f'age {age_s!r}')
-    return age_s
+    return _datagram_rows.checked_text(text, MAX_TEXT_CHARS)
--- a/dandelionwinch/gateway/_demand_link.py
+++ b/dandelionwinch/gateway/_demand_link.py
@@ -7,13 +7,11 @@
 senders are dropped.
 """
 
-import math
-
 from dandelionwinch import capacity
+from dandelionwinch.gateway import _datagram_rows
 
 KIND = 'demand'
 INTERVAL_S = 1.0
-ROWS_PER_DATAGRAM = 20
 MAX_TEXT_CHARS = 128
 # Most work that a report may state: more than any instance can pass on.
 MAX_WORK = 10_000.0
@@ -86,15 +84,15 @@
                 [name, round(demand.done, 4), round(demand.short, 4)]
                 for name, demand in demands.items()
             ]
-            message = [KIND, rows[:ROWS_PER_DATAGRAM]]
+            message = [KIND, rows[: _datagram_rows.MAX_ROWS]]
             self._link.send(message, self._link.peers[holder])
 
     def _take(self, items, addr):
         sender = self._link.name_of(addr)
         (rows,) = items
-        if not isinstance(rows, list) or len(rows) > ROWS_PER_DATAGRAM:
-            raise ValueError('not a list of bounded length')
-        demands = dict(_read_row(*row) for row in rows)
+        demands = dict(
+            _read_row(*row) for row in _datagram_rows.checked_rows(rows)
+        )
         self._reports.record(sender, demands, self._loop.time())
 
 
@@ -105,8 +103,4 @@
 
 
 def _checked(number):
-    if type(number) not in (int, float) or not math.isfinite(number):
-        raise ValueError(f'work {str(number)[:MAX_TEXT_CHARS]!r}')
-    if not 0 <= number <= MAX_WORK:
-        raise ValueError(f'work {number!r}')
-    return float(number)
+    return float(_datagram_rows.checked_number(number, most=MAX_WORK))
--- a/dandelionwinch/gateway/_key_link.py
+++ b/dandelionwinch/gateway/_key_link.py
@@ -14,9 +14,9 @@
 
 import math
 
+from dandelionwinch.gateway import _datagram_rows
 from dandelionwinch import teams
 
-ROWS_PER_DATAGRAM = 20
 MAX_NAME_CHARS = 128
 MAX_PARTS = 256
 MAX_NUMBER = 1 << 53
@@ -79,7 +79,8 @@
         if not 0 <= _checked(part) < _checked(parts) <= MAX_PARTS:
             raise ValueError(f'part {part!r} of {parts!r}')
         if not all(
-            _checked(base) < _checked(version) for base in _checked_list(bases)
+            _checked(base) < _checked(version)
+            for base in _datagram_rows.checked_rows(bases)
         ):
             raise ValueError(f'version {version!r} after a newer one')
         report = teams.KeyReport(
@@ -87,7 +88,9 @@
             version,
             part,
             parts,
-            tuple(_read_row(*row) for row in _checked_list(rows)),
+            tuple(
+                _read_row(*row) for row in _datagram_rows.checked_rows(rows)
+            ),
         )
         self._receiver.take_report(
             report, _checked(question), _checked_age(age_s), sender
@@ -109,15 +112,15 @@
     """
     removed = [(key_digest, None) for key_digest in found.changes.removed]
     rows = removed + list(found.changes.added.items())
-    parts = max(1, math.ceil(len(rows) / ROWS_PER_DATAGRAM))
+    parts = max(1, math.ceil(len(rows) / _datagram_rows.MAX_ROWS))
     for part in range(min(parts, MAX_PARTS)):
-        first = part * ROWS_PER_DATAGRAM
+        first = part * _datagram_rows.MAX_ROWS
         yield teams.KeyReport(
             found.bases,
             found.version,
             part,
             parts,
-            tuple(rows[first : first + ROWS_PER_DATAGRAM]),
+            tuple(rows[first : first + _datagram_rows.MAX_ROWS]),
         )
 
 
@@ -133,32 +136,18 @@
         raise ValueError('a digest of another size')
     if name is None:
         return key_digest, None
-    if not isinstance(name, str) or not 0 < len(name) <= MAX_NAME_CHARS:
-        raise ValueError('not the name of a team')
-    if not name.isprintable():
+    if not _datagram_rows.checked_text(name, MAX_NAME_CHARS).isprintable():
         raise ValueError('not the name of a team')
     if priority is not None and type(priority) is not int:
         raise ValueError('not the priority of a team')
     return key_digest, teams.Team(name, priority)
 
 
-def _checked_list(items):
-    if not isinstance(items, list) or len(items) > ROWS_PER_DATAGRAM:
-        raise ValueError('not a list of bounded length')
-    return items
-
-
 def _checked(number):
-    if type(number) is not int or not 0 <= number <= MAX_NUMBER:
-        raise ValueError('not a number of a version, part or question')
-    return number
+    return _datagram_rows.checked_count(number, MAX_NUMBER)
 
 
 def _checked_age(age_s):
     if age_s is None:
         return None
-    if type(age_s) not in (int, float) or not math.isfinite(age_s):
-        raise ValueError('not an age')
-    if not 0 <= age_s <= MAX_AGE_S:
-        raise ValueError('not an age')
-    return float(age_s)
+    return float(_datagram_rows.checked_number(age_s, most=MAX_AGE_S))
--- a/dandelionwinch/gateway/_limit_link.py
+++ b/dandelionwinch/gateway/_limit_link.py
@@ -14,11 +14,11 @@
 
 import math
 
+from dandelionwinch.gateway import _datagram_rows
 from dandelionwinch import ratelimits
 
 MAX_AGE_S = 3600.0
 MAX_LEASE_S = 120.0
-MAX_TEXT_CHARS = 128
 
 
 class LimitLink:
@@ -83,15 +83,11 @@
         return [statement.rate_per_s, round(min(MAX_AGE_S, age_s), 3)]
 
     def _sender(self, addr):
-        """Returns the name of the instance at an address."""
-        for name, known in self._link.peers.items():
-            if known == tuple(addr[:2]):
-                return name
-        raise ValueError(f'{addr[0]} is no instance')
+        return _datagram_rows.registered_sender(self._link, addr)
 
     def _read_statement(self, limit, age_s):
-        rate_per_s = None if limit is None else _checked(limit)
-        at = self._loop.time() - min(MAX_AGE_S, _checked(age_s))
+        rate_per_s = None if limit is None else _number(limit)
+        at = self._loop.time() - min(MAX_AGE_S, _number(age_s))
         return ratelimits.Statement(rate_per_s, at)
 
     def _take_notice(self, items, addr):
@@ -103,7 +99,10 @@
         self._receiver.take_statement(*self._read_stated(*items), sender)
 
     def _read_stated(self, upstream_id, digest, limit, age_s):
-        key = _checked_key(upstream_id, digest)
+        key = (
+            _datagram_rows.checked_text(upstream_id),
+            _datagram_rows.checked_text(digest),
+        )
         return key, self._read_statement(limit, age_s)
 
     def _take_question(self, items, addr):
@@ -118,9 +117,9 @@
         key, statement = self._read_stated(*stated)
         req = ratelimits.Request(
             sender,
-            _checked(demand),
-            _checked_share(share),
-            min(MAX_AGE_S, _checked(left_s)),
+            _number(demand),
+            _share(share),
+            min(MAX_AGE_S, _number(left_s)),
         )
         self._receiver.take_statement(key, statement, sender)
         self._receiver.take_request(key, req, addr)
@@ -130,30 +129,17 @@
         *stated, share, lease_s, next_s = items
         key, statement = self._read_stated(*stated)
         grant = ratelimits.Grant(
-            _checked_share(share),
-            min(MAX_LEASE_S, _checked(lease_s)),
-            min(MAX_LEASE_S, _checked(next_s)),
+            _share(share),
+            min(MAX_LEASE_S, _number(lease_s)),
+            min(MAX_LEASE_S, _number(next_s)),
         )
         self._receiver.take_statement(key, statement, sender)
         self._receiver.take_grant(key, grant, sender)
 
 
-def _checked(number):
-    if type(number) not in (int, float) or not math.isfinite(number):
-        raise ValueError(f'number {str(number)[:MAX_TEXT_CHARS]!r}')
-    if number < 0:
-        raise ValueError(f'number {number!r}')
-    return float(number)
-
-
-def _checked_share(number):
-    if _checked(number) > 1.0:
-        raise ValueError(f'share {number!r}')
-    return float(number)
+def _number(number):
+    return float(_datagram_rows.checked_number(number))
 
 
-def _checked_key(upstream_id, digest):
-    for text in (upstream_id, digest):
-        if not isinstance(text, str) or not 0 < len(text) <= MAX_TEXT_CHARS:
-            raise ValueError(f'text {str(text)[:MAX_TEXT_CHARS]!r}')
-    return upstream_id, digest
+def _share(number):
+    return float(_datagram_rows.checked_number(number, most=1.0))
--- a/dandelionwinch/gateway/_speed_link.py
+++ b/dandelionwinch/gateway/_speed_link.py
@@ -7,18 +7,15 @@
 The "times" of an engine go to the instance that judges it, its "speeds" from
 there to all. An age is that before the datagram was sent, as clocks differ.
 Datagrams of unknown senders are dropped, and so are those with more than
-MAX_ROWS rows.
+_datagram_rows.MAX_ROWS rows.
 """
 
-import math
-
 from dandelionwinch import dispatch
+from dandelionwinch.gateway import _datagram_rows
 
-MAX_ROWS = 20
 MAX_AGE_S = 10.0
 MAX_TAKEN_S = 600.0
 MAX_TOKENS = 10_000_000
-MAX_TEXT_CHARS = 128
 # Bounds of a quartile and of a speed in octaves.
 MAX_QUARTILE_OCTAVES = 64.0
 MAX_SPEED_OCTAVES = 4.0
@@ -61,7 +58,7 @@
             ]
             for sample in samples
         ]
-        for part in _parts(rows):
+        for part in _datagram_rows.pieces(rows):
             self._link.send(['times', part], addr)
 
     def send_speeds(self, verdicts):
@@ -77,7 +74,7 @@
             for verdict in verdicts
         ]
         addresses = list(self._link.peers.values())
-        for part in _parts(rows):
+        for part in _datagram_rows.pieces(rows):
             self._link.send_all(['speeds', part], addresses)
 
     def _take_times(self, items, addr):
@@ -96,45 +93,33 @@
         if not isinstance(tokens, int):
             raise ValueError(f'tokens {tokens!r}')
         return dispatch.Sample(
-            _checked_text(upstream_id),
+            _datagram_rows.checked_text(upstream_id),
             dispatch.Work(work),
-            self._loop.time() - _checked(age_s, 0.0, MAX_AGE_S),
-            _checked(tokens, 0, MAX_TOKENS),
-            _checked(taken_s, 1e-6, MAX_TAKEN_S),
+            self._loop.time()
+            - _datagram_rows.checked_number(age_s, 0.0, MAX_AGE_S),
+            _datagram_rows.checked_number(tokens, 0, MAX_TOKENS),
+            _datagram_rows.checked_number(taken_s, 1e-6, MAX_TAKEN_S),
         )
 
 
-def _parts(rows):
-    return [rows[n : n + MAX_ROWS] for n in range(0, len(rows), MAX_ROWS)]
-
-
 def _checked_rows(items):
     match items:
-        case [list(rows)] if len(rows) <= MAX_ROWS:
-            return rows
+        case [rows]:
+            return _datagram_rows.checked_rows(rows)
     raise ValueError('not rows of speeds')
 
 
 def _read_verdict(upstream_id, work, low, median, high, speed, slowness):
     most = MAX_QUARTILE_OCTAVES
     return dispatch.Verdict(
-        _checked_text(upstream_id),
+        _datagram_rows.checked_text(upstream_id),
         dispatch.Work(work),
-        tuple(_checked(value, -most, most) for value in (low, median, high)),
-        _checked(speed, 2.0**-MAX_SPEED_OCTAVES, 2.0**MAX_SPEED_OCTAVES),
-        _checked(slowness, 1.0, 2.0**MAX_SPEED_OCTAVES),
+        tuple(
+            _datagram_rows.checked_number(value, -most, most)
+            for value in (low, median, high)
+        ),
+        _datagram_rows.checked_number(
+            speed, 2.0**-MAX_SPEED_OCTAVES, 2.0**MAX_SPEED_OCTAVES
+        ),
+        _datagram_rows.checked_number(slowness, 1.0, 2.0**MAX_SPEED_OCTAVES),
     )
-
-
-def _checked_text(value):
-    if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_CHARS:
-        raise ValueError(f'{value!r} is no id')
-    return value
-
-
-def _checked(value, least, most):
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError(f'{value!r} is no number')
-    if not math.isfinite(value) or not least <= value <= most:
-        raise ValueError(f'{value!r} is out of range')
-    return value
--- a/dandelionwinch/gateway/_usage_link.py
+++ b/dandelionwinch/gateway/_usage_link.py
@@ -13,11 +13,10 @@
 senders are dropped.
 """
 
+from dandelionwinch.gateway import _datagram_rows
 from dandelionwinch import usage
 
 # Teams in one datagram; more of them take several.
-ROWS_PER_DATAGRAM = 20
-MAX_TEXT_CHARS = 128
 # Numbers up to which parsers with floating-point numbers are exact.
 MAX_NUMBER = (1 << 53) - 1
 
@@ -55,7 +54,7 @@
             addresses: Addresses of the receivers.
         """
         rows = total.rows
-        for first in range(0, max(1, len(rows)), ROWS_PER_DATAGRAM):
+        for first in range(0, max(1, len(rows)), _datagram_rows.MAX_ROWS):
             message = [
                 'usage',
                 total.name,
@@ -64,7 +63,7 @@
                 int(total.final),
                 total.total,
                 reported,
-                rows[first : first + ROWS_PER_DATAGRAM],
+                rows[first : first + _datagram_rows.MAX_ROWS],
             ]
             self._link.send_all(message, addresses)
 
@@ -80,17 +79,17 @@
     def _take_total(self, items, addr):
         sender = self._link.name_of(addr)
         name, incarnation, window, final, total, reported, rows = items
-        if final not in (0, 1) or not isinstance(rows, list):
+        if final not in (0, 1):
             raise ValueError('not a running total')
-        if len(rows) > ROWS_PER_DATAGRAM:
-            raise ValueError(f'{len(rows)} rows')
         taken = usage.RunningTotal(
-            _checked_text(name),
+            _datagram_rows.checked_text(name),
             _checked_number(incarnation),
             _checked_number(window),
             bool(final),
             _checked_number(total),
-            tuple(_read_row(*row) for row in rows),
+            tuple(
+                _read_row(*row) for row in _datagram_rows.checked_rows(rows)
+            ),
         )
         self._receiver.take_reported(_checked_window(reported))
         self._receiver.take_total(taken, relayed=name != sender)
@@ -112,19 +111,11 @@
 
 
 def _read_row(team, count):
-    return _checked_text(team), _checked_number(count)
-
-
-def _checked_text(text):
-    if not isinstance(text, str) or not 0 < len(text) <= MAX_TEXT_CHARS:
-        raise ValueError(f'text {str(text)[:MAX_TEXT_CHARS]!r}')
-    return text
+    return _datagram_rows.checked_text(team), _checked_number(count)
 
 
 def _checked_number(number):
-    if type(number) is not int or not 0 <= number <= MAX_NUMBER:
-        raise ValueError(f'number {str(number)[:MAX_TEXT_CHARS]!r}')
-    return number
+    return _datagram_rows.checked_count(number, MAX_NUMBER)
 
 
 def _checked_window(window):
