--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -156,6 +156,8 @@
             changes: Change items that lead to it from the last revision,
                 None if they are not known.
         """
+        if not self._enabled:
+            return
         now = self._loop.time()
         # A store that states no epoch may have gone back.
         if changes is None or number < self._history.number:
@@ -169,7 +171,8 @@
 
     def learned(self, items, number):
         """Keeps changes up to a revision, to tell others of them."""
-        self._history.add(items, number, self._loop.time())
+        if self._enabled:
+            self._history.add(items, number, self._loop.time())
 
     async def answered(self):
         """Tells the others after an answer to a watch, if that is due."""
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -1,6 +1,7 @@
 """Watchers tell their data centre what changed in the store."""
 
 import asyncio
+import base64
 import json
 import random
 
@@ -429,6 +430,90 @@
     run(scenario)
 
 
+def told(world, before, *changes):
+    """Returns a `changes` datagram of changes after a revision."""
+    (piece,) = relay.encode(changes)
+    text = base64.b64encode(piece).decode()
+    after = max(before, *(change.revision for change in changes))
+    return message(
+        world, before=before, after=after, listed=before, piece=text
+    )
+
+
+def test_an_upstream_that_is_written_again_between_two_messages_serves():
+    """Also if the messages of two senders arrive in the other order."""
+
+    async def scenario(world):
+        put_upstream(world, 'i-1')
+        await asyncio.sleep(2.0)
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        first, second = world.watchers('dc-1')
+        key, number = samples.entry_key('i-1'), node.sync.view.number
+        gone = relay.Change(key, None, number + 1)
+        back = relay.Change(key, samples.entry(sequence=9), number + 2)
+        take = node.gateway.peers.datagram_received
+        take(told(world, number, gone, back), first.addr)
+        assert 'i-1' in node.serving()
+        # What is older is known, whoever tells it.
+        take(told(world, number, gone), second.addr)
+        assert 'i-1' in node.serving()
+        assert node.sync.view.number == number + 2
+
+    run(scenario)
+
+
+def test_an_upstream_whose_removal_is_told_before_its_draining_stays_gone():
+    """The message with its draining is lost, and arrives late."""
+
+    async def scenario(world):
+        put_upstream(world, 'i-1')
+        put_upstream(world, 'i-2')
+        await asyncio.sleep(2.0)
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        first, second = world.watchers('dc-1')
+        key, number = samples.entry_key('i-1'), node.sync.view.number
+        entry = samples.entry(state='draining', sequence=9)
+        drains = relay.Change(key, entry, number + 1)
+        gone = relay.Change(key, None, number + 2)
+        take = node.gateway.peers.datagram_received
+        # It does not follow what is known: the receiver asks.
+        take(told(world, number + 1, gone), first.addr)
+        assert node.sync.view.number == number
+        take(told(world, number, drains, gone), second.addr)
+        assert node.serving() == ['i-2']
+        take(told(world, number, drains), first.addr)
+        assert node.serving() == ['i-2']
+        assert node.sync.view.number == number + 2
+
+    run(scenario)
+
+
+def test_two_senders_of_different_epochs_take_none_back():
+    """One of them has not heard of the restore, and tells its old changes."""
+
+    async def scenario(world):
+        old = world.items.snapshot()
+        put_upstream(world, 'i-1')
+        await asyncio.sleep(2.0)
+        world.items.restore(old)
+        await asyncio.sleep(2 * BOUND_S)
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        first, _second = world.watchers('dc-1')
+        view, lists = node.sync.view, node.store.lists
+        entry = samples.entry(sequence=9)
+        for number in range(view.number, view.number + 20):
+            change = relay.Change(samples.entry_key('old'), entry, number + 1)
+            late = json.loads(told(world, number, change))
+            late[1] = view.epoch - 1
+            take = node.gateway.peers.datagram_received
+            take(json.dumps(late).encode(), first.addr)
+        assert (node.sync.view, node.serving()) == (view, [])
+        await asyncio.sleep(BOUND_S)
+        assert node.store.lists == lists
+
+    run(scenario)
+
+
 def test_entries_that_vanish_in_an_outage_are_held_by_those_that_listen():
     """Only the watchers called the store during the outage."""
 
