--- a/dandelionwinch/tests/relay_harness.py
+++ b/dandelionwinch/tests/relay_harness.py
@@ -205,6 +205,8 @@
         items: The KvItems.
         nodes: The Node items by name.
         killed: The Node items that were killed.
+        on_add: Function that is called with each Node that is added.
+        on_kill: Function that is called with each Node that is killed.
         written: Time, epoch and revision of each change.
     """
 
@@ -227,6 +229,7 @@
         self._changes = changes
         self._numbers = 0
         self.nodes = {}
+        self.on_add = self.on_kill = lambda _node: None
         self.items.put(_lease_holder.HOLDER_KEY, b'n-0')
         for number in range(instances):
             self.add(f'n-{number}', f'dc-{number % data_centres}')
@@ -238,11 +241,13 @@
         node = Node(self, name, data_centre, ip, **self._changes)
         self.nodes[name] = node
         node.register()
+        self.on_add(node)
         return node
 
     def kill(self, name):
         """Ends an instance; its entry stays."""
         node = self.nodes.pop(name)
+        self.on_kill(node)
         node.close()
         self.killed.append(node)
         return node
