--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from dandelionwinch.control import _audience
+from dandelionwinch.control import _due_calls
 from dandelionwinch import gateway
 from dandelionwinch import relay
 
@@ -27,24 +28,16 @@
 # Changes of this time are in the first message of one that begins to tell.
 # Those that it tells were silent for SILENCE_S and that of all ranks.
 TELL_BACK_S = 5.0
-# Time over which the receivers call the store after the same message.
-SPREAD_S = 0.3
-# Time for the answer to a question, after which the store is called.
-ANSWER_TIMEOUT_S = 0.3
 ASK_INTERVAL_S = 0.5
 # What is told with an older view answers no question.
 MAX_ANSWER_AGE_S = 2.0
 # A failed call of another instance matters for upstreams.REREGISTER_S.
 MAX_FAILED_S = 3.0
-# Interval at which a receiver calls the store all the same.
-SAFEGUARD_S = 60.0
 # A lower revision that was in force this much later than a higher one was
 # known contradicts it. A call to the store takes less time.
 CONTRADICTION_S = 3.0
 # A wait that rounding makes shorter would end before what it waits for.
 MIN_WAIT_S = 0.001
-# Shortest time between calls to the store because of contradictions.
-CHECK_INTERVAL_S = 1.0
 
 
 class ChangeRelay:
@@ -64,13 +57,10 @@
     __slots__ = (
         '_acting',
         '_audience',
-        '_check_due_at',
-        '_checked_at',
         '_cfg',
+        '_due_calls',
         '_enabled',
         '_follower',
-        '_gap_due_at',
-        '_gap_number',
         '_history',
         '_link',
         '_listed_at',
@@ -81,7 +71,6 @@
         '_registered',
         '_rng',
         '_role',
-        '_safeguard_at',
         '_ticker',
         '_told_number',
         '_views',
@@ -111,11 +100,7 @@
         self._audience = _audience.Audience()
         # Names that were ordered last, and their order.
         self._ordered = ((), [])
-        self._check_due_at = float('inf')
-        self._checked_at = float('-inf')
-        self._gap_due_at = float('inf')
-        self._gap_number = 0
-        self._safeguard_at = float('inf')
+        self._due_calls = _due_calls.DueCalls(rng)
 
     def start(self):
         """Starts to ask others while the store turns this instance away."""
@@ -187,12 +172,7 @@
             self._tell()
 
     def _called(self):
-        """Forgets what made a call to the store due."""
-        self._check_due_at = self._gap_due_at = float('inf')
-        self._safeguard_at = float('inf')
-        if self.in_force:
-            spread = 0.5 + self._rng.random()
-            self._safeguard_at = self._loop.time() + SAFEGUARD_S * spread
+        self._due_calls.called(self._loop.time(), safeguard=self.in_force)
 
     async def _take_over(self, order):
         """Begins to act for the watchers unless one is heard in time."""
@@ -259,9 +239,7 @@
 
     def _call_due_at(self, now, next_due_s):
         due_at = float('inf') if next_due_s is None else now + next_due_s
-        return min(
-            due_at, self._check_due_at, self._gap_due_at, self._safeguard_at
-        )
+        return min(due_at, self._due_calls.next_at())
 
     def watch_wait_s(self, wait_s, answered_at):
         """Returns how long a watch is to wait for changes.
@@ -411,26 +389,19 @@
         return lower and known_at > self._history.learned_at + CONTRADICTION_S
 
     def _check_soon(self, now):
-        """Makes a call to the store due, at another time than others'."""
-        if now - self._checked_at < CHECK_INTERVAL_S:
-            return
-        self._checked_at = now
-        due_at = now + SPREAD_S * self._rng.random()
-        self._check_due_at = min(self._check_due_at, due_at)
-        self._wake.set()
+        if self._due_calls.check_soon(now):
+            self._wake.set()
 
     def _ask_for_gap(self, message, view, sender, now):
         addr = self._link.peers.get(sender)
         if addr is not None:
             self._link.ask(view.epoch, view.number, [addr])
-        self._gap_number = max(self._gap_number, message.after)
-        self._gap_due_at = min(self._gap_due_at, now + ANSWER_TIMEOUT_S)
+        self._due_calls.gap_found(message.after, now)
         self._wake.set()
 
     def _confirmed(self, sender, now):
         """Ends what waits until all that a sender knew is known here."""
-        if self._history.number >= self._gap_number:
-            self._gap_due_at = float('inf')
+        self._due_calls.told(self._history.number)
         if self._acting and not self._silent(now):
             order = self._order()
             own = relay.rank(order, self._cfg.instance)
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -3,8 +3,10 @@
 import asyncio
 import traceback
 
+from dandelionwinch.control import _announced_config
 from dandelionwinch.control import _change_relay
 from dandelionwinch.control import _changes
+from dandelionwinch.control import _due_calls
 from dandelionwinch.control import _epoch
 from dandelionwinch.control import _store
 from dandelionwinch import relay
@@ -26,8 +28,6 @@
 # While the order lease has no holder, this many candidates for it watch the
 # store themselves, as the next holder needs a fresh view.
 WATCHING_CANDIDATES = 3
-# Pause before a configuration is read again that an answer lacks.
-CONFIG_RETRY_S = 0.5
 # Shortest time between computations of what is due without changes, as
 # several instances tell the same.
 CONFIRM_INTERVAL_S = 0.8
@@ -52,12 +52,10 @@
     """
 
     __slots__ = (
+        '_announced',
         '_applier',
         '_cfg',
         '_clock',
-        '_config_due_at',
-        '_config_missing_at',
-        '_config_number',
         '_confirmed_at',
         '_consistent',
         '_failed_at',
@@ -125,11 +123,7 @@
         self._store_reached_at = float('-inf')
         self._failed_at = float('-inf')
         self._confirmed_at = float('-inf')
-        # A configuration that others told of and that is to be fetched: its
-        # revision, when to fetch it, and up to when all changes are known.
-        self._config_number = None
-        self._config_due_at = float('inf')
-        self._config_missing_at = float('inf')
+        self._announced = _announced_config.AnnouncedConfig()
 
     def start(self):
         """Starts following the store."""
@@ -191,7 +185,7 @@
         """
         if not self.current:
             return float('inf')
-        known_at = min(self._known_at(), self._config_missing_at)
+        known_at = min(self._known_at(), self._announced.missing_at)
         return self._loop.time() - known_at
 
     def _known_at(self):
@@ -305,15 +299,15 @@
         due_s = self._applier.guard.next_due_s(self._loop.time())
         if self._relay.watches(self._keeps_watch(), due_s):
             # The watch may take longer than until the fetch is due.
-            soon = self._loop.time() + _change_relay.SPREAD_S
-            if self._config_due_at <= soon:
+            soon = self._loop.time() + _due_calls.SPREAD_S
+            if self._announced.due_at <= soon:
                 await self._fetch_config()
             await self._watch()
         elif not self.current:
             raise _store.EpochChanged('another call was answered in it')
-        elif self._config_due_at > self._loop.time():
-            await self._relay.listen(due_s, self._config_due_at)
-        if self._config_due_at <= self._loop.time():
+        elif self._announced.due_at > self._loop.time():
+            await self._relay.listen(due_s, self._announced.due_at)
+        if self._announced.due_at <= self._loop.time():
             await self._fetch_config()
 
     def _keeps_watch(self):
@@ -367,7 +361,7 @@
         if self._consistent and not restored:
             changes = self._changes_since(previous.number, listing)
         await self._applier.apply_listing(listing, now, restored)
-        self._config_known()
+        self._announced.clear()
         self._relay.listed(listing.revision.number, changes)
 
     def _changes_since(self, number, listing):
@@ -406,23 +400,12 @@
         self._applier.apply_changes(items, self._revision.epoch, now)
         self._relay.learned(self._told_of(items), self._revision.number)
         await self._applier.apply_config(listing.items)
-        if self._has_announced_config(after, listing):
-            self._config_known()
+        self._announced.watched(after.number, listing.revision.number)
         self._applier.end_response(now)
         await self._relay.answered()
         if listing.items:
             await asyncio.sleep(self._coalesce_s())
 
-    def _has_announced_config(self, after, listing):
-        """Tells whether a watch returned the configuration told of.
-
-        A watch that began after its revision does not return it.
-        """
-        number = self._config_number
-        if number is None:
-            return False
-        return after.number < number <= listing.revision.number
-
     def _told_of(self, items):
         """Returns Change items; a configuration is too large to be told."""
         key = self._store_codec.config_key
@@ -522,25 +505,18 @@
         self._applier.guard.store_failed(at)
 
     def _config_announced(self, number, now):
-        if self._config_number is None:
-            self._config_missing_at = self._known_at()
-            delay_s = _change_relay.SPREAD_S * self._rng.random()
-            self._config_due_at = now + delay_s
-        self._config_number = number
-
-    def _config_known(self):
-        self._config_number = None
-        self._config_due_at = self._config_missing_at = float('inf')
+        due_at = self._announced.due_at
+        if self._announced.number is None:
+            due_at = now + _due_calls.SPREAD_S * self._rng.random()
+        self._announced.announce(number, due_at, self._known_at())
 
     async def _fetch_config(self):
         """Reads the configuration that others told of."""
-        number = self._config_number
+        wanted = self._announced.number
         listing = await self._store.list(self._store_codec.config_key)
         if listing.revision.epoch != self._revision.epoch:
             raise _store.EpochChanged('before a configuration was read')
         await self._applier.apply_config(listing.items)
-        if listing.revision.number < number:
-            # The store may answer from a copy that lags.
-            self._config_due_at = self._loop.time() + CONFIG_RETRY_S
-        elif number == self._config_number:
-            self._config_known()
+        self._announced.read(
+            wanted, listing.revision.number, self._loop.time()
+        )
