--- a/dandelionwinch/gateway/_fair_sharing.py
+++ b/dandelionwinch/gateway/_fair_sharing.py
@@ -9,8 +9,8 @@
 from dandelionwinch import limits
 
 TICK_S = 1.0
-# Time over which the holder adds up what was not served in time, and for
-# which an announcement keeps out those of older holders.
+# Time for which a shortage is told after a request that was not served in
+# time, and for which an announcement keeps out those of older holders.
 SPAN_S = 5.0
 
 
@@ -43,6 +43,7 @@
         totals: CallTotals, of all instances while this one is the holder.
         yielding: YieldingTeams.
         short_until: Time up to which the holder is told the counts.
+        told: Whether it was told some in the last period.
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         'short_until',
         'source',
         'token',
+        'told',
         'totals',
         'yielding',
     )
@@ -61,6 +63,7 @@
         self.totals = limits.CallTotals()
         self.yielding = limits.YieldingTeams()
         self.short_until = -math.inf
+        self.told = False
         self.shares = limits.Shares()
         self.source, self.token, self.known_at = '', 0, -math.inf
 
@@ -97,7 +100,6 @@
         '_log',
         '_loop',
         '_name',
-        '_sent_at',
         '_services',
         '_timer',
         'holder',
@@ -111,7 +113,6 @@
         self._name = name
         # _ServiceShares by the name of the service.
         self._services = {}
-        self._sent_at = loop.time()
         self._timer = None
         self.holder = lambda: ''
 
@@ -247,13 +248,14 @@
     def _tick(self):
         self._timer = self._loop.call_later(TICK_S, self._tick)
         now = self._loop.time()
-        period_s, self._sent_at = now - self._sent_at, now
         self._forget_services()
         for service, known in self._services.items():
-            rows = known.counts.take(now)
             short = now < known.short_until or known.yielding.active(now)
-            if rows and short:
-                self._tell(service, period_s, rows)
+            rows, span_s = known.counts.end_period(now, short)
+            # The end of a shortage is told once.
+            if rows or known.told:
+                self._tell(service, span_s or TICK_S, rows)
+            known.told = bool(rows)
 
     def _forget_services(self):
         """Drops the services that the configuration no longer has."""
@@ -261,15 +263,15 @@
         for service in self._services.keys() - services.keys():
             del self._services[service]
 
-    def _tell(self, service, period_s, rows):
+    def _tell(self, service, span_s, rows):
         holder = self.holder()
         if holder == self._name:
-            self.take_unserved(service, period_s, rows)
+            self.take_unserved(service, span_s, rows, holder)
         elif holder in self._link.peers:
             addr = self._link.peers[holder]
-            self._link.send_unserved(service, period_s, rows, addr)
+            self._link.send_unserved(service, span_s, rows, addr)
 
-    def take_unserved(self, service, period_s, rows):
+    def take_unserved(self, service, span_s, rows, sender):
         """Takes in what an instance counted for one service.
 
         Services and teams that the configuration does not have are left out,
@@ -278,10 +280,14 @@
         table = self._fleet.table
         if table is None or table.teams is None:
             return
-        rows = [row for row in rows if table.teams.team(row[0]) is not None]
-        if rows and service in table.services:
+        if service not in table.services:
+            return
+        known = [row for row in rows if table.teams.team(row[0]) is not None]
+        if known:
             now = self._loop.time()
-            self._of(service).totals.add(rows, period_s, now)
+            self._of(service).totals.add(sender, known, span_s, now)
+        elif not rows and service in self._services:
+            self._services[service].totals.clear(sender)
 
     def take_shares(self, service, token, shares, sender):
         """Takes over what the holder found; of two, the newer one counts."""
--- a/dandelionwinch/gateway/_share_link.py
+++ b/dandelionwinch/gateway/_share_link.py
@@ -2,7 +2,7 @@
 
     ["shares", service, token, [capacity, demand, level],
         [[team, ratio, part], ...]]
-    ["unserved", service, period, [[team, served, delayed, refused], ...]]
+    ["unserved", service, span, [[team, served, delayed, refused], ...]]
 
 "shares" goes from the holder of the duties to all instances: for one service
 the requests a second that were served in time, those that were asked for, and
@@ -10,9 +10,10 @@
 want more than their share, which part of their requests is beyond it, and
 their share as a part of the capacity. The token is the holder's fencing
 token. "unserved" goes to the holder while requests of the service are not
-served in time: numbers of requests in a period of the given length in
-seconds. Datagrams of unknown senders, and those of versions that name no
-service, are dropped.
+served in time: numbers of requests in the last seconds, as many as stated. It
+replaces what the same instance sent before, so that loss and repeats are
+harmless, and without rows all of it. Datagrams of unknown senders, and those
+of versions that name no service, are dropped.
 """
 
 import math
@@ -25,7 +26,7 @@
 MAX_NAME_CHARS = 128
 MAX_COUNT = 1 << 20
 MAX_RATE_PER_S = 1 << 30
-MAX_PERIOD_S = 60.0
+MAX_SPAN_S = 60.0
 
 
 class ShareLink:
@@ -34,7 +35,8 @@
     Args:
         link: PeerLink.
         receiver: Object with `take_shares(service, token, shares, sender)`
-            and `take_unserved(service, period_s, rows)`.
+            and `take_unserved(service, span_s, rows,
+            sender)`.
     """
 
     __slots__ = ('_link', '_receiver')
@@ -61,19 +63,19 @@
         message = ['shares', service, token, rates, rows[:ROWS_PER_DATAGRAM]]
         self._link.send_all(message, list(self._link.peers.values()))
 
-    def send_unserved(self, service, period_s, rows, addr):
+    def send_unserved(self, service, span_s, rows, addr):
         """Tells the holder how many requests were served, and how.
 
         Args:
             service: Name of the service.
-            period_s: Length of the period in seconds.
+            span_s: Length of the time of the counts in seconds.
             rows: Tuples of team, served, delayed and refused requests.
             addr: Address of the holder.
         """
         rows = [list(row) for row in rows[: MAX_DATAGRAMS * ROWS_PER_DATAGRAM]]
-        for begin in range(0, len(rows), ROWS_PER_DATAGRAM):
+        for begin in range(0, max(1, len(rows)), ROWS_PER_DATAGRAM):
             part = rows[begin : begin + ROWS_PER_DATAGRAM]
-            message = ['unserved', service, round(period_s, 3), part]
+            message = ['unserved', service, round(span_s, 3), part]
             self._link.send(message, addr)
 
     def _take_shares(self, items, addr):
@@ -94,13 +96,13 @@
         )
 
     def _take_unserved(self, items, addr):
-        self._link.name_of(addr)
-        service, period_s, rows = items
-        if not 0 < _checked(period_s) <= MAX_PERIOD_S:
-            raise ValueError(f'period {period_s!r}')
+        sender = self._link.name_of(addr)
+        service, span_s, rows = items
+        if not 0 < _checked(span_s) <= MAX_SPAN_S:
+            raise ValueError(f'span {span_s!r}')
         rows = [_read_counts(*row) for row in _checked_rows(rows)]
         self._receiver.take_unserved(
-            _checked_name(service), float(period_s), rows
+            _checked_name(service), float(span_s), rows, sender
         )
 
 
--- a/dandelionwinch/limits/_call_counts.py
+++ b/dandelionwinch/limits/_call_counts.py
@@ -4,8 +4,13 @@
 
 # Time over which the calls of a team are added up.
 SPAN_S = 5.0
-# Counts of instances that arrive within this time are added up.
-PERIOD_S = 0.5
+# Tolerance of the length of a period, as timers may be late.
+TOLERANCE_S = 0.5
+# Time for which the counts of an instance are used. They come once a second,
+# so that two of them may be lost.
+VALID_S = 3.2
+# Shortest time that counts are divided by, which bounds forged rates.
+MIN_SPAN_S = 0.5
 # Refused calls that are remembered, so that their repeats are known.
 MAX_REFUSED = 4096
 
@@ -19,7 +24,14 @@
         now: Time in seconds.
     """
 
-    __slots__ = ('_asked', '_began_at', '_counts', '_past', '_refused')
+    __slots__ = (
+        '_asked',
+        '_began_at',
+        '_counts',
+        '_past',
+        '_refused',
+        '_short',
+    )
 
     def __init__(self, now):
         # By team since the last take: served, delayed and refused calls.
@@ -28,6 +40,8 @@
         self._began_at = now
         # Calls by team in earlier periods, with the begin of each.
         self._past = collections.deque()
+        # Begin and counts of the periods since a shortage began.
+        self._short = collections.deque()
         # Time at which a call was refused, by its id; the oldest first.
         self._refused = {}
 
@@ -71,23 +85,43 @@
                 return
             del self._refused[first]
 
-    def take(self, now):
-        """Returns and clears the rows of team, served, delayed, refused.
+    def end_period(self, now, short):
+        """Ends a period of about a second.
 
-        Repeats that were served reduce the refused calls; what is below zero
-        is kept for the next period.
+        Args:
+            now: Time in seconds.
+            short: Whether requests of the service are not served in time.
+
+        Returns:
+            Rows of team, served, delayed and refused calls since the shortage
+            began, SPAN_S at most, and the length of that time in seconds. No
+            rows without a shortage.
         """
-        rows, rest = [], {}
-        for team, (served, delayed, refused) in self._counts.items():
-            if refused < 0:
-                rest[team] = [0, 0, refused]
-            if served or refused > 0:
-                rows.append((team, served, delayed, max(0, refused)))
-        self._counts = rest
         self._past.append((self._began_at, self._asked))
-        self._asked, self._began_at = collections.Counter(), now
-        while self._past and now - self._past[0][0] > SPAN_S + PERIOD_S:
-            self._past.popleft()
+        self._short.append((self._began_at, self._counts))
+        self._asked, self._counts = collections.Counter(), {}
+        self._began_at = now
+        for periods in (self._past, self._short):
+            while now - periods[0][0] > SPAN_S + TOLERANCE_S:
+                periods.popleft()
+        if not short:
+            self._short.clear()
+            return [], 0.0
+        return self._short_rows(), now - self._short[0][0]
+
+    def _short_rows(self):
+        totals = {}
+        for _at, counts in self._short:
+            for team, numbers in counts.items():
+                sums = totals.setdefault(team, [0, 0, 0])
+                for index, number in enumerate(numbers):
+                    sums[index] += number
+        # A repeat that was served may have been refused before that time.
+        rows = [
+            (team, served, delayed, max(0, refused))
+            for team, (served, delayed, refused) in totals.items()
+            if served or refused > 0
+        ]
         rows.sort(key=lambda row: (-row[2] - row[3], -row[1], row[0]))
         return rows
 
@@ -108,36 +142,36 @@
 
 
 class CallTotals:
-    """What the instances counted in the last seconds, as the holder has it."""
+    """What the instances counted in the last seconds, as the holder has it.
+
+    The counts of an instance replace its earlier ones, so that datagrams may
+    be lost or repeated.
+    """
 
-    __slots__ = ('_periods',)
+    __slots__ = ('_rates',)
 
     def __init__(self):
-        # Begin and end of a period, and the counts by team in it: served,
-        # delayed and refused requests.
-        self._periods = collections.deque()
+        # By instance and team: a time, and the served, delayed and refused
+        # requests a second.
+        self._rates = {}
 
-    def add(self, rows, period_s, now):
-        """Adds what an instance counted.
+    def add(self, sender, rows, span_s, now):
+        """Takes over what an instance counted.
 
         Args:
+            sender: Name of the instance.
             rows: Tuples of team, served, delayed and refused requests.
-            period_s: Length of their period in seconds.
+            span_s: Length of the time that they are of, in seconds.
             now: Time in seconds.
         """
-        self._forget(now)
-        last = self._periods[-1] if self._periods else None
-        if last is None or now - last[1] >= PERIOD_S:
-            last = (now - min(period_s, SPAN_S), now, {})
-            self._periods.append(last)
+        span_s = max(MIN_SPAN_S, span_s)
+        known = self._rates.setdefault(sender, {})
         for team, *numbers in rows:
-            counts = last[2].setdefault(team, [0, 0, 0])
-            for index, number in enumerate(numbers):
-                counts[index] += number
+            known[team] = (now, [number / span_s for number in numbers])
 
-    def _forget(self, now):
-        while self._periods and now - self._periods[0][0] > SPAN_S + PERIOD_S:
-            self._periods.popleft()
+    def clear(self, sender):
+        """Drops what an instance counted, as its shortage has ended."""
+        self._rates.pop(sender, None)
 
     def rates(self, now):
         """Returns the served, delayed and refused requests a second by team.
@@ -146,14 +180,15 @@
             Mapping of team to a list of three numbers; empty if no instance
             has counted anything in the last seconds.
         """
-        self._forget(now)
         found = {}
-        if not self._periods:
-            return found
-        span_s = max(1.0, now - self._periods[0][0])
-        for _begin, _end, period in self._periods:
-            for team, numbers in period.items():
-                rates = found.setdefault(team, [0.0, 0.0, 0.0])
-                for index, number in enumerate(numbers):
-                    rates[index] += number / span_s
+        for sender, known in list(self._rates.items()):
+            for team, (at, rates) in list(known.items()):
+                if now - at > VALID_S:
+                    del known[team]
+                    continue
+                sums = found.setdefault(team, [0.0, 0.0, 0.0])
+                for index, rate in enumerate(rates):
+                    sums[index] += rate
+            if not known:
+                del self._rates[sender]
         return found
