--- a/dandelionwinch/gateway/_call_gate.py
+++ b/dandelionwinch/gateway/_call_gate.py
@@ -103,7 +103,7 @@
         if self._sharing.excess(service, call.team) is None:
             return None
         waiting = self._of(service)
-        self._set_limit(service, waiting)
+        self._set_limit(service, waiting, call.team)
         match waiting.queue.offer(call, self._loop.time()):
             case limits.Refuse(retry_after_s):
                 self._limited_calls.labels('refused').inc()
@@ -121,11 +121,11 @@
             waiting = self._services[service] = _Waiting()
         return waiting
 
-    def _set_limit(self, service, waiting):
+    def _set_limit(self, service, waiting, team=''):
         now = self._loop.time()
         if now - waiting.limited_at < LIMIT_S:
             return
-        wanted = self._sharing.wanted(service)
+        wanted = self._sharing.wanted(service, team)
         if not wanted:
             return
         waiting.limited_at = now
--- a/dandelionwinch/gateway/_fair_sharing.py
+++ b/dandelionwinch/gateway/_fair_sharing.py
@@ -160,22 +160,34 @@
         return known is not None and known.yielding.active(self._loop.time())
 
     def capacity_per_s(self, service):
-        """Returns the capacity of a service with a team above its share."""
-        return self._services[service].shares.capacity
+        """Returns the capacity of a service, 0 if it is not known."""
+        known = self._services.get(service)
+        return known.shares.capacity if known else 0.0
 
-    def wanted(self, service):
+    def wanted(self, service, team=''):
         """Returns what the teams above their share ask this instance for.
 
+        Args:
+            service: Name of the service.
+            team: Name of a team that calls just now, or ''.
+
         Returns:
-            Pairs of requests a second and limits.Excess.
+            Pairs of requests a second and limits.Excess, for teams that
+            have called in the last seconds.
         """
         now = self._loop.time()
-        known = self._services[service]
+        known = self._services.get(service)
+        if known is None:
+            return []
         found = [
             (known.counts.asked_per_s(excess.team, now), excess)
             for excess in known.yielding.excesses(now)
         ]
-        return [(asked, excess) for asked, excess in found if asked]
+        return [
+            (asked, excess)
+            for asked, excess in found
+            if asked or excess.team == team
+        ]
 
     def record_asked(self, service, team, request_id):
         """Counts a request that has arrived."""
--- a/dandelionwinch/limits/_call_counts.py
+++ b/dandelionwinch/limits/_call_counts.py
@@ -102,9 +102,9 @@
         self._asked, self._counts = collections.Counter(), {}
         self._began_at = now
         for periods in (self._past, self._short):
-            while now - periods[0][0] > SPAN_S + TOLERANCE_S:
+            while periods and now - periods[0][0] > SPAN_S + TOLERANCE_S:
                 periods.popleft()
-        if not short:
+        if not short or not self._short:
             self._short.clear()
             return [], 0.0
         return self._short_rows(), now - self._short[0][0]
--- a/dandelionwinch/tests/test_call_queue.py
+++ b/dandelionwinch/tests/test_call_queue.py
@@ -304,6 +304,15 @@
         assert rows == ([('a', span_s, 0, 0)] if span_s else [])
 
 
+def test_a_period_after_a_suspension_counts_nothing():
+    counts = limits.CallCounts(0.0)
+    counts.record_refused('a', 'r1', 0.5)
+    assert counts.end_period(60.0, True) == ([], 0.0)
+    counts.record_refused('a', 'r2', 60.5)
+    assert counts.end_period(61.0, True) == ([('a', 0, 0, 1)], 1.0)
+    assert counts.asked_per_s('a', 61.0) == 0.0
+
+
 def test_memory_of_refused_calls_is_bounded():
     counts, times = limits.CallCounts(0.0), _queue(1.0, 0.001)
     for number in range(6000):
