--- a/dandelionwinch/tools/bench.py
+++ b/dandelionwinch/tools/bench.py
@@ -9,6 +9,7 @@
 import rich.console
 import rich.table
 
+from dandelionwinch.bench import _calls
 from dandelionwinch.bench import _capacity
 from dandelionwinch.bench import _claims
 from dandelionwinch.bench import _control
@@ -230,6 +231,33 @@
     sys.exit(1 if any(row['broken'] for row in rows) else 0)
 
 
+@bench.command('calls')
+@click.option('--instances', default=58, show_default=True)
+@click.option('--seeds', default=1, show_default=True)
+@click.option('--loss', default=0.0, help='Part of the datagrams lost.')
+@click.option('--leaving', default='', help='Team whose callers give up.')
+@_common_options
+def calls(instances, seeds, loss, leaving, seed, as_json):
+    """Serve calls of teams at 1.9 times the capacity, in virtual time.
+
+    Prints the part of the calls of all teams, of small teams and of each
+    large one that was in time, for each way of limiting large teams.
+    """
+    rows = [
+        _calls.measure(
+            policy,
+            instances,
+            number,
+            retrying='' if leaving else 'l0',
+            leaving=leaving,
+            loss=loss,
+        )
+        for number in range(seed, seed + seeds)
+        for policy in _calls.POLICIES
+    ]
+    _print_rows(rows, as_json)
+
+
 @bench.command('in-force')
 @click.option('--seeds', default=10, show_default=True)
 @_common_options
