--- a/dandelionwinch/tests/test_call_queue.py
+++ b/dandelionwinch/tests/test_call_queue.py
@@ -47,6 +47,15 @@
     assert fair.served_of_all() >= without.served_of_all() - 0.03
 
 
+def test_upstreams_with_long_queues_serve_most_calls_in_time():
+    """Without shares nearly all calls end late there, of each team."""
+    without = run(58, None, upstream_queue=30)
+    fair = run(58, limits.FairOrder, upstream_queue=30)
+    assert without.served_of_all() < 0.1
+    assert fair.served_of_all() > 0.4
+    assert min(fair.served().values()) >= fair.served_of_all() / 4
+
+
 @pytest.mark.parametrize('instances', SIZES)
 @pytest.mark.parametrize('fault', [{'loss': 0.3}, {'roaming': True}])
 def test_the_bounds_hold_under_faults(instances, fault):
