--- a/dandelionwinch/tests/test_call_gate.py
+++ b/dandelionwinch/tests/test_call_gate.py
@@ -323,3 +323,56 @@
 
     rows = _run([[[gateway_harness.response()]]], scenario)
     assert rows == [('large', 1, 1, 0), ('large', 2, 1, 0)]
+
+
+@pytest.mark.parametrize(
+    ('priority', 'weight'), [(None, 1.0), (0, 1.0), (-1, 2.0), (3, 0.5)]
+)
+def test_the_weight_of_a_call_follows_its_teams_priority(
+    priority, weight, monkeypatch
+):
+    """The route has priority 0; the team's takes precedence."""
+    directory = teams.TeamDirectory(
+        [(teams.Team('large', priority), [teams.digest(b'k')])]
+    )
+    seen = []
+
+    async def enter(_gate, _service, call):
+        seen.append(call)
+
+    monkeypatch.setattr(_call_gate.CallGate, 'enter', enter)
+
+    async def scenario(harness):
+        harness.gateway.fair_sharing.take_shares('s', 1, SHARES, 'i1')
+        return await _call_sent(harness)
+
+    status, _headers, _body = _run(
+        [[[gateway_harness.response()]]], scenario, directory
+    )
+    assert status == 200
+    assert [(call.team, call.weight) for call in seen] == [('large', weight)]
+
+
+def test_a_sent_call_counts_to_the_limit_after_its_caller_has_left():
+    """Upstreams go on with it, so its place must not be free at once."""
+
+    async def scenario(harness):
+        gateway = harness.gateway
+        route = attrs.evolve(gateway_harness.ROUTES[0], objective_s=4.0)
+        services = gateway.fleet.table.services.values()
+        gateway.fleet.table = routes.RouteTable(
+            2, [route], services, routes.Limits(), DIRECTORY
+        )
+        # A call usually takes so long that it has not ended by itself.
+        shares = attrs.evolve(SHARES, capacity=0.01)
+        gateway.fair_sharing.take_shares('s', 1, shares, 'i1')
+        harness.send('/safe/1', headers=[samples.key_header('k')])
+        await harness.log.wait_until(lambda: harness.requests)
+        harness.writer.close()
+        names = harness.log.names
+        await harness.log.wait_until(lambda: 'request.left' in names())
+        return await _rows(harness), gateway.call_gate._of('s').queue.in_flight
+
+    rows, in_flight = _run([[[scripted.HOLD]]], scenario)
+    assert rows == [('large', 1, 0, 0)]
+    assert in_flight == 1
