--- a/dandelionwinch/limits/_call_queue.py
+++ b/dandelionwinch/limits/_call_queue.py
@@ -361,5 +361,12 @@
         return max(now, next_at)
 
     def _refuse(self, call, wait_s, now):
-        rate_per_s = self._rate_per_s()
+        rate_per_s = self._rate_per_s() * self._part(call)
         return Refuse(self._returns.wait_s(call, wait_s, rate_per_s, now))
+
+    def _part(self, call):
+        """Returns the part of the sent calls that are of a call's team."""
+        weights = {other.team: other.weight for other in self._in_flight}
+        weights |= {other.team: other.weight for other in self._order}
+        weights[call.team] = call.weight
+        return call.weight / sum(weights.values())
--- a/dandelionwinch/tests/test_call_queue.py
+++ b/dandelionwinch/tests/test_call_queue.py
@@ -208,6 +208,33 @@
     assert 0.1 <= times[0] <= 0.7 and times[-1] <= 5.0
 
 
+def test_callers_that_return_when_told_find_room():
+    """Also while calls of another team are told to return."""
+    queue = _queue(1.0)
+    events = [(0.0, n, _call('ab'[n % 2], n, 0.35)) for n in range(40)]
+    refused = []
+    sent = 0
+    for step in range(600):
+        now = step / 100
+        for event in sorted(e for e in events if e[0] <= now):
+            events.remove(event)
+            _at, number, call = event
+            match queue.offer(call, now):
+                case limits.Refuse(retry_after_s):
+                    refused.append(now)
+                    again = now + retry_after_s
+                    call = _call(call.team, number, again + 0.35)
+                    events.append((again, number, call))
+        for call in [
+            c for c, at in queue._in_flight.items() if now - at > 0.09
+        ]:
+            sent += 1
+            queue.release(call, now)
+        queue.poll(now)
+    assert sent == 40
+    assert len([now for now in refused if now > 0]) <= 4
+
+
 def test_a_waiting_call_is_refused_when_its_deadline_can_not_be_met():
     queue = _queue(1.0)
     call = _call('a', 1, deadline=0.6)
