--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -11,6 +11,7 @@
 
 _RELAYED = 'relayed'
 _NOT_RUN = attempts.FinalStatus.NOT_RUN.name.lower()
+_STOPPING = 'it could not end before the instance stops'
 _TIMEOUT = attempts.FinalStatus.TIMEOUT.name.lower()
 
 
@@ -52,6 +53,11 @@
         except _call_gate.CallRefused as exc:
             self._state.return_s = exc.retry_after_s
             return str(exc)
+        # A stop may have begun meanwhile, and would cut the call.
+        if not self._gateway.ends_before_stop(
+            self._route, self._req.answer_tokens, self._left_s()
+        ):
+            return _STOPPING
         return ''
 
     def _queued_call(self):
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -338,18 +338,26 @@
             task.cancel('the instance stops')
 
     def _ends_in_time(self, req, route):
-        """Tells whether a request can end before the instance stops."""
+        """Tells whether a request that arrives can end before a stop."""
+        limit_s = route.timeout_s
+        if req.timeout_s is not None:
+            limit_s = min(limit_s, req.timeout_s)
+        return self.ends_before_stop(route, req.answer_tokens, limit_s)
+
+    def ends_before_stop(self, route, answer_tokens, limit_s):
+        """Tells whether a request can end before the instance stops.
+
+        Args:
+            route: Route of the request.
+            answer_tokens: Maximum number of tokens of its answer.
+            limit_s: Seconds until its deadline.
+        """
         if self._ended:
             return False
         if self._stop_at is None:
             return True
         now = self.loop.time()
-        limit_s = route.timeout_s
-        if req.timeout_s is not None:
-            limit_s = min(limit_s, req.timeout_s)
-        expected_s = self._durations.expected_s(
-            route.name, req.answer_tokens, now
-        )
+        expected_s = self._durations.expected_s(route.name, answer_tokens, now)
         return attempts.ends_in_time(limit_s, expected_s, self._stop_at - now)
 
     def _stopping_s(self, received_at):
--- a/dandelionwinch/tests/test_call_gate.py
+++ b/dandelionwinch/tests/test_call_gate.py
@@ -284,6 +284,79 @@
     assert rows == [('large', 1, 0, 1), ('small', 1, 0, 0)]
 
 
+async def _call_in_queue(harness, timeout_ms=3000):
+    """Sends a call that waits for one in flight; returns how to end that."""
+    gateway = harness.gateway
+    now = gateway.loop.time()
+    route = attrs.evolve(gateway_harness.ROUTES[0], objective_s=5.0)
+    services = gateway.fleet.table.services.values()
+    gateway.fleet.table = routes.RouteTable(
+        2, [route], services, routes.Limits(), DIRECTORY
+    )
+    gateway.fair_sharing.take_shares('s', 1, SHARES, 'i1')
+    gate = gateway.call_gate
+    gate._of('s').limited_at = float('inf')
+    gate._of('s').queue.set_limit(1.0, 0.001, now)
+    first = limits.QueuedCall('large', 1.0, now + 60.0, 'r0')
+    permission = await gate.enter('s', first)
+    header = samples.key_header('k')
+    harness.send('/safe/1', 'r1', headers=[header], timeout_ms=timeout_ms)
+    while not gate._of('s').queue.waiting:
+        await asyncio.sleep(0)
+    return lambda: gate.end(permission, answered=False)
+
+
+@pytest.mark.parametrize(('left_s', 'status'), [(0.5, 503), (60.0, 200)])
+def test_a_call_that_waited_is_sent_only_if_it_ends_before_a_stop(
+    left_s, status
+):
+    """One sent right before the end of the stop would be cut, as unknown."""
+
+    async def scenario(harness):
+        gateway = harness.gateway
+        end_first = await _call_in_queue(harness)
+        gateway.begin_stop(gateway.loop.time() + left_s)
+        end_first()
+        found, headers, _body = await harness.read_response()
+        queue = gateway.call_gate._of('s').queue
+        await asyncio.sleep(0)
+        return found, 'retry-after' in headers, _ids(harness), queue.in_flight
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    ids = ['r1'] if status == 200 else []
+    assert found == (status, status == 503, ids, 0)
+
+
+def test_a_call_in_the_queue_is_refused_at_the_end_of_a_stop():
+    async def scenario(harness):
+        gateway = harness.gateway
+        await _call_in_queue(harness)
+        gateway.begin_stop(gateway.loop.time())
+        gateway.end_requests()
+        status, headers, _body = await harness.read_response()
+        queue = gateway.call_gate._of('s').queue
+        return status, 'retry-after' in headers, queue.waiting
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    assert found == (503, True, 0)
+
+
+def test_a_call_that_waits_for_no_upstream_is_refused():
+    """The service may lose all upstreams while a call waits."""
+
+    async def scenario(harness):
+        end_first = await _call_in_queue(harness)
+        harness.gateway.fleet.registry.remove('u0', 0.0)
+        end_first()
+        status, headers, _body = await harness.read_response()
+        await asyncio.sleep(0)
+        queue = harness.gateway.call_gate._of('s').queue
+        return status, 'retry-after' in headers, queue.in_flight
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    assert found == (503, True, 0)
+
+
 @pytest.mark.parametrize(
     ('step', 'row'),
     [
