--- a/dandelionwinch/gateway/_call_gate.py
+++ b/dandelionwinch/gateway/_call_gate.py
@@ -164,8 +164,11 @@
             return
         self._set_limit(service, waiting)
         now = self._loop.time()
-        if not self._sharing.limits_calls(service):
-            waiting.queue.lift_limit()
+        sharing = self._sharing
+        for call in waiting.queue.take_unlimited(
+            lambda team: sharing.excess(service, team) is not None
+        ):
+            _wake(waiting.futures.pop(call, None), None)
         due = waiting.queue.poll(now)
         for call in due.sent:
             _wake(waiting.futures.pop(call, None), None)
--- a/dandelionwinch/gateway/_fair_sharing.py
+++ b/dandelionwinch/gateway/_fair_sharing.py
@@ -154,11 +154,6 @@
             return None
         return known.yielding.excess(team, self._loop.time())
 
-    def limits_calls(self, service):
-        """Tells whether a team is above its share of a service."""
-        known = self._services.get(service)
-        return known is not None and known.yielding.active(self._loop.time())
-
     def capacity_per_s(self, service):
         """Returns the capacity of a service, 0 if it is not known."""
         known = self._services.get(service)
--- a/dandelionwinch/limits/_call_queue.py
+++ b/dandelionwinch/limits/_call_queue.py
@@ -6,8 +6,6 @@
 at once with the time at which there will be room.
 """
 
-import math
-
 import attrs
 
 from dandelionwinch.limits import _return_times
@@ -240,11 +238,6 @@
         self._limit = limit
         self._credit = min(self._credit, max(1.0, limit))
 
-    def lift_limit(self):
-        """Lets all waiting calls be sent, as no team is above its share."""
-        self._limit = math.inf
-        self._credit = math.inf
-
     def offer(self, call, now):
         """Decides on a call that arrives.
 
@@ -285,6 +278,19 @@
             sent.append(call)
         return Due(sent, refused, self._next_at(now))
 
+    def take_unlimited(self, is_limited):
+        """Removes and returns the calls of teams that have their share again.
+
+        They no longer count to the limit.
+
+        Args:
+            is_limited: Function that tells whether a team is above its share.
+        """
+        found = [call for call in self._order if not is_limited(call.team)]
+        for call in found:
+            self._order.remove(call)
+        return found
+
     def release(self, call, now):
         """Records that a call that was sent has ended."""
         sent_at = self._in_flight.pop(call, None)
--- a/dandelionwinch/tests/test_call_gate.py
+++ b/dandelionwinch/tests/test_call_gate.py
@@ -151,6 +151,27 @@
     run_site(scenario)
 
 
+def test_calls_of_a_team_that_has_its_share_again_wait_no_longer():
+    """Later calls of the team pass at once, so these must not be refused."""
+
+    async def scenario(site):
+        site.announce()
+        waiting = [site.enter() for _ in range(6)][2:]
+        await asyncio.sleep(0.01)
+        excess = limits.Excess('small', 0.9, 0.1)
+        site.announce(attrs.evolve(SHARES, excesses=(excess,)))
+        await asyncio.sleep(0.2)
+        assert all(task.done() for task in waiting)
+        # They are no longer limited, and their ends change nothing.
+        queue = site.gate._services['s'].queue
+        assert queue.in_flight == 2
+        site.gate.end(waiting[0].result(), answered=True)
+        site.gate.leave(waiting[1].result())
+        assert queue.in_flight == 2
+
+    run_site(scenario)
+
+
 def test_a_caller_that_leaves_the_queue_frees_its_place():
     async def scenario(site):
         site.announce()
