--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -3,9 +3,9 @@
 import asyncio
 import collections
 
-import attrs
-
 from dandelionwinch.gateway import _codec
+from dandelionwinch.gateway import _incoming_request
+from dandelionwinch.gateway import _reader_watch
 
 MAX_PIPELINED_REQUESTS = 8
 # Maximum time from the first bytes of a request to the end of its body.
@@ -15,33 +15,11 @@
 DRAIN_IDLE_S = 0.25
 # Time for which a caller may read nothing of what was written for it.
 UNREAD_TIMEOUT_S = 5.0
-
-
-class _TooManyRequests(_codec.BadMessage):
-    """A request is refused, as too many wait before it."""
-
-    code = 'too_many_requests'
-    status = 503
-
-
-class TooManyBytes(_codec.BadMessage):
-    """A request is refused, as the instance holds too many bytes."""
-
-    code = 'too_many_bytes'
-    status = 503
-
-
-@attrs.define
-class IncomingRequest:
-    """A caller's request as received, before a WireCodec parses it.
-
-    Attributes:
-        received_at: Loop time at which its first bytes arrived.
-    """
-
-    head: _codec.Head
-    body: bytearray
-    received_at: float
+# Where held bytes are limited, a stream goes on when its caller has read this
+# many of the bytes that wait for it. The default step of three quarters would
+# leave the upstream without progress for seconds.
+BUFFER_BYTES = 1 << 16
+BUFFER_STEP_BYTES = 1 << 14
 
 
 class CallerConnection(asyncio.Protocol):
@@ -50,6 +28,11 @@
     The server's handler is a coroutine function that is called with an
     IncomingRequest and this connection. It is cancelled when the caller
     disconnects.
+
+    Attributes:
+        server: The Server.
+        team: Name of the team of its last request, '' if it is not known or
+            nothing is counted by team.
     """
 
     __slots__ = (
@@ -62,21 +45,21 @@
         '_parser',
         '_paused',
         '_queue',
-        '_read_at',
-        '_read_bytes',
+        '_reader',
         '_rejection',
         '_request_started_at',
         '_responded',
-        '_server',
         '_serving',
         '_task',
         '_transport',
         '_write_resumed',
-        '_written_bytes',
+        'server',
+        'team',
     )
 
     def __init__(self, server):
-        self._server = server
+        self.server = server
+        self.team = ''
         self._transport = None
         limit = server.limits.max_header_bytes
         self._parser = _codec.RequestParser(self, limit)
@@ -93,10 +76,7 @@
         self._responded = False
         # Request that is being served, whose body is held.
         self._serving = None
-        self._written_bytes = 0
-        # Bytes that the caller had read when they last grew, and when.
-        self._read_bytes = 0
-        self._read_at = 0.0
+        self._reader = _reader_watch.ReaderWatch()
         self._idle_since = 0.0
         self._idle_limit_s = 0.0
         self._begin_idle()
@@ -110,11 +90,11 @@
     def connection_made(self, transport):
         """Registers the connection with the server."""
         self._transport = transport
-        self._server.connections.add(self)
+        self.server.connections.add(self)
 
     def connection_lost(self, exc):
         """Cancels the handler."""
-        self._server.connections.discard(self)
+        self.server.connections.discard(self)
         self._cancel()
 
     def eof_received(self):
@@ -123,8 +103,8 @@
         return False
 
     def _write(self, data):
-        self._written_bytes += len(data)
-        self._server.count_held(len(data))
+        self._reader.written_bytes += len(data)
+        self.server.count_held(len(data))
         self._transport.write(data)
 
     @property
@@ -132,27 +112,38 @@
         """Returns the bytes that were written and the caller has not read."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def body_bytes(self):
+        """Returns the bytes held of the bodies of its requests."""
+        requests = [*self._queue, self._incoming, self._serving]
+        return sum(len(item.body) for item in requests if item is not None)
+
     @property
     def held_bytes(self):
         """Returns the bytes held for the caller, of requests and responses."""
-        bodies = sum(len(incoming.body) for incoming in self._queue)
-        for incoming in (self._incoming, self._serving):
-            bodies += len(incoming.body) if incoming is not None else 0
-        return bodies + self.unread_bytes
+        return self.body_bytes + self.unread_bytes
 
-    def check_reader(self, now):
-        """Aborts the connection of a caller that has stopped to read.
+    def assign(self, team):
+        """Counts what is held for the caller to a team from now on.
 
         Args:
-            now: Loop time.
+            team: Name of the team, or ''.
+
+        Raises:
+            TooManyBytes: If the team holds too much already.
         """
+        self.team = team
+        self._transport.set_write_buffer_limits(
+            BUFFER_BYTES, BUFFER_BYTES - BUFFER_STEP_BYTES
+        )
+        self.server.check_held(0, team)
+
+    def _check_reader(self, now):
+        """Aborts the connection of a caller that has stopped to read."""
         unread = self.unread_bytes
-        read = self._written_bytes - unread
-        if not unread or read != self._read_bytes:
-            self._read_bytes = read
-            self._read_at = now
-        elif now - self._read_at > UNREAD_TIMEOUT_S:
-            self._server.report_stalled(unread)
+        self._reader.observe(unread, now)
+        if self._reader.silent_s > UNREAD_TIMEOUT_S:
+            self.server.report_stalled(unread)
             self.abort()
 
     def _cancel(self):
@@ -169,7 +160,7 @@
         if self._closing or self._rejection is not None:
             return
         if self._request_started_at is None:
-            self._request_started_at = self._server.loop.time()
+            self._request_started_at = self.server.loop.time()
         try:
             self._parser.feed(data)
         except _codec.BadMessage as exc:
@@ -180,19 +171,13 @@
 
         It is sent after the responses to the requests before.
         """
-        limits = self._server.limits
+        limits = self.server.limits
         self._parser.max_head_bytes = limits.max_header_bytes
-        length = head.header('content-length')
-        if length.isdecimal() and int(length) > limits.max_body_bytes:
-            raise _codec.BodyTooLarge(
-                f'the body is over {limits.max_body_bytes} bytes'
-            )
-        if sum(1 for name, _value in head.headers if name == 'host') != 1:
-            raise _codec.BadMessage('not one header "Host"')
+        _incoming_request.check_head(head, limits)
         if self._request_started_at is None:
             # It came with the end of the request before it.
-            self._request_started_at = self._server.loop.time()
-        self._incoming = IncomingRequest(
+            self._request_started_at = self.server.loop.time()
+        self._incoming = _incoming_request.IncomingRequest(
             head, bytearray(), self._request_started_at
         )
         self._continue_due = head.header('expect').lower() == '100-continue'
@@ -207,10 +192,10 @@
     def on_body(self, data):
         """Collects the body of a request."""
         self._incoming.body += data
-        limit = self._server.limits.max_body_bytes
+        limit = self.server.limits.max_body_bytes
         if len(self._incoming.body) > limit:
             raise _codec.BodyTooLarge(f'the body is over {limit} bytes')
-        self._server.check_held(len(data))
+        self.server.check_held(len(data), self.team)
 
     def on_end(self):
         """Serves a complete request, or queues it behind the current one."""
@@ -220,7 +205,9 @@
         self._request_started_at = None
         if len(self._queue) > MAX_PIPELINED_REQUESTS:
             self._queue.pop()
-            raise _TooManyRequests('too many requests at once')
+            raise _incoming_request.TooManyRequests(
+                'too many requests at once'
+            )
         if self._task is None:
             self._serve_next()
 
@@ -243,11 +230,11 @@
         self._responded = False
         if not incoming.head.keep_alive:
             self._close_after_response = True
-        self._task = self._server.loop.create_task(self._serve(incoming))
+        self._task = self.server.loop.create_task(self._serve(incoming))
 
     async def _serve(self, incoming):
         try:
-            await self._server.handler(incoming, self)
+            await self.server.handler(incoming, self)
         finally:
             self._task = None
             self._serving = None
@@ -258,7 +245,7 @@
 
     def _reject(self, status, reason):
         """Answers a bad request after those before it, then closes."""
-        self._server.report_rejection(status, reason)
+        self.server.report_rejection(status, reason)
         self._rejection = (status, reason)
         if self._task is None:
             self._respond_rejection()
@@ -287,7 +274,7 @@
         """
         more = self._queue or self._request_started_at is not None
         return self._close_after_response or (
-            self._server.draining and not more
+            self.server.draining and not more
         )
 
     def respond(self, status, headers, body, *, close=False):
@@ -315,7 +302,7 @@
         """Writes a chunk; waits while the write buffer is full."""
         self._write(_codec.encode_chunk(data))
         if self._paused:
-            self._write_resumed = self._server.loop.create_future()
+            self._write_resumed = self.server.loop.create_future()
             await self._write_resumed
 
     def end_stream(self):
@@ -348,8 +335,8 @@
     def _begin_idle(self):
         # A later, shorter limit does not hold for this idle time, as the
         # caller may rely on the one that was in force.
-        self._idle_since = self._server.loop.time()
-        self._idle_limit_s = self._server.limits.keep_alive_timeout_s
+        self._idle_since = self.server.loop.time()
+        self._idle_limit_s = self.server.limits.keep_alive_timeout_s
 
     @property
     def busy(self):
@@ -380,7 +367,7 @@
         A request may have arrived while the loop was held up, and timers run
         before sockets are read: the second step comes after a look at them.
         """
-        loop = self._server.loop
+        loop = self.server.loop
         loop.call_soon(loop.call_soon, self._close_if_idle)
 
     def _close_if_idle(self):
@@ -389,10 +376,10 @@
 
     def sweep(self, now):
         """Closes the connection if it is idle or slow beyond the limits."""
-        self.check_reader(now)
+        self._check_reader(now)
         if self._task is not None or self._queue:
             return
-        limits = self._server.limits
+        limits = self.server.limits
         if self._request_started_at is None:
             if now - self._idle_since > self._max_idle_s():
                 self._close_if_silent()
@@ -404,7 +391,7 @@
             self._reject(408, 'the request took too long to arrive')
 
     def _max_idle_s(self):
-        if self._server.draining:
+        if self.server.draining:
             return DRAIN_IDLE_S
-        limit_s = self._server.limits.keep_alive_timeout_s
+        limit_s = self.server.limits.keep_alive_timeout_s
         return max(limit_s, self._idle_limit_s)
--- a/dandelionwinch/gateway/_server.py
+++ b/dandelionwinch/gateway/_server.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 server for callers."""
 
 from dandelionwinch.gateway import _caller_connection
+from dandelionwinch.gateway import _incoming_request
+from dandelionwinch.gateway import _team_bytes
 
 SWEEP_INTERVAL_S = 0.5
 LISTEN_BACKLOG = 1024
@@ -29,6 +31,7 @@
         '_on_rejected',
         '_on_stalled',
         '_sweep_timer',
+        '_team_bytes',
         'connections',
         'draining',
         'handler',
@@ -55,6 +58,7 @@
         self._max_held_bytes = max_held_bytes
         # As of the last sum, with all that arrived since.
         self._held_bytes = 0
+        self._team_bytes = _team_bytes.TeamBytes(self, max_held_bytes)
         self._listener = None
         self._sweep_timer = None
 
@@ -89,48 +93,77 @@
         """Counts bytes that were written for a caller."""
         self._held_bytes += more_bytes
 
-    def check_held(self, more_bytes):
+    def check_held(self, more_bytes, team):
         """Counts bytes of a body that were received.
 
         Callers that read slowly lose their connections first, those with
         most bytes before the others.
 
+        Args:
+            more_bytes: Number of bytes.
+            team: Name of the team that sent them, or ''.
+
         Raises:
-            TooManyBytes: If the bound is exceeded nevertheless.
+            TooManyBytes: If a bound is exceeded nevertheless.
         """
         self._held_bytes += more_bytes
         limit = self._max_held_bytes
-        if limit is None or self._held_bytes <= limit:
+        if limit is None:
+            return
+        if team and self._held_bytes > limit // 2:
+            self._team_bytes.check(team, self._held_bytes)
+        if self._held_bytes <= limit:
             return
         self._sum_held()
         self._abort_unread()
         if self._held_bytes > limit:
-            raise _caller_connection.TooManyBytes(
+            raise _incoming_request.TooManyBytes(
                 f'the instance holds over {limit} bytes'
             )
 
-    def _sum_held(self):
-        self._held_bytes = sum(conn.held_bytes for conn in self.connections)
+    def held(self):
+        """Returns the bytes of bodies and those of unread responses."""
+        bodies = sum(conn.body_bytes for conn in self.connections)
+        unread = sum(conn.unread_bytes for conn in self.connections)
+        return bodies, unread
 
-    def _abort_unread(self):
-        """Aborts connections with unread bytes while too many are held."""
-        limit = self._max_held_bytes
-        if limit is None or self._held_bytes <= limit:
-            return
+    def abort_unread(self, connections, excess):
+        """Aborts connections with unread bytes, those with most first.
+
+        Args:
+            connections: The connections.
+            excess: Bytes that are to be freed.
+
+        Returns:
+            The bytes that were freed.
+        """
+        freed = 0
         ranked = sorted(
-            self.connections, key=lambda conn: conn.unread_bytes, reverse=True
+            connections, key=lambda conn: conn.unread_bytes, reverse=True
         )
         for conn in ranked:
             unread = conn.unread_bytes
-            if not unread or self._held_bytes <= limit:
-                return
-            self._held_bytes -= unread
+            if not unread or freed >= excess:
+                break
+            freed += unread
             self.report_stalled(unread)
             conn.abort()
+        self._held_bytes -= freed
+        return freed
+
+    def _sum_held(self):
+        self._held_bytes = sum(conn.held_bytes for conn in self.connections)
+
+    def _abort_unread(self):
+        """Aborts connections with unread bytes while too many are held."""
+        limit = self._max_held_bytes
+        if limit is not None and self._held_bytes > limit:
+            self.abort_unread(self.connections, self._held_bytes - limit)
 
     def _sweep(self):
         now = self.loop.time()
         self._sum_held()
+        self._team_bytes.enforce()
         self._abort_unread()
         for conn in list(self.connections):
             conn.sweep(now)
