--- a/dandelionwinch/control/_config.py
+++ b/dandelionwinch/control/_config.py
@@ -85,6 +85,8 @@
             store refuses requests that need a key.
         revoke_s: Time out of contact after which it does so.
         duty_settings: DutySettings.
+        limits_held_bytes: Whether what upstreams and single teams hold is
+            bounded, and upstreams that stop to read get nothing.
         findings: Fields that were replaced by defaults, with the reason.
     """
 
@@ -112,6 +114,7 @@
     strict_revoke: bool = False
     revoke_s: float = 5.0
     duty_settings: DutySettings = DutySettings()
+    limits_held_bytes: bool = False
     findings: tuple[str, ...] = ()
 
     @property
--- /dev/null
+++ b/dandelionwinch/gateway/_byte_limits.py
@@ -0,0 +1,168 @@
+"""Bounds what upstreams hold, and finds those that have stopped to read."""
+
+import prometheus_client
+
+from dandelionwinch.gateway import _upstream_bytes
+from dandelionwinch import limits
+
+# Interval of the looks at what upstreams have read.
+POLL_S = 0.25
+
+
+class ByteLimits:
+    """The bodies of all requests in flight, by service and upstream.
+
+    It is in use only if the settings ask for it.
+
+    Args:
+        loop: The event loop.
+        fleet: Fleet with the configuration.
+        log: EventLog.
+        registry: Registry of the metrics.
+    """
+
+    __slots__ = (
+        '_active',
+        '_bounds',
+        '_fleet',
+        '_guards',
+        '_held',
+        '_log',
+        '_loop',
+        '_server',
+        '_timer',
+    )
+
+    def __init__(self, loop, fleet, log, registry):
+        self._loop = loop
+        self._fleet = fleet
+        self._log = log
+        # Guards by incarnation, and those that have something to observe.
+        self._guards = {}
+        self._active = set()
+        # The BytesBound of each service whose upstreams crashed.
+        self._bounds = {}
+        self._server = None
+        self._timer = None
+        self._held = prometheus_client.Gauge(
+            'dandelionwinch_gateway_held_bytes',
+            'Bytes that wait to be read, or are held until they are sent',
+            ['direction'],
+            registry=registry,
+        )
+
+    def start(self):
+        """Starts to observe the upstreams."""
+        self._tick()
+
+    def close(self):
+        """Stops it."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def guard(self, entry):
+        """Returns the Guard of a new pool.
+
+        Args:
+            entry: Entry of the upstream that the pool leads to.
+        """
+        guard = _upstream_bytes.UpstreamBytes(self._loop, entry, self)
+        self._guards[entry.incarnation] = guard
+        return guard
+
+    def forget(self, guard):
+        """Forgets the guard of an upstream that is not used any more."""
+        self._guards.pop(guard.entry.incarnation, None)
+        self._active.discard(guard)
+
+    def activate(self, guard):
+        """Observes a guard until it has nothing in flight."""
+        self._active.add(guard)
+
+    def admits(self, upstream):
+        """Tells whether an upstream reads, or gets a request as a trial."""
+        guard = self._guards.get(upstream.entry.incarnation)
+        return guard is None or guard.admits()
+
+    def without_room(self, service, size):
+        """Returns the ids of the upstreams that have no room for a body."""
+        found = set()
+        for upstream in self._fleet.registry.in_service(service):
+            guard = self._guards.get(upstream.entry.incarnation)
+            if guard is not None and not guard.has_room(size):
+                found.add(upstream.entry.id)
+        return found
+
+    def bound(self, service):
+        """Returns the bound on the bodies in flight at one upstream."""
+        bound = self._bounds.get(service)
+        most = self._most()
+        return most if bound is None else bound.value(most)
+
+    def _most(self):
+        table = self._fleet.table
+        return limits.most_bytes(table.limits.max_body_bytes if table else 0)
+
+    def crashed(self, upstream):
+        """Records that an upstream crashed."""
+        entry = upstream.entry
+        guard = self._guards.get(entry.incarnation)
+        if guard is None:
+            return
+        held, now = guard.held_at_crash(), self._loop.time()
+        bound = self._bounds.setdefault(entry.service, limits.BytesBound())
+        if bound.record_crash(held, self._most(), now):
+            self._log_bound(entry.service, 'crashed', entry.id, held)
+
+    def _log_bound(self, service, why, upstream_id=None, held=None):
+        self._log.event(
+            'upstream.bytes_bound',
+            service=service,
+            bytes=self.bound(service),
+            why=why,
+            upstream=upstream_id,
+            held=held,
+        )
+
+    def log_stalled(self, guard):
+        """Logs that an upstream has stopped to read, or reads again."""
+        watch = guard.watch
+        if not watch.stalled:
+            self._log.event('upstream.reads', upstream=guard.entry.id)
+            return
+        self._log.event(
+            'upstream.stalled',
+            upstream=guard.entry.id,
+            unread_bytes=watch.unread_bytes,
+            seconds=round(watch.silent_s, 3),
+        )
+
+    def serve_caller(self, caller, team):
+        """Counts what is held for a caller to its team from now on.
+
+        Args:
+            caller: The CallerConnection.
+            team: Name of the team of its request, or ''.
+        """
+        caller.assign(team)
+        self._server = caller.server
+
+    def _tick(self):
+        now = self._loop.time()
+        for guard in list(self._active):
+            guard.observe(now)
+            if guard.idle:
+                self._active.discard(guard)
+        for service, bound in self._bounds.items():
+            if bound.recover(self._most(), now):
+                self._log_bound(service, 'quiet')
+        self._update_metrics()
+        self._timer = self._loop.call_later(POLL_S, self._tick)
+
+    def _update_metrics(self):
+        unread = sum(guard.watch.unread_bytes for guard in self._active)
+        self._held.labels('to_upstreams').set(unread)
+        if self._server is not None:
+            bodies, responses = self._server.held()
+            self._held.labels('from_callers').set(bodies)
+            self._held.labels('to_callers').set(responses)
--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -10,6 +10,7 @@
 import attrs
 
 from dandelionwinch.gateway import _codec
+from dandelionwinch.gateway import _unread
 
 MAX_HEAD_BYTES = 65536
 # Subtracted from the keep-alive timeout that the server states, so that no
@@ -43,6 +44,7 @@
     CLOSED = 'closed'
     PROTOCOL_ERROR = 'garbled'
     TIMEOUT = 'silent'
+    STALLED = 'stalled'
 
 
 class ConnectionLost(Exception):
@@ -90,7 +92,9 @@
 
     Attributes:
         busy: Whether a request is in flight.
+        resume_below: Bytes of queued items below which reading resumes.
         reusable_until: Loop time at which the keep-alive timeout ends.
+        written_bytes: Bytes of all requests that were sent.
     """
 
     __slots__ = (
@@ -111,7 +115,9 @@
         '_transport',
         '_waiter',
         'busy',
+        'resume_below',
         'reusable_until',
+        'written_bytes',
     )
 
     def __init__(self, loop, observe_head=None):
@@ -132,7 +138,9 @@
         self._queued_bytes = 0
         self._paused = False
         self.busy = False
+        self.resume_below = MAX_READ_AHEAD_BYTES // 2
         self.reusable_until = 0.0
+        self.written_bytes = 0
 
     def connection_made(self, transport):
         """Stores the transport."""
@@ -248,8 +256,33 @@
         self._interim_bytes = 0
         self._skipped_bytes = 0
         self._skipped_responses = 0
+        self.written_bytes += len(data)
         self._transport.write(data)
 
+    @property
+    def unsent(self):
+        """Tells whether a part of the request was not sent yet."""
+        return bool(self._transport.get_write_buffer_size())
+
+    @property
+    def unread_bytes(self):
+        """Returns the bytes of requests that the peer has not accepted."""
+        return _unread.unread_bytes(self._transport)
+
+    @property
+    def closed_by_peer(self):
+        """Tells whether the peer has closed or reset the connection."""
+        return self._exc is not None and self._exc.cause is LossCause.CLOSED
+
+    def fail_stalled(self, reason):
+        """Fails the request, as the peer does not read it.
+
+        What was not sent is dropped with the connection.
+        """
+        sock = self._transport.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._fail(LossCause.STALLED, reason)
+
     def limit_delivery(self, timeout_s):
         """Drops sent bytes that the peer does not acknowledge in time.
 
@@ -317,7 +350,7 @@
 
     def _consumed(self, size):
         self._queued_bytes -= size
-        if self._paused and self._queued_bytes < MAX_READ_AHEAD_BYTES // 2:
+        if self._paused and self._queued_bytes < self.resume_below:
             self._paused = False
             if not self._transport.is_closing():
                 self._transport.resume_reading()
--- a/dandelionwinch/gateway/_crash_guard.py
+++ b/dandelionwinch/gateway/_crash_guard.py
@@ -181,6 +181,7 @@
         if not refused:
             return
         upstream.eject(self._loop.time())
+        self._fleet.upstream_crashed(upstream)
         self._metrics.engine_crashes.inc()
         self._log.event(
             'upstream.crashed',
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -23,12 +23,14 @@
         observe_head: Called with the incarnation of an upstream and the
             head of each of its responses, or None.
         latency_baseline: Typical latency of each service.
+        byte_limits: The ByteLimits, None if they are not in force.
     """
 
     __slots__ = (
         '_loop',
         '_pools',
         '_returns',
+        'byte_limits',
         'capacity_ratio',
         'latency_baseline',
         'observe_head',
@@ -44,6 +46,7 @@
         self.capacity_ratio = 1.0
         self.table = None
         self.observe_head = None
+        self.byte_limits = None
         self.latency_baseline = upstreams.LatencyBaseline()
 
     def pool(self, upstream):
@@ -53,13 +56,20 @@
         pool = self._pools.get(key)
         limit = self._connection_limit(entry.service)
         if pool is None:
-            observe_head = functools.partial(self._observe_head, key)
-            pool = _pool.Pool(self._loop, entry.address, limit, observe_head)
+            guard = None
+            if self.byte_limits is not None:
+                guard = self.byte_limits.guard(entry)
+            observe_head = functools.partial(self._observe_head, key, guard)
+            pool = _pool.Pool(
+                self._loop, entry.address, limit, observe_head, guard
+            )
             self._pools[key] = pool
         pool.limit = limit
         return pool
 
-    def _observe_head(self, incarnation, head):
+    def _observe_head(self, incarnation, guard, head):
+        if guard is not None:
+            guard.record_response()
         if self.observe_head is not None:
             self.observe_head(incarnation, head)
 
@@ -78,7 +88,26 @@
 
     def serving(self, service):
         """Returns the upstreams of a service that may get requests now."""
-        return self.registry.serving(service, self._loop.time())
+        serving = self.registry.serving(service, self._loop.time())
+        if self.byte_limits is None:
+            return serving
+        return [u for u in serving if self.byte_limits.admits(u)]
+
+    def without_room(self, service, size):
+        """Returns the ids of upstreams that have no room for a body.
+
+        Args:
+            service: Name of the service.
+            size: Bytes of the body.
+        """
+        if self.byte_limits is None:
+            return set()
+        return self.byte_limits.without_room(service, size)
+
+    def upstream_crashed(self, upstream):
+        """Records that an upstream crashed."""
+        if self.byte_limits is not None:
+            self.byte_limits.crashed(upstream)
 
     def back_in_s(self, service, urgent, now):
         """Returns in how many seconds a refused caller should retry.
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -8,6 +8,7 @@
 from dandelionwinch import dispatch
 from dandelionwinch import errors
 from dandelionwinch.gateway import _authenticator
+from dandelionwinch.gateway import _byte_limits
 from dandelionwinch.gateway import _cache_watch
 from dandelionwinch.gateway import _call_handler
 from dandelionwinch.gateway import _crash_guard
@@ -114,6 +115,10 @@
             loop, self.peers, self.fleet, self.rng, log
         )
         self.metrics = _metrics.Metrics()
+        if cfg.limits_held_bytes:
+            self.fleet.byte_limits = _byte_limits.ByteLimits(
+                loop, self.fleet, log, self.metrics.registry
+            )
         self._refusals = _refusals.Refusals(wire_codec, log, self.metrics)
         self._limits = _limit_sharing.LimitSharing(
             loop,
@@ -200,6 +205,8 @@
         self._key_sharing.start()
         self.fair_sharing.start()
         self._speeds.start()
+        if self.fleet.byte_limits is not None:
+            self.fleet.byte_limits.start()
         self._cache_watch.start()
         if self.usage_meter.enabled:
             self.usage.start()
@@ -216,6 +223,8 @@
         self.usage.close()
         self.fair_sharing.close()
         self._speeds.close()
+        if self.fleet.byte_limits is not None:
+            self.fleet.byte_limits.close()
         self.peers.close()
         self.fleet.close()
 
@@ -258,6 +267,8 @@
             self._refusals.refuse(caller, incoming, 404, 'no route matches')
             return
         req = self._read_request(incoming, table, route)
+        if self.fleet.byte_limits is not None:
+            self.fleet.byte_limits.serve_caller(caller, req.team)
         if not self._ends_in_time(req, route):
             self._refusals.refuse_later(
                 caller,
--- a/dandelionwinch/gateway/_pool.py
+++ b/dandelionwinch/gateway/_pool.py
@@ -16,6 +16,43 @@
     """All permitted connections are in use; nothing was sent."""
 
 
+class NoRoom(PoolBusy):
+    """The address holds or leaves unread too many bytes already."""
+
+
+class Guard:
+    """Observes the requests of a pool; this one admits all of them."""
+
+    __slots__ = ()
+
+    def reserve(self, size):
+        """Returns a reservation for a body, or raises NoRoom.
+
+        Args:
+            size: Bytes of the body.
+        """
+
+    def await_release(self, reservation, waiter):
+        """Records that a reservation waits for a connection.
+
+        Args:
+            reservation: What `reserve` returned.
+            waiter: Future, which may be ended with NoRoom.
+        """
+
+    def bind(self, reservation, conn):
+        """Binds a reservation to its connection, or raises NoRoom."""
+
+    def cancel(self, reservation):
+        """Ends a reservation that got no connection."""
+
+    def end(self, conn):
+        """Ends the reservation of a connection."""
+
+    def close(self):
+        """Ends the observation of an address that is not used any more."""
+
+
 class Pool:
     """Reuses connections to one address, up to a limit.
 
@@ -24,6 +61,7 @@
         address: The address, as host:port.
         limit: Maximum number of open connections.
         observe_head: Called with the head of each response, or None.
+        guard: Guard that admits the requests, None for one that admits all.
 
     Attributes:
         limit: Maximum number of open connections.
@@ -32,6 +70,7 @@
 
     __slots__ = (
         '_address',
+        '_guard',
         '_idle',
         '_loop',
         '_observe_head',
@@ -40,35 +79,52 @@
         'open',
     )
 
-    def __init__(self, loop, address, limit, observe_head=None):
+    def __init__(self, loop, address, limit, observe_head=None, guard=None):
         self._loop = loop
         self._observe_head = observe_head
         self._address = address
+        self._guard = guard or Guard()
         self._idle = collections.deque()
         self._waiters = collections.deque()
         self.limit = limit
         self.open = 0
 
-    async def acquire(self, timeout_s, *, min_keep_alive_s=0.0):
+    async def acquire(self, timeout_s, *, min_keep_alive_s=0.0, body_bytes=0):
         """Returns an idle or a new connection.
 
         Args:
             timeout_s: Maximum wait, including that for a release.
             min_keep_alive_s: Minimum seconds before the keep-alive timeout
                 of a reused connection.
+            body_bytes: Size of the body that is to be sent.
 
         Raises:
-            PoolBusy: If none was released in time.
+            PoolBusy: If none was released in time, or the guard does not
+                admit the body.
             NotConnected: If a new one could not be established.
         """
         deadline = self._loop.time() + timeout_s
+        reservation = self._guard.reserve(body_bytes)
+        try:
+            conn = await self._take(deadline, min_keep_alive_s, reservation)
+        except BaseException:
+            self._guard.cancel(reservation)
+            raise
+        try:
+            self._guard.bind(reservation, conn)
+        except NoRoom:
+            self.release_unused(conn)
+            raise
+        return conn
+
+    async def _take(self, deadline, min_keep_alive_s, reservation):
         while True:
             conn = self._pop_idle(min_keep_alive_s)
             if conn is not None:
                 return conn
             if self.open < self.limit:
                 return await self._connect(deadline - self._loop.time())
-            await self._wait_for_release(deadline)
+            await self._wait_for_release(deadline, reservation)
 
     def _pop_idle(self, min_keep_alive_s):
         now = self._loop.time()
@@ -101,12 +157,13 @@
     def _new_connection(self):
         return _connection.Connection(self._loop, self._observe_head)
 
-    async def _wait_for_release(self, deadline):
+    async def _wait_for_release(self, deadline, reservation):
         left_s = deadline - self._loop.time()
         if left_s <= 0:
             raise PoolBusy(f'all connections to "{self._address}" work')
         waiter = self._loop.create_future()
         self._waiters.append(waiter)
+        self._guard.await_release(reservation, waiter)
         try:
             async with asyncio.timeout(left_s):
                 await waiter
@@ -122,6 +179,7 @@
 
     def release(self, conn):
         """Returns a connection to the pool after a complete response."""
+        self._guard.end(conn)
         if conn.finish() and self.open <= self.limit:
             self._idle.append(conn)
             self._wake_waiter()
@@ -130,11 +188,13 @@
 
     def release_unused(self, conn):
         """Returns a connection to the pool on which nothing was sent."""
+        self._guard.end(conn)
         self._idle.append(conn)
         self._wake_waiter()
 
     def discard(self, conn):
         """Closes a connection whose response is incomplete."""
+        self._guard.end(conn)
         self._close(conn)
 
     def _close(self, conn):
@@ -174,5 +234,6 @@
 
     def close(self):
         """Closes idle connections."""
+        self._guard.close()
         while self._idle:
             self._close(self._idle.pop())
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -570,6 +570,7 @@
             conn = await pool.acquire(
                 min(ACQUIRE_TIMEOUT_S, self._left_s()),
                 min_keep_alive_s=min_keep_alive_s,
+                body_bytes=len(self._req.body),
             )
         except _pool.PoolBusy as exc:
             raise self._not_sent(upstream, str(exc)) from exc
@@ -587,6 +588,8 @@
 
     def _not_sent(self, upstream, reason):
         self._unavailable.add(upstream.entry.id)
+        size = len(self._req.body)
+        self._unavailable |= self._fleet.without_room(self._service, size)
         return _upstream_exchange.AttemptFailed(
             attempts.AttemptOutcome.NOT_SENT, reason
         )
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -10,6 +10,9 @@
 # Lowest rate of store calls that is divided by.
 MIN_CALLS_PER_S = 1.0
 MIN_REPORT_WINDOW_S = 0.1
+# Item of the list `contracts` by which the platform lets upstreams and callers
+# read slowly.
+PRESSURE_CONTRACT = 'pressure'
 _DUTIES = {
     'usage_report': control.Duty.USAGE,
     'autoscale': control.Duty.CAPACITY,
@@ -86,6 +89,13 @@
     return reader.has(path) and reader.get_flag(path)
 
 
+def _limits_held_bytes(reader):
+    """Tells whether one of the contracts asks for bounds of what is held."""
+    if not reader.has('contracts'):
+        return False
+    return PRESSURE_CONTRACT in reader.get('contracts', list, [])
+
+
 def _read_duties(reader):
     """Returns the DutySettings; without a table `cloud` there are none."""
     default = control.DutySettings()
@@ -168,6 +178,7 @@
         _read_flag(reader, 'bounds.strictRevoke'),
         _read_optional(reader, 'bounds.revokeMs', 5000.0) / 1e3,
         _read_duties(reader),
+        _limits_held_bytes(reader),
         tuple(reader.findings),
     )
     if not cfg.store or not cfg.instance:
--- a/dandelionwinch/tests/test_boot.py
+++ b/dandelionwinch/tests/test_boot.py
@@ -76,6 +76,23 @@
     assert not cfg.strict_revoke
 
 
+@pytest.mark.parametrize(
+    ('contracts', 'expected', 'findings'),
+    [
+        ('contracts = ["speed", "pressure"]', True, 0),
+        ('contracts = ["speed", 7]', False, 0),
+        ('contracts = "pressure"', False, 1),
+        ('', False, 0),
+    ],
+)
+def test_only_the_contract_pressure_limits_held_bytes(
+    contracts, expected, findings
+):
+    cfg = _boot.read(f'{contracts}\n{SETTINGS}')
+    assert cfg.limits_held_bytes is expected
+    assert len(cfg.findings) == findings
+
+
 @pytest.mark.parametrize(
     'text', ['not = [toml', SETTINGS.replace('10.200.1.7:8142', '')]
 )
