--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -10,6 +10,7 @@
 import attrs
 
 from dandelionwinch.gateway import _codec
+from dandelionwinch.gateway import _read_ahead
 from dandelionwinch.gateway import _unread
 
 MAX_HEAD_BYTES = 65536
@@ -82,8 +83,7 @@
     """A reusable connection to an upstream or to the store.
 
     Parsed responses are queued as items (Head, Data, End). Reading from
-    the socket pauses above MAX_READ_AHEAD_BYTES of queued items and resumes
-    below half of that.
+    the socket pauses while too many bytes of them are queued.
 
     Args:
         loop: Event loop.
@@ -92,7 +92,7 @@
 
     Attributes:
         busy: Whether a request is in flight.
-        resume_below: Bytes of queued items below which reading resumes.
+        read_ahead: ReadAhead of the queued items.
         reusable_until: Loop time at which the keep-alive timeout ends.
         written_bytes: Bytes of all requests that were sent.
     """
@@ -108,14 +108,12 @@
         '_no_reuse',
         '_observe_head',
         '_parser',
-        '_paused',
-        '_queued_bytes',
         '_skipped_bytes',
         '_skipped_responses',
         '_transport',
         '_waiter',
         'busy',
-        'resume_below',
+        'read_ahead',
         'reusable_until',
         'written_bytes',
     )
@@ -135,10 +133,8 @@
         self._skipped_responses = 0
         self._no_reuse = False
         self._body_until_close = False
-        self._queued_bytes = 0
-        self._paused = False
         self.busy = False
-        self.resume_below = MAX_READ_AHEAD_BYTES // 2
+        self.read_ahead = _read_ahead.ReadAhead(MAX_READ_AHEAD_BYTES)
         self.reusable_until = 0.0
         self.written_bytes = 0
 
@@ -202,8 +198,13 @@
             self._queue_item(End())
 
     def eof_received(self):
-        """Completes a body without a length, which ends with the stream."""
-        if self.busy and self._body_until_close:
+        """Completes a body without a length, which ends with the stream.
+
+        It is not complete if it stood still: a peer that gives up an unread
+        response closes the connection in the same way.
+        """
+        complete = self._body_until_close and not self.read_ahead.stood_still
+        if self.busy and complete:
             self._body_until_close = False
             self._keep_alive = False
             self._queue_item(End())
@@ -216,9 +217,7 @@
     def _queue_item(self, item):
         """Queues an item; pauses reading if the queue is full."""
         self._items.append(item)
-        self._queued_bytes += item.size + ITEM_BYTES
-        if self._queued_bytes > MAX_READ_AHEAD_BYTES and not self._paused:
-            self._paused = True
+        if self.read_ahead.add(item.size + ITEM_BYTES, self._loop.time()):
             if not self._transport.is_closing():
                 self._transport.pause_reading()
         self._wake()
@@ -256,6 +255,7 @@
         self._interim_bytes = 0
         self._skipped_bytes = 0
         self._skipped_responses = 0
+        self.read_ahead.stood_still = False
         self.written_bytes += len(data)
         self._transport.write(data)
 
@@ -310,7 +310,9 @@
                 raise self._exc
             await self._wait(timeout_s)
         item = self._items.popleft()
-        self._consumed(item.size + ITEM_BYTES)
+        if self.read_ahead.remove(item.size + ITEM_BYTES, self._loop.time()):
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
         return item
 
     def skip(self, item):
@@ -348,13 +350,6 @@
             exc = ConnectionLost(LossCause.TIMEOUT, 'the peer has gone silent')
             waiter.set_exception(exc)
 
-    def _consumed(self, size):
-        self._queued_bytes -= size
-        if self._paused and self._queued_bytes < self.resume_below:
-            self._paused = False
-            if not self._transport.is_closing():
-                self._transport.resume_reading()
-
     def forbid_reuse(self):
         """Prevents reuse for another request."""
         self._no_reuse = True
--- a/dandelionwinch/gateway/_upstream_bytes.py
+++ b/dandelionwinch/gateway/_upstream_bytes.py
@@ -112,7 +112,9 @@
         self._waiters.pop(reservation, None)
         reservation.waiting = False
         self._conns[conn] = reservation
-        conn.resume_below = _connection.MAX_READ_AHEAD_BYTES - READ_STEP_BYTES
+        conn.read_ahead.resume_below = (
+            _connection.MAX_READ_AHEAD_BYTES - READ_STEP_BYTES
+        )
 
     def cancel(self, reservation):
         """Ends a reservation that got no connection."""
--- a/dandelionwinch/tests/test_slow_callers.py
+++ b/dandelionwinch/tests/test_slow_callers.py
@@ -1,6 +1,7 @@
 """Tests of callers that read slowly, and of what is held for them."""
 
 import asyncio
+import contextlib
 
 import pytest
 import uvloop
@@ -240,3 +241,28 @@
     line, ended, served = _run(scenario, max_held_bytes=8000)
     assert line.startswith(b'HTTP/1.1 503')
     assert (ended, served) == ([False, False], 0)
+
+
+def test_a_stream_whose_reader_is_disconnected_does_not_look_complete():
+    """Its end was written already and waited behind what is unread."""
+
+    async def scenario(site):
+        async def stream(_incoming, caller):
+            caller.start_stream(200, ())
+            asyncio.get_running_loop().call_soon(caller.resume_writing)
+            await caller.send_chunk(LARGE)
+            caller.end_stream()
+
+        site.server.handler = stream
+        reader, _conn = await site.unread_connection()
+        site.sweep(int(_caller_connection.UNREAD_TIMEOUT_S) + 2)
+        data = b''
+        with contextlib.suppress(ConnectionError):
+            while received := await reader.read(1 << 20):
+                data += received
+        return len(site.stalled), data
+
+    stalled, data = _run(scenario)
+    assert stalled == 1
+    assert 0 < len(data) < len(LARGE)
+    assert not data.endswith(b'0\r\n\r\n')
