--- a/dandelionwinch/gateway/_byte_limits.py
+++ b/dandelionwinch/gateway/_byte_limits.py
@@ -144,8 +144,9 @@
             caller: The CallerConnection.
             team: Name of the team of its request, or ''.
         """
-        caller.assign(team)
         self._server = caller.server
+        self._server.lingers = True
+        caller.assign(team)
 
     def _tick(self):
         now = self._loop.time()
--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -5,6 +5,7 @@
 
 from dandelionwinch.gateway import _codec
 from dandelionwinch.gateway import _incoming_request
+from dandelionwinch.gateway import _lingering
 from dandelionwinch.gateway import _reader_watch
 
 MAX_PIPELINED_REQUESTS = 8
@@ -124,14 +125,7 @@
         return self.body_bytes + self.unread_bytes
 
     def assign(self, team):
-        """Counts what is held for the caller to a team from now on.
-
-        Args:
-            team: Name of the team, or ''.
-
-        Raises:
-            TooManyBytes: If the team holds too much already.
-        """
+        """Counts what is held to a team; raises TooManyBytes if too much."""
         self.team = team
         self._transport.set_write_buffer_limits(
             BUFFER_BYTES, BUFFER_BYTES - BUFFER_STEP_BYTES
@@ -185,8 +179,8 @@
             self._send_continue()
 
     def _send_continue(self):
-        if self._continue_due:
-            self._continue_due = False
+        due, self._continue_due = self._continue_due, False
+        if due:
             self._write(_codec.response_head(100, ()))
 
     def on_body(self, data):
@@ -252,8 +246,13 @@
 
     def _respond_rejection(self):
         status, reason = self._rejection
+        self._incoming = None
         self.respond(status, (), reason.encode(), close=True)
-        self._close()
+        if self.server.lingers:
+            self._closing = True
+            _lingering.close(self._transport, self.server.loop)
+        else:
+            self._close()
 
     @property
     def responded(self):
@@ -377,7 +376,7 @@
     def sweep(self, now):
         """Closes the connection if it is idle or slow beyond the limits."""
         self._check_reader(now)
-        if self._task is not None or self._queue:
+        if self._task is not None or self._queue or self._closing:
             return
         limits = self.server.limits
         if self._request_started_at is None:
--- a/dandelionwinch/gateway/_crash_guard.py
+++ b/dandelionwinch/gateway/_crash_guard.py
@@ -12,6 +12,9 @@
 CONFIRM_TIMEOUT_S = 0.15
 # Time for which the result holds for other connections to the upstream.
 CONFIRMED_S = 0.5
+# Time within which the system of a process that is ending closes a connection
+# to it that was still accepted.
+ENDING_S = 0.03
 # Time for which reports of one crash are awaited before subjects are held.
 SETTLE_S = 0.1
 TICK_S = 1.0
@@ -41,6 +44,17 @@
     suspects: dict = attrs.Factory(dict)
 
 
+class _Probe(asyncio.Protocol):
+    """A connection that tells when it is lost."""
+
+    def __init__(self, loop):
+        self.lost = loop.create_future()
+
+    def connection_lost(self, exc):
+        """Ends the future, whatever the cause."""
+        self.lost.set_result(None)
+
+
 class CrashGuard:
     """Puts crashes of upstreams down to subjects, with all instances.
 
@@ -194,16 +208,31 @@
         host, _, port = address.rpartition(':')
         try:
             async with asyncio.timeout(CONFIRM_TIMEOUT_S):
-                transport, _protocol = await self._loop.create_connection(
-                    asyncio.Protocol, host, int(port)
-                )
+                while await self._is_ending(host, int(port)):
+                    pass
         except ConnectionRefusedError:
             return True
         except (OSError, ValueError):
             return False
-        transport.abort()
         return False
 
+    async def _is_ending(self, host, port):
+        """Tells whether a process closes a new connection at once.
+
+        The system may close the connections of a process that ends before
+        it closes its listening socket. This takes time that is spent only
+        where the bytes at upstreams are limited, which rely on it.
+        """
+        transport, probe = await self._loop.create_connection(
+            lambda: _Probe(self._loop), host, port
+        )
+        try:
+            if self._fleet.byte_limits is not None:
+                await asyncio.wait([probe.lost], timeout=ENDING_S)
+            return probe.lost.done()
+        finally:
+            transport.abort()
+
     def _report(self, crash, subjects):
         suspects = [crash.suspects[subject] for subject in subjects]
         now = self._loop.time()
--- a/dandelionwinch/gateway/_server.py
+++ b/dandelionwinch/gateway/_server.py
@@ -22,6 +22,10 @@
             for all callers together, None for any number.
         on_stalled: Function of a number of bytes, called for each connection
             that is aborted as its caller does not read them.
+
+    Attributes:
+        lingers: Whether callers may read why a request was refused while
+            they still send it.
     """
 
     __slots__ = (
@@ -36,6 +40,7 @@
         'draining',
         'handler',
         'limits',
+        'lingers',
         'loop',
     )
 
@@ -53,6 +58,7 @@
         self.limits = limits
         self.connections = set()
         self.draining = False
+        self.lingers = False
         self._on_rejected = on_rejected
         self._on_stalled = on_stalled
         self._max_held_bytes = max_held_bytes
