--- a/dandelionwinch/gateway/_upstream_exchange.py
+++ b/dandelionwinch/gateway/_upstream_exchange.py
@@ -7,6 +7,9 @@
 from dandelionwinch.gateway import _connection
 
 MAX_RESPONSE_BODY_BYTES = 1 << 20
+# Bytes of a body that count as progress. An upstream that sends one byte now
+# and then has stalled like one that is silent.
+MIN_PROGRESS_BYTES = 1 << 10
 MISDIRECTED_STATUS = 421
 # Interval of the looks for another upstream while one stays silent.
 SILENCE_POLL_S = 0.2
@@ -88,16 +91,23 @@
         return response
 
     async def read_body(self, read_timeout_s):
-        """Returns the complete body of the current response."""
+        """Returns the complete body of the current response.
+
+        Each MIN_PROGRESS_BYTES of it have the read timeout.
+        """
         body = bytearray()
+        progress, progress_at = 0, self._loop.time()
         if self._req.method == 'HEAD':
             self._conn.forbid_reuse()
             return b''
         while True:
-            item = await self.read_item(read_timeout_s)
+            waited_s = self._loop.time() - progress_at
+            item = await self.read_item(read_timeout_s - waited_s)
             if isinstance(item, _connection.End):
                 return bytes(body)
             body += item.data
+            if len(body) >= progress + MIN_PROGRESS_BYTES:
+                progress, progress_at = len(body), self._loop.time()
             if len(body) > MAX_RESPONSE_BODY_BYTES:
                 raise AttemptFailed(
                     attempts.AttemptOutcome.UNKNOWN, 'the answer is too large'
--- a/dandelionwinch/tests/test_calls.py
+++ b/dandelionwinch/tests/test_calls.py
@@ -509,3 +509,27 @@
     )
     assert (status, body, end) == (200, b'hello', b'')
     assert headers['connection'] == 'close'
+
+
+@pytest.mark.parametrize(('others', 'status'), [(1, 200), (0, 504)])
+def test_a_stalled_call_that_sends_bytes_goes_elsewhere(
+    monkeypatch, others, status
+):
+    """Each byte restarted the read timeout, so it lasted to its deadline.
+
+    Where no other upstream can take it, it is still awaited.
+    """
+    monkeypatch.setattr(_request_handler, 'MIN_READ_TIMEOUT_S', 0.05)
+    monkeypatch.setattr(_request_handler, 'READ_TIMEOUT_FACTOR', 0.0)
+    stalled = [gateway_harness.STREAM_HEAD, scripted.TRICKLE]
+    shared = [stalled, [gateway_harness.response(b'second')]]
+
+    async def scenario(harness):
+        for upstream in harness.upstreams:
+            upstream._scripts = shared
+        harness.send('/safe/1', timeout_ms=500)
+        response = await harness.read_response()
+        return response[0], len(harness.requests)
+
+    got = gateway_harness.run_scenario([[]] * (1 + others), scenario)
+    assert got == (status, 1 + others)
