--- a/dandelionwinch/gateway/_byte_limits.py
+++ b/dandelionwinch/gateway/_byte_limits.py
@@ -30,6 +30,7 @@
         '_log',
         '_loop',
         '_server',
+        '_stalled',
         '_timer',
     )
 
@@ -37,9 +38,11 @@
         self._loop = loop
         self._fleet = fleet
         self._log = log
-        # Guards by incarnation, and those that have something to observe.
+        # Guards by incarnation, those that have something to observe, and
+        # those of stalled upstreams.
         self._guards = {}
         self._active = set()
+        self._stalled = set()
         # The BytesBound of each service whose upstreams crashed.
         self._bounds = {}
         self._server = None
@@ -74,15 +77,22 @@
         """Forgets the guard of an upstream that is not used any more."""
         self._guards.pop(guard.entry.incarnation, None)
         self._active.discard(guard)
+        self._stalled.discard(guard)
 
     def activate(self, guard):
         """Observes a guard until it has nothing in flight."""
         self._active.add(guard)
 
-    def admits(self, upstream):
-        """Tells whether an upstream reads, or gets a request as a trial."""
-        guard = self._guards.get(upstream.entry.incarnation)
-        return guard is None or guard.admits()
+    def admitted(self, upstreams):
+        """Returns the upstreams that read, or get a request as a trial."""
+        if not self._stalled:
+            return upstreams
+        avoided = {
+            guard.entry.incarnation
+            for guard in self._stalled
+            if not guard.admits()
+        }
+        return [u for u in upstreams if u.entry.incarnation not in avoided]
 
     def without_room(self, service, size):
         """Returns the ids of the upstreams that have no room for a body."""
@@ -124,12 +134,14 @@
             held=held,
         )
 
-    def log_stalled(self, guard):
-        """Logs that an upstream has stopped to read, or reads again."""
+    def stall_changed(self, guard):
+        """Records that an upstream has stopped to read, or reads again."""
         watch = guard.watch
         if not watch.stalled:
+            self._stalled.discard(guard)
             self._log.event('upstream.reads', upstream=guard.entry.id)
             return
+        self._stalled.add(guard)
         self._log.event(
             'upstream.stalled',
             upstream=guard.entry.id,
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -91,7 +91,7 @@
         serving = self.registry.serving(service, self._loop.time())
         if self.byte_limits is None:
             return serving
-        return [u for u in serving if self.byte_limits.admits(u)]
+        return self.byte_limits.admitted(serving)
 
     def without_room(self, service, size):
         """Returns the ids of upstreams that have no room for a body.
--- a/dandelionwinch/gateway/_team_bytes.py
+++ b/dandelionwinch/gateway/_team_bytes.py
@@ -8,6 +8,8 @@
 # What teams hold is added up again after this part of the bound has arrived,
 # as the sum takes a look at each connection.
 RECHECK_DIVISOR = 32
+# Slow readers of the team have made room, or were disconnected, by then.
+RETRY_AFTER_S = 1.0
 
 
 class TeamBytes:
@@ -46,7 +48,8 @@
         if self._disconnect() == team:
             self._checked_at = None
             raise _incoming_request.TooManyBytes(
-                f'team "{team}" holds over half of what the instance may'
+                f'team "{team}" holds over half of what the instance may',
+                retry_after_s=RETRY_AFTER_S,
             )
 
     def enforce(self):
--- a/dandelionwinch/gateway/_upstream_bytes.py
+++ b/dandelionwinch/gateway/_upstream_bytes.py
@@ -48,7 +48,8 @@
 
     def admits(self):
         """Tells whether a request may be sent, whatever its size."""
-        return self.watch.admits(len(self._bodies), self._loop.time())
+        trial_in_flight = self._trial in self._bodies
+        return self.watch.admits(trial_in_flight, self._loop.time())
 
     def has_room(self, size):
         """Tells whether a body of a size may be sent."""
@@ -145,7 +146,7 @@
     def record_response(self):
         """Records the head of a response, which shows that it reads."""
         if self.watch.record_response():
-            self._owner.log_stalled(self)
+            self._owner.stall_changed(self)
 
     def observe(self, now):
         """Observes what the upstream has read.
@@ -163,7 +164,7 @@
                 samples[conn] = limits.Sample(unread, accepted)
         if not self.watch.observe(samples, now):
             return
-        self._owner.log_stalled(self)
+        self._owner.stall_changed(self)
         if self.watch.stalled:
             reason = f'upstream "{self.entry.id}" has stopped to read'
             for conn, sample in samples.items():
--- a/dandelionwinch/limits/_body_bounds.py
+++ b/dandelionwinch/limits/_body_bounds.py
@@ -112,6 +112,9 @@
     def __len__(self):
         return len(self._bodies)
 
+    def __contains__(self, body):
+        return body in self._bodies
+
     def fits(self, size, bound):
         """Tells whether a body may be sent without displacing another.
 
--- a/dandelionwinch/limits/_stall_watch.py
+++ b/dandelionwinch/limits/_stall_watch.py
@@ -47,8 +47,8 @@
 
     The upstream is stalled when it has accepted no byte on any connection
     for STALL_S while some were waiting. A response shows that it reads.
-    Where no bytes are left to be accepted, as their connections are closed,
-    one request at a time is admitted as a trial.
+    While it is stalled, one request at a time is admitted as a trial, as the
+    connections with unread bytes are closed and show nothing any more.
 
     Attributes:
         stalled: Whether the upstream is stalled.
@@ -131,16 +131,16 @@
         self._pause_s = MIN_PAUSE_S
         return was_stalled
 
-    def admits(self, in_flight, now):
+    def admits(self, trial_in_flight, now):
         """Tells whether a request may be sent to the upstream.
 
         Args:
-            in_flight: Number of requests in flight there.
+            trial_in_flight: Whether an earlier trial has not ended.
             now: Time in seconds.
         """
         if not self.stalled:
             return True
-        return not in_flight and now >= self._trial_at
+        return not trial_in_flight and now >= self._trial_at
 
     def begin_trial(self, now):
         """Records that a request was admitted to a stalled upstream."""
