--- a/dandelionwinch/tests/test_pressure.py
+++ b/dandelionwinch/tests/test_pressure.py
@@ -8,6 +8,8 @@
 import pytest
 import uvloop
 
+from dandelionwinch.gateway import _pool
+from dandelionwinch.gateway import _upstream_bytes
 from dandelionwinch.platform import samples
 from dandelionwinch.standins import holding
 from dandelionwinch.tests import gateway_harness
@@ -236,6 +238,43 @@
     assert not _run(scenario)
 
 
+class _Owner:
+    """What a guard asks of ByteLimits, with a bound of 4 MiB."""
+
+    def bound(self, _service):
+        return LARGEST
+
+    def activate(self, _guard):
+        pass
+
+
+def test_a_large_body_that_waits_gives_way_to_a_smaller_one():
+    """Else it would hold the room of many callers while it waits."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        entry = upstreams.Entry(
+            'h', 's', '', 'dc', 1, True, upstreams.Role.PLAIN, 4
+        )
+        guard = _upstream_bytes.UpstreamBytes(loop, entry, _Owner())
+        pool = _pool.Pool(loop, '127.0.0.1:1', 1, guard=guard)
+        pool.open = 1
+        waits = [
+            asyncio.create_task(pool.acquire(60.0, body_bytes=size))
+            for size in (3 * MIB, 2 * MIB)
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        large, small = waits
+        assert not small.done()
+        small.cancel()
+        await asyncio.wait([small])
+        return large.exception(), guard.idle
+
+    exc, idle = asyncio.run(scenario())
+    assert isinstance(exc, _pool.NoRoom)
+    assert idle
+
+
 @pytest.mark.parametrize('path', ['/safe/1', '/once/1'])
 def test_without_the_setting_nothing_is_bounded(path):
     async def scenario(site):
--- a/dandelionwinch/tests/test_pressure_processes.py
+++ b/dandelionwinch/tests/test_pressure_processes.py
@@ -122,6 +122,9 @@
 
     async def _read_log(self):
         while line := await self.instance.stdout.readline():
+            if not line.endswith(b'\n'):
+                # The process was ended while it wrote it.
+                return
             fields = json.loads(line)
             self.log.event(fields['event'], **fields)
 
@@ -229,6 +232,26 @@
     assert set(small) == {200}
 
 
+def test_an_upstream_that_is_continued_gets_calls_again(kv, tmp_path):
+    """Its connections were closed, so only a trial can show that it reads."""
+
+    async def scenario(site):
+        frozen = await site.add_upstream('frozen')
+        frozen.send_signal(signal.SIGSTOP)
+        large = await site.call('/once/1', 'large', LARGEST)
+        unknown = await large.status()
+        refused = await (await site.call('/once/1', 'refused')).status()
+        frozen.send_signal(signal.SIGCONT)
+        async with asyncio.timeout(recorder.TIMEOUT_S):
+            status = refused
+            while status == 503:
+                status = await (await site.call('/once/1', 'next')).status()
+        after = await (await site.call('/once/1', 'after')).status()
+        return unknown, refused, status, after
+
+    assert _run(kv, tmp_path, scenario) == (502, 503, 200, 200)
+
+
 def _rounds(kv, tmp_path, limited):
     """Sends bursts to an upstream that can hold one body, until one passes.
 
