--- a/dandelionwinch/gateway/_attempt_connections.py
+++ b/dandelionwinch/gateway/_attempt_connections.py
@@ -37,6 +37,7 @@
             conn = await pool.acquire(
                 min(ACQUIRE_TIMEOUT_S, self._state.left_s()),
                 min_keep_alive_s=min_keep_alive_s,
+                body_bytes=len(self._state.req.body),
             )
         except _pool.PoolBusy as exc:
             raise self.not_sent(upstream, str(exc)) from exc
@@ -54,7 +55,10 @@
 
     def not_sent(self, upstream, reason):
         """Excludes an upstream; returns the AttemptFailed to raise."""
-        self._state.unavailable.add(upstream.entry.id)
+        state = self._state
+        size = len(state.req.body)
+        state.unavailable.add(upstream.entry.id)
+        state.unavailable.update(self._fleet.without_room(state.service, size))
         return _upstream_exchange.AttemptFailed(
             attempts.AttemptOutcome.NOT_SENT, reason
         )
--- a/dandelionwinch/limits/__init__.py
+++ b/dandelionwinch/limits/__init__.py
@@ -1,6 +1,10 @@
-"""Admission control by team, fair shares, call queues, retry budgets."""
+"""Admission control by team, fair shares, bytes held, retry budgets."""
 
 from dandelionwinch.limits._admission import Admission
+from dandelionwinch.limits._body_bounds import BodiesInFlight
+from dandelionwinch.limits._body_bounds import BytesBound
+from dandelionwinch.limits._body_bounds import most_bytes
+from dandelionwinch.limits._body_bounds import team_above_half
 from dandelionwinch.limits._call_counts import CallCounts
 from dandelionwinch.limits._call_counts import CallTotals
 from dandelionwinch.limits._call_counts import SPAN_S
@@ -20,9 +24,13 @@
 from dandelionwinch.limits._fair_shares import TeamLoad
 from dandelionwinch.limits._fair_shares import YieldingTeams
 from dandelionwinch.limits._retry_budget import RetryBudget
+from dandelionwinch.limits._stall_watch import Sample
+from dandelionwinch.limits._stall_watch import StallWatch
 
 __all__ = [
     'Admission',
+    'BodiesInFlight',
+    'BytesBound',
     'CallCounts',
     'CallQueue',
     'CallTotals',
@@ -33,13 +41,17 @@
     'Refuse',
     'RetryBudget',
     'SPAN_S',
+    'Sample',
     'Send',
     'Shares',
+    'StallWatch',
     'TeamLoad',
     'Wait',
     'YieldingTeams',
     'find_excesses',
     'find_shares',
     'in_flight_limit',
+    'most_bytes',
     'priority_weight',
+    'team_above_half',
 ]
--- a/dandelionwinch/tests/test_calls.py
+++ b/dandelionwinch/tests/test_calls.py
@@ -520,3 +520,27 @@
     )
     assert (response[0], requests) == (503, [])
     assert 'retry-after' in response[1]
+
+
+@pytest.mark.parametrize(('others', 'status'), [(1, 200), (0, 504)])
+def test_a_stalled_call_that_sends_bytes_goes_elsewhere(
+    monkeypatch, others, status
+):
+    """Each byte restarted the read timeout, so it lasted to its deadline.
+
+    Where no other upstream can take it, it is still awaited.
+    """
+    monkeypatch.setattr(_next_attempt, 'MIN_READ_TIMEOUT_S', 0.05)
+    monkeypatch.setattr(_next_attempt, 'READ_TIMEOUT_FACTOR', 0.0)
+    stalled = [gateway_harness.STREAM_HEAD, scripted.TRICKLE]
+    shared = [stalled, [gateway_harness.response(b'second')]]
+
+    async def scenario(harness):
+        for upstream in harness.upstreams:
+            upstream._scripts = shared
+        harness.send('/safe/1', timeout_ms=5000 if others else 300)
+        response = await harness.read_response()
+        return response[0], len(harness.requests)
+
+    got = gateway_harness.run_scenario([[]] * (1 + others), scenario)
+    assert got == (status, 1 + others)
