--- a/dandelionwinch/capacity/_plan.py
+++ b/dandelionwinch/capacity/_plan.py
@@ -232,36 +232,49 @@
                 name
             ) < self._least() and self._may_add_ordinary(name):
                 counts.set(name, counts.planned[name] + 1)
-        replacements = self._reclaimable.total + self._exchangeable()
-        self._add_ordinary(self._need.dear - replacements)
+        exchanged = sum(map(self._is_exchangeable, self._order))
+        self._add_ordinary(
+            self._need.dear - self._reclaimable.total - exchanged
+        )
 
-    def _exchangeable(self):
-        """Returns how many ordinary ones reclaimable ones can replace now.
+    def _is_exchangeable(self, name):
+        """Tells whether a reclaimable one can replace an ordinary one.
 
         A data centre that is full has no room for a replacement beside the
         one that it replaces. One at a time leaves there first, as a
         reclaimable one may still be refused.
         """
         if self._scaling.reclaimable_price is None:
-            return 0
-        return sum(
-            name not in self._reclaimable.refused
-            and self._room(name) <= self._reclaimable.planned[name]
-            for name in self._order
-        )
+            return False
+        full = self._room(name) <= self._reclaimable.planned[name]
+        return full and name not in self._reclaimable.refused
 
     def _hold_back(self):
-        """Keeps what is to be given up until the others serve."""
-        spare = self._remaining.total() - math.ceil(self._need.present)
+        """Keeps what is to be given up until the others serve.
+
+        One that is exchanged may leave before, if the others can do the
+        present work.
+        """
+        spare = self._remaining.total() - math.ceil(self._need.dear)
+        exchanges = self._remaining.total() - math.ceil(self._need.present)
         for counts in (self._ordinary, self._reclaimable):
             for name in reversed(self._order):
                 before = counts.before[name]
                 drop = before - counts.planned[name]
                 if drop <= 0:
                     continue
-                drop = max(0, min(drop, spare, self._spare_in(name)))
-                spare -= drop
-                counts.set(name, before - drop)
+                drop = min(drop, self._spare_in(name))
+                given_up = max(0, min(drop, spare))
+                if not given_up and counts is self._ordinary:
+                    given_up = self._exchanged(name, drop, exchanges)
+                spare -= given_up
+                exchanges -= given_up
+                counts.set(name, before - given_up)
+
+    def _exchanged(self, name, drop, exchanges):
+        """Returns whether one ordinary upstream is given up, as 0 or 1."""
+        may_go = drop > 0 and exchanges > 0
+        return int(may_go and self._is_exchangeable(name))
 
     def _spare_in(self, name):
         """Returns how many a data centre can give up now."""
