--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -361,6 +361,8 @@
         self._caller_server.finish()
         self._gateway.end_requests()
         connections = self._caller_server.connections
+        # Connections that wait to be accepted are in it after a first pause.
+        await asyncio.sleep(SEND_POLL_S)
         while connections and self._loop.time() < stop_at + SEND_TIMEOUT_S:
             await asyncio.sleep(SEND_POLL_S)
 
--- a/dandelionwinch/gateway/_server.py
+++ b/dandelionwinch/gateway/_server.py
@@ -151,7 +151,11 @@
         """Stops listening; closes each connection after its responses."""
         self.draining = self.finishing = True
         if self._listener is not None:
-            self._listener.close()
+            # Connections may wait to be accepted, and timers run before
+            # that. The second step comes after a look at them; asyncio's own
+            # loop needs a third to accept what it found.
+            call_soon = self.loop.call_soon
+            call_soon(call_soon, call_soon, self._listener.close)
         for conn in list(self.connections):
             conn.finish()
 
--- a/dandelionwinch/tests/test_server.py
+++ b/dandelionwinch/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import socket
 
 import pytest
 import uvloop
@@ -293,6 +294,30 @@
     assert statuses == [b'200'] * served + [b'503']
 
 
+def test_a_connection_that_waits_to_be_accepted_is_served_by_a_stop():
+    """It came while the loop was held up, and was reset with its request."""
+
+    async def scenario(connected):
+        address = ('127.0.0.1', connected.server.port)
+        sock = socket.create_connection(address)
+        sock.sendall(REQUEST)
+        connected.server.finish()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        async with asyncio.timeout(recorder.TIMEOUT_S):
+            try:
+                got = await reader.read()
+            except ConnectionError:
+                got = b''
+        writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*address)
+        return got
+
+    got = _run(scenario)
+    assert got.startswith(b'HTTP/1.1 200')
+    assert b'Connection: close' in got
+
+
 def test_a_server_that_never_listened_can_finish():
     """An instance may have no address for callers; its stop raised here."""
 
--- a/dandelionwinch/tests/test_stop.py
+++ b/dandelionwinch/tests/test_stop.py
@@ -251,6 +251,35 @@
     assert len(served) == sent
 
 
+def test_a_stop_answers_on_a_connection_that_waits_to_be_accepted(
+    kv, tmp_path, monkeypatch
+):
+    """It came while the loop was held up, right before the end of a stop."""
+    sockets = []
+    finish = _server.Server.finish
+
+    async def scenario(running, upstream):
+        server = running.process.instance._caller_server
+
+        def finish_late(finished):
+            if finished is server:
+                sock = socket.create_connection(('127.0.0.1', server.port))
+                sock.sendall(_call())
+                sockets.append(sock)
+            finish(finished)
+
+        monkeypatch.setattr(_server.Server, 'finish', finish_late)
+        await _stop(running)
+        reader, writer = await asyncio.open_connection(sock=sockets[0])
+        response = await _read_head(reader)
+        writer.close()
+        return response, len(upstream.requests)
+
+    (status, names), sent = _run(kv, tmp_path, [], ONCE_ROUTE, scenario)
+    assert (status, sent) == (503, 0)
+    assert {'retry-after', 'connection'} <= names
+
+
 def test_failed_requests_do_not_tell_how_long_a_stream_takes():
     """Three refusals made a stream look short, which was then cut."""
 
