--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -15,6 +15,10 @@
 DRAIN_IDLE_S = 0.25
 # Time for which a caller may read nothing of what was written for it.
 UNREAD_TIMEOUT_S = 5.0
+# Time after which a caller may repeat a request that was not run, as another
+# instance serves it or the requests before it have ended.
+REJECTED_RETRY_AFTER_S = 0.2
+_UNAVAILABLE = 503
 
 
 class _TooManyRequests(_codec.BadMessage):
@@ -271,7 +275,10 @@
 
     def _respond_rejection(self):
         status, reason = self._rejection
-        self.respond(status, (), reason.encode(), close=True)
+        headers = ()
+        if status == _UNAVAILABLE:
+            headers = [('Retry-After', f'{REJECTED_RETRY_AFTER_S:.2f}')]
+        self.respond(status, headers, reason.encode(), close=True)
         self._close()
 
     @property
