--- a/dandelionwinch/gateway/_peer_link.py
+++ b/dandelionwinch/gateway/_peer_link.py
@@ -130,7 +130,11 @@
         """Handles a datagram; a malformed one is dropped."""
         try:
             self._handle(json.loads(data), addr)
-        except (*errors.SHAPE_ERRORS, RecursionError) as exc:
+        except (
+            *errors.SHAPE_ERRORS,
+            OverflowError,
+            RecursionError,
+        ) as exc:
             self._log_invalid(addr, exc)
 
     def error_received(self, exc):
