--- a/dandelionwinch/tests/test_usage_counting.py
+++ b/dandelionwinch/tests/test_usage_counting.py
@@ -18,6 +18,7 @@
 from dandelionwinch.tests.gateway_harness import response
 from dandelionwinch.tests.gateway_harness import STREAM_HEAD
 from dandelionwinch import usage
+from dandelionwinch.usage import _totals
 
 DIRECTORY = teams.TeamDirectory([(teams.Team('blue'), [teams.digest(b'key')])])
 STREAM = STREAM_HEAD + chunk(event(1)) + chunk(event(2)) + LAST_CHUNK
@@ -303,6 +304,30 @@
     assert totals.counts(7) == dict(rows)
 
 
+def test_forged_totals_take_bounded_memory(monkeypatch):
+    """Each process, window and team alone was bounded, all together not."""
+    monkeypatch.setattr(_totals, 'MAX_COUNTS', 100)
+    totals = usage.Totals(5.0)
+
+    def forge(window):
+        for number in range(50):
+            rows = tuple((f't{number}-{team}', 1) for team in range(20))
+            totals.take(
+                usage.RunningTotal(f'i{number}', 0, window, False, 20, rows),
+                5.0 * window,
+            )
+
+    forge(7)
+    assert len(totals.counts(7)) == 100
+    # What is known grows on, and there is room again after a report.
+    known = usage.RunningTotal('i0', 0, 7, False, 9, (('t0-0', 9),))
+    totals.take(known, 35.0)
+    assert totals.counts(7)['t0-0'] == 9
+    totals.forget(7, 40.0)
+    forge(8)
+    assert len(totals.counts(8)) == 100
+
+
 GOOD = ['i1', 0, 7, 1, 3, 6, [['t', 3]]]
 
 
--- a/dandelionwinch/usage/_totals.py
+++ b/dandelionwinch/usage/_totals.py
@@ -12,6 +12,9 @@
 # Processes that are kept, and the teams of each in a window.
 MAX_SOURCES = 2048
 MAX_TEAMS = 4096
+# Counts of teams that are kept in all, as forged totals of many processes
+# would take any memory. The design size needs 562,000 if no report is made.
+MAX_COUNTS = 700_000
 # An instance that has unsent counts sends them within a second. One that sent
 # nothing for this long has none, or has ended.
 SILENT_S = 2.0
@@ -85,12 +88,13 @@
         window_s: Length of a window in seconds.
     """
 
-    __slots__ = ('_reported', '_sources', 'window_s')
+    __slots__ = ('_kept_counts', '_reported', '_sources', 'window_s')
 
     def __init__(self, window_s):
         self.window_s = window_s
         self._sources = {}
         self._reported = -1
+        self._kept_counts = 0
 
     def take(self, total, now, *, relayed=False):
         """Merges a RunningTotal.
@@ -112,11 +116,20 @@
             source.heard_at = now
         known = source.windows.setdefault(total.window, _Window())
         for team, count in total.rows:
-            if team in known.counts or len(known.counts) < MAX_TEAMS:
+            if self._has_room(known, team):
                 known.counts[team] = max(count, known.counts.get(team, 0))
         if total.final:
             known.final_total = max(total.total, known.final_total or 0)
 
+    def _has_room(self, known, team):
+        """Tells whether a team's count is kept, and counts a new one."""
+        if team in known.counts:
+            return True
+        if len(known.counts) >= MAX_TEAMS or self._kept_counts >= MAX_COUNTS:
+            return False
+        self._kept_counts += 1
+        return True
+
     def _kept(self, window, now):
         current = math.floor(now / self.window_s)
         first = max(self._reported + 1, current - KEPT_WINDOWS)
@@ -204,7 +217,8 @@
         for key, source in list(self._sources.items()):
             for window in list(source.windows):
                 if not self._kept(window, now):
-                    del source.windows[window]
+                    dropped = source.windows.pop(window)
+                    self._kept_counts -= len(dropped.counts)
             silent_s = now - source.heard_at
             if not source.windows and silent_s > KEPT_WINDOWS * self.window_s:
                 del self._sources[key]
