--- a/dandelionwinch/control/_capacity_duty.py
+++ b/dandelionwinch/control/_capacity_duty.py
@@ -4,9 +4,14 @@
 
 from dandelionwinch import capacity
 from dandelionwinch.control import _duty
+from dandelionwinch import leadership
 
 # Most calls for one service in one turn, before the next service has one.
 MAX_CALLS = 32
+# Time from an acquisition until the entries show the last order of the holder
+# before, beside the time that an upstream needs to start: how long that holder
+# may still have acted, the delivery of its call and a late entry.
+SETTLE_S = leadership.RENEWAL_VALID_S + leadership.CALL_DELIVERY_S + 1.0
 _DECIMALS = 3
 
 
@@ -14,7 +19,8 @@
     """Plans the upstreams of each scaled service, and orders them.
 
     A new holder knows nothing of the orders of the one before it: it plans
-    from the entries in the store.
+    from the entries in the store, and orders nothing until these show what was
+    ordered before. Upstreams that still start would else exceed the limits.
 
     Args:
         loop: Event loop.
@@ -36,7 +42,19 @@
         self._instance = name
         self._token = None
         self._planners = {}
-        gateway.demand.start(lambda: sync.holder)
+        # Whether another instance was seen as the holder, whether the lease
+        # was held before its present acquisition, and when that was seen.
+        self._other_held = False
+        self._follows = False
+        self._began_at = 0.0
+        gateway.demand.start(self._find_holder)
+
+    def _find_holder(self):
+        """Returns the name of the holder; it is called once a second."""
+        holder = self._sync.holder
+        if holder not in ('', self._instance):
+            self._other_held = True
+        return holder
 
     async def perform(self, authority):
         """Plans each service and sends the orders that are due.
@@ -45,9 +63,12 @@
             authority: Authority.
         """
         if authority.token != self._token:
-            self._token, self._planners = authority.token, {}
+            self._begin(authority.token)
         for service in self._scaled_services():
             planner = self._planner(service)
+            if self._is_settling(service.scaling):
+                self._plan(service.name, planner)
+                continue
             # The plan follows each answer, as one may take a second.
             for _call in range(MAX_CALLS):
                 due = self._plan(service.name, planner)
@@ -57,6 +78,17 @@
                     break
                 await self._send(service.name, planner, due[0], authority)
 
+    def _begin(self, token):
+        """Starts anew under another acquisition of the lease."""
+        self._follows = self._other_held or self._token is not None
+        self._began_at = self._loop.time()
+        self._token, self._planners = token, {}
+
+    def _is_settling(self, scaling):
+        """Tells whether orders of the holder before may not be visible yet."""
+        settled_at = self._began_at + SETTLE_S + scaling.boot_s
+        return self._follows and self._loop.time() < settled_at
+
     def _plan(self, service, planner):
         """Returns the orders of a service that are due."""
         demand = self._gateway.demand.total(
--- a/dandelionwinch/tests/test_capacity_duty.py
+++ b/dandelionwinch/tests/test_capacity_duty.py
@@ -1,6 +1,7 @@
 """The duty of ordering capacity, from the store to the API and back."""
 
 import asyncio
+import collections
 import json
 import random
 
@@ -47,6 +48,7 @@
         calls: Token and CapacityOrder of each call.
         result: What each call returns, None to follow the order.
         answer_s: Time of an answer.
+        short: Whether no more reclaimable upstreams can be obtained.
     """
 
     def __init__(self, items):
@@ -56,6 +58,7 @@
         self.calls = []
         self.result = None
         self.answer_s = 0.02
+        self.short = False
         for name, count in START.items():
             for _number in range(count):
                 self._start(name, False)
@@ -78,6 +81,13 @@
                 upstream_id, name, True, state='draining', leaves_ms=2000.0
             )
 
+    def largest(self):
+        """Returns the largest number of both kinds in a data centre."""
+        counts = collections.Counter()
+        for (name, _reclaimable), ids in self._ids.items():
+            counts[name] += len(ids)
+        return max(counts.values())
+
     async def order_capacity(self, _holder, token, order, may_act):
         """Follows an order, as the API would."""
         await asyncio.sleep(self.answer_s)
@@ -87,6 +97,8 @@
         if self.result is not None:
             return self.result
         ids = self._ids.setdefault((order.data_centre, order.reclaimable), [])
+        if self.short and order.reclaimable and order.count > len(ids):
+            return control.Refused()
         while len(ids) > order.count:
             self._items.remove(samples.entry_key(ids.pop()))
         loop = asyncio.get_running_loop()
@@ -265,6 +277,41 @@
     run_holder(scenario)
 
 
+@pytest.mark.parametrize('reclaimable', [False, True])
+def test_a_new_holder_orders_nothing_above_the_limit(reclaimable):
+    """The upstreams that the one before it ordered last still start."""
+
+    async def scenario(holder):
+        await asyncio.sleep(1)
+        platform = holder.platform
+        holder.items.put('dandelionwinch/orders/holder', b'another')
+        await asyncio.sleep(1)
+        holder.items.put('dandelionwinch/orders/holder', CFG.instance.encode())
+        await asyncio.sleep(1)
+        for name in START:
+            standing = 0 if reclaimable else START[name]
+            most = SCALING['maxReplicas'] - START[name] + standing
+            order = control.CapacityOrder('s', name, most, reclaimable)
+            await platform.order_capacity('another', '1', order, lambda: True)
+        if reclaimable:
+            # Nothing reclaimable can be had, so ordinary ones are planned.
+            platform.short = True
+        # It may not act yet, as the one before might.
+        holder.state.valid = False
+        await holder.perform(2.7)
+        holder.state.valid = True
+        demand = capacity.Demand(10.0, 2.0)
+        for _second in range(20):
+            now = asyncio.get_running_loop().time()
+            reports = holder.gateway.demand._reports
+            reports.record('i1', {'s': demand}, now)
+            await holder.perform(1.0)
+            assert platform.largest() <= SCALING['maxReplicas']
+        assert any(token == TOKEN for token, _order in platform.calls)
+
+    run_holder(scenario)
+
+
 def test_a_silent_api_gets_each_order_again_after_the_boot_time():
     async def scenario(holder):
         await asyncio.sleep(1)
