--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -18,6 +18,9 @@
 # Time after which a caller may repeat a request that was not run, as another
 # instance serves it or the requests before it have ended.
 REJECTED_RETRY_AFTER_S = 0.2
+# Time for which bytes are read and dropped after a rejection. A caller that
+# still sends would else get a reset in place of the response.
+LINGER_S = 1.0
 _UNAVAILABLE = 503
 
 
@@ -279,7 +282,16 @@
         if status == _UNAVAILABLE:
             headers = [('Retry-After', f'{REJECTED_RETRY_AFTER_S:.2f}')]
         self.respond(status, headers, reason.encode(), close=True)
-        self._close()
+        self._linger()
+
+    def _linger(self):
+        """Ends the responses, and closes once the caller has or in time."""
+        self._closing = True
+        self._incoming = self._request_started_at = None
+        if self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self._server.loop.call_later(LINGER_S, self._close)
 
     @property
     def responded(self):
@@ -409,7 +421,7 @@
     def sweep(self, now):
         """Closes the connection if it is idle or slow beyond the limits."""
         self.check_reader(now)
-        if self._task is not None or self._queue:
+        if self._closing or self._task is not None or self._queue:
             return
         limits = self._server.limits
         if self._request_started_at is None:
--- a/dandelionwinch/tests/test_server.py
+++ b/dandelionwinch/tests/test_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 
+import attrs
 import pytest
 import uvloop
 
@@ -180,6 +181,36 @@
     assert (b'\r\nRetry-After: 0.20\r\n' in last) is (status == 503)
 
 
+@pytest.mark.parametrize('cause', ['stop', 'length'])
+def test_a_rejection_is_read_by_a_caller_that_still_sends(cause):
+    """Its connection was reset as bytes arrived after the response."""
+    length = 1 << 20
+
+    async def scenario(connected):
+        if cause == 'length':
+            length_limit = length - 1
+            connected.server.limits = attrs.evolve(
+                connected.server.limits, max_body_bytes=length_limit
+            )
+        head = (
+            f'POST /once/1 HTTP/1.1\r\nHost: desk\r\nContent-Length: {length}'
+        )
+        connected.writer.write(head.encode() + b'\r\n\r\n')
+        while not (connected.conn._incoming or connected.conn._rejection):
+            await asyncio.sleep(0)
+        connected.server.finish()
+        connected.writer.write(b'x' * length)
+        async with asyncio.timeout(recorder.TIMEOUT_S):
+            got = await connected.reader.read()
+            connected.writer.close()
+            while connected.server.connections:
+                await asyncio.sleep(0)
+        return got
+
+    status = b'503' if cause == 'stop' else b'413'
+    assert _run(scenario).startswith(b'HTTP/1.1 ' + status)
+
+
 EXPECTING = (
     b'POST /once/1 HTTP/1.1\r\nHost: desk\r\nContent-Length: 4\r\n'
     b'Expect: 100-continue\r\n\r\n'
