--- a/dandelionwinch/platform/_store_codec.py
+++ b/dandelionwinch/platform/_store_codec.py
@@ -16,6 +16,8 @@
 # Routes or teams that are decoded in one step.
 ITEMS_PER_STEP = 64
 MAX_NAME_CHARS = 128
+# An integer in JSON may be beyond the range of floating-point numbers.
+MAX_LEAVES_MS = 1e12
 MAX_KEY_CHARS = 1024
 _ROLES = {
     'prefill': upstreams.Role.PREFILL,
@@ -26,7 +28,7 @@
 def _read_object(value, path):
     try:
         data = json.loads(value)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise control.EntryInvalid(f'"{path}" is not JSON: {exc}') from exc
     if not isinstance(data, dict):
         raise control.EntryInvalid(f'"{path}" is not an object')
@@ -107,7 +109,7 @@
     if data.get('leaves_ms') is None:
         return None
     value = _read_field(data, 'leaves_ms', (int, float), path)
-    if not math.isfinite(value):
+    if not abs(value) <= MAX_LEAVES_MS:
         raise control.EntryInvalid(
             f'field "leaves_ms" of "{path}" is {value!r}'
         )
@@ -148,7 +150,7 @@
     """
     try:
         return (yield from _read_table(_read_object(value, CONFIG_KEY)))
-    except (AttributeError, TypeError, ValueError) as exc:
+    except (AttributeError, TypeError, ValueError, OverflowError) as exc:
         raise control.EntryInvalid(
             f'"{CONFIG_KEY}" is malformed: {exc}'
         ) from exc
--- a/dandelionwinch/tests/test_catalogue.py
+++ b/dandelionwinch/tests/test_catalogue.py
@@ -35,6 +35,8 @@
     assert (entry.reclaimable, entry.leaves_in_s) == (False, None)
 
 
+# An integer beyond the range of floating-point numbers.
+HUGE = 10**400
 SCALING = {
     'minReplicas': 1,
     'maxReplicas': 8,
@@ -120,6 +122,38 @@
         _store_codec.read_upstream('i-1', value)
 
 
+@pytest.mark.parametrize(
+    'value',
+    [
+        samples.entry(leaves_ms=HUGE),
+        samples.entry(leaves_ms=-HUGE),
+        samples.entry(leaves_ms=1e999),
+        b'{"a":' * 100_000,
+    ],
+)
+def test_an_entry_that_cannot_be_computed_with_is_refused(value):
+    """It ended each look at the store, as no error of an entry does."""
+    with pytest.raises(control.EntryInvalid):
+        _store_codec.read_upstream('i-1', value)
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        samples.config(1, [samples.route(timeoutMs=HUGE)]),
+        samples.config(
+            1, [], [samples.service(scaling={**SCALING, 'bootS': HUGE})]
+        ),
+        samples.config(1, []).replace(b'16384', b'1e999'),
+        b'[' * 100_000,
+    ],
+)
+def test_a_configuration_that_cannot_be_computed_with_is_refused(value):
+    """It ended each look at the store; the last good version stays."""
+    with pytest.raises(control.EntryInvalid):
+        _store_codec.read_config(value)
+
+
 @pytest.mark.parametrize('value', [b'', b'\xff\x00', b'[]', b'{"a":'])
 def test_malformed_bytes_are_refused(value):
     with pytest.raises(control.EntryInvalid):
