--- a/dandelionwinch/platform/_wire_codec.py
+++ b/dandelionwinch/platform/_wire_codec.py
@@ -59,6 +59,8 @@
 )
 
 UNAVAILABLE_STATUS = 503
+# Numbers with more digits are not read: floating-point numbers are not exact.
+MAX_DIGITS = 15
 _DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+')
 
 
@@ -299,8 +301,12 @@
         return [('Retry-After', f'{wait_s:.2f}')]
 
 
+def _is_number(text):
+    return text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 def _parse_int(text):
-    return int(text) if text.isdecimal() else None
+    return int(text) if _is_number(text) else None
 
 
 def _parse_rate_limit(head):
@@ -340,12 +346,12 @@
 
 def _parse_prompt(head):
     usage = head.header(TOKEN_USAGE).split(',')
-    if len(usage) != 2 or not all(item.strip().isdecimal() for item in usage):
+    if len(usage) != 2 or not all(_is_number(item.strip()) for item in usage):
         return None
     blocks = []
     for item in head.header(PROMPT_PREFIX).split(','):
         block_id, _, tokens = item.strip().partition(':')
-        if block_id and tokens.isdecimal():
+        if block_id and _is_number(tokens):
             blocks.append((block_id, int(tokens)))
     model = head.header(MODEL)
     named_blocks = tuple(
--- a/dandelionwinch/tests/test_calls.py
+++ b/dandelionwinch/tests/test_calls.py
@@ -520,3 +520,32 @@
     )
     assert (response[0], requests) == (503, [])
     assert 'retry-after' in response[1]
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('x-dandelionwinch-request-timeout-ms', 400 * '9'),
+        ('x-dandelionwinch-request-timeout-ms', 5000 * '9'),
+        ('last-event-id', 5000 * '9'),
+        ('x-dandelionwinch-token-usage', 400 * '9' + ',1'),
+    ],
+)
+def test_numbers_of_any_size_in_headers_are_no_fault(name, value):
+    """They were answered with 502, as if the request might have run."""
+
+    async def scenario(harness):
+        timeout_ms = value if name.endswith('ms') else 3000
+        more = [] if name.endswith('ms') else [(name, value)]
+        harness.send('/safe/1', headers=more, timeout_ms=timeout_ms)
+        harness.send('/resume/1', headers=more, timeout_ms=timeout_ms)
+        first = await harness.read_response()
+        second = await harness.read_response()
+        return first[0], second[0], harness.log.names()
+
+    script = [gateway_harness.response()]
+    status, other, names = gateway_harness.run_scenario(
+        [[script, script]], scenario
+    )
+    assert (status, other) == (200, 200)
+    assert 'gateway.fault' not in names
