--- a/dandelionwinch/gateway/_byte_limits.py
+++ b/dandelionwinch/gateway/_byte_limits.py
@@ -157,7 +157,6 @@
             team: Name of the team of its request, or ''.
         """
         self._server = caller.server
-        self._server.lingers = True
         caller.assign(team)
 
     def _tick(self):
--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -5,7 +5,6 @@
 
 from dandelionwinch.gateway import _codec
 from dandelionwinch.gateway import _incoming_request
-from dandelionwinch.gateway import _lingering
 from dandelionwinch.gateway import _reader_watch
 
 MAX_PIPELINED_REQUESTS = 8
@@ -21,6 +20,13 @@
 # leave the upstream without progress for seconds.
 BUFFER_BYTES = 1 << 16
 BUFFER_STEP_BYTES = 1 << 14
+# Time after which a caller may repeat a request that was not run, as another
+# instance serves it or the requests before it have ended.
+REJECTED_RETRY_AFTER_S = 0.2
+# Time for which bytes are read and dropped after a rejection. A caller that
+# still sends would else get a reset in place of the response.
+LINGER_S = 2.0
+_UNAVAILABLE = 503
 
 
 class CallerConnection(asyncio.Protocol):
@@ -252,13 +258,20 @@
 
     def _respond_rejection(self):
         status, reason = self._rejection
-        self._incoming = None
-        self.respond(status, (), reason.encode(), close=True)
-        if self.server.lingers:
-            self._closing = True
-            _lingering.close(self._transport, self.server.loop)
-        else:
-            self._close()
+        headers = ()
+        if status == _UNAVAILABLE:
+            headers = [('Retry-After', f'{REJECTED_RETRY_AFTER_S:.2f}')]
+        self.respond(status, headers, reason.encode(), close=True)
+        self._linger()
+
+    def _linger(self):
+        """Ends the responses, and closes once the caller has or in time."""
+        self._closing = True
+        self._incoming = self._request_started_at = None
+        if self._transport.is_closing():
+            return
+        self._transport.write_eof()
+        self.server.loop.call_later(LINGER_S, self._close)
 
     @property
     def responded(self):
--- a/dandelionwinch/tests/test_calls.py
+++ b/dandelionwinch/tests/test_calls.py
@@ -544,3 +544,32 @@
 
     got = gateway_harness.run_scenario([[]] * (1 + others), scenario)
     assert got == (status, 1 + others)
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('x-dandelionwinch-request-timeout-ms', 400 * '9'),
+        ('x-dandelionwinch-request-timeout-ms', 5000 * '9'),
+        ('last-event-id', 5000 * '9'),
+        ('x-dandelionwinch-token-usage', 400 * '9' + ',1'),
+    ],
+)
+def test_numbers_of_any_size_in_headers_are_no_fault(name, value):
+    """They were answered with 502, as if the request might have run."""
+
+    async def scenario(harness):
+        timeout_ms = value if name.endswith('ms') else 3000
+        more = [] if name.endswith('ms') else [(name, value)]
+        harness.send('/safe/1', headers=more, timeout_ms=timeout_ms)
+        harness.send('/resume/1', headers=more, timeout_ms=timeout_ms)
+        first = await harness.read_response()
+        second = await harness.read_response()
+        return first[0], second[0], harness.log.names()
+
+    script = [gateway_harness.response()]
+    status, other, names = gateway_harness.run_scenario(
+        [[script, script]], scenario
+    )
+    assert (status, other) == (200, 200)
+    assert 'gateway.fault' not in names
