--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -247,6 +247,23 @@
     run(scenario)
 
 
+def test_a_false_epoch_costs_few_calls():
+    """Fails if each forged datagram makes its receiver call the store."""
+
+    async def scenario(world):
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        sender = world.watchers('dc-1')[0]
+        reads, view = node.store.reads, node.sync.view
+        for _ in range(200):
+            forged = message(world, epoch=world.items.epoch + 1)
+            node.gateway.peers.datagram_received(forged, sender.addr)
+            await asyncio.sleep(0.02)
+        assert node.sync.view.epoch == view.epoch
+        assert node.store.reads - reads <= 5
+
+    run(scenario)
+
+
 def test_a_late_message_makes_no_view_look_younger():
     """Its age counts from its sending, though clocks differ."""
 
