--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -22,6 +22,8 @@
 RELAY_COALESCE_JITTER = 0.4
 # Age of what was told from which an instance watches for itself.
 SILENCE_S = 1.5
+# The same where all watch and nobody listens: longer than a watch.
+LONE_SILENCE_S = 4.0
 # Of those whom the store answers then, the first one in the order tells the
 # others; each further one waits this much longer for it.
 RANK_INTERVAL_S = 0.02
@@ -245,10 +247,10 @@
         """Returns how long a watch is to wait for changes.
 
         Args:
-            wait_s: Time without the relay.
+            wait_s: Time if nobody listens.
             answered_at: Time of the last answer to a watch.
         """
-        if not self.in_force:
+        if not self._has_listeners():
             return wait_s
         if self._role == 'listener' or (
             self._role == 'silent' and self._cfg.instance in self._order()
@@ -257,9 +259,18 @@
         left_s = answered_at + CYCLE_S - self._loop.time()
         return min(wait_s, max(0.0, left_s))
 
-    def coalesce_s(self):
-        """Returns the pause after changes, None without the relay."""
+    def _has_listeners(self):
+        """Tells whether any instance relies on what the watchers tell."""
         if not self.in_force:
+            return False
+        return len(self._order()) > relay.WATCHERS or (
+            self._audience.has_askers(self._loop.time())
+            or self._cfg.instance not in self._order()
+        )
+
+    def coalesce_s(self):
+        """Returns the pause after changes, None if nobody listens."""
+        if not self._has_listeners():
             return None
         if self._role == 'listener':
             return 0.0
@@ -416,7 +427,9 @@
         order = self._order()
         if self._silent(self._loop.time()):
             # Any of them may be the one that the store answers.
-            if self._follower.answer_age_s() >= SILENCE_S:
+            lone = not self._has_listeners()
+            limit_s = LONE_SILENCE_S if lone else SILENCE_S
+            if self._follower.answer_age_s() >= limit_s:
                 self._ask(view, order)
         elif self._cfg.instance not in order:
             self._ask(view, order[: relay.WATCHERS])
--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -92,6 +92,21 @@
     assert reads[0] == reads[1]
 
 
+def test_small_data_centres_call_the_store_no_more_often_than_before():
+    """Where both instances watch, none has to hear from them each second."""
+
+    async def scenario(world):
+        before = world.reads()
+        for _ in range(8):
+            assert max(await world.learned(nodes_of(world), 1.5)) < 1.3
+        reads.append(world.reads() - before)
+
+    reads = []
+    for relayed in (True, False):
+        run(scenario, 22, 11, relayed=relayed)
+    assert reads[0] < 1.05 * reads[1]
+
+
 def test_without_duties_questions_and_messages_have_no_effect():
     """An instance with other settings must not put the relay in force."""
 
