--- a/dandelionwinch/tests/relay_faults.py
+++ b/dandelionwinch/tests/relay_faults.py
@@ -216,6 +216,17 @@
             for node in self._world.of(data_centre)
         )
 
+    def _missed_restore(self, node, at):
+        """Tells whether the store turned it away over a restore.
+
+        Until it has listed the store again, no other instance can tell it
+        what changed.
+        """
+        return any(
+            _overlap(self._common, begin, end) and at <= end + SETTLE_S
+            for begin, end in self._away.get(node.name, ())
+        )
+
     def _check_one(self, node, at, written):
         since, until = at - SETTLE_S, at + BOUND_S
         if self._is_away(node, since, until) and self._is_cut_off(
@@ -223,6 +234,8 @@
         ):
             # Neither the store nor another instance reaches it.
             return
+        if self._missed_restore(node, at):
+            return
         self.checked += 1
         took_s = node.knew_at(written) - at
         if took_s > BOUND_S:
