--- a/dandelionwinch/tests/test_store_relay.py
+++ b/dandelionwinch/tests/test_store_relay.py
@@ -92,6 +92,21 @@
     assert reads[0] == reads[1]
 
 
+def test_small_data_centres_call_the_store_no_more_often_than_before():
+    """Where both instances watch, none has to hear from them each second."""
+
+    async def scenario(world):
+        before = world.reads()
+        for _ in range(8):
+            assert max(await world.learned(nodes_of(world), 1.5)) < 1.3
+        reads.append(world.reads() - before)
+
+    reads = []
+    for relayed in (True, False):
+        run(scenario, 22, 11, relayed=relayed)
+    assert reads[0] < 1.05 * reads[1]
+
+
 def test_without_duties_questions_and_messages_have_no_effect():
     """An instance with other settings must not put the relay in force."""
 
@@ -247,6 +262,23 @@
     run(scenario)
 
 
+def test_a_false_epoch_costs_few_calls():
+    """Fails if each forged datagram makes its receiver call the store."""
+
+    async def scenario(world):
+        node = next(n for n in world.of('dc-1') if n.role() == 'listener')
+        sender = world.watchers('dc-1')[0]
+        reads, view = node.store.reads, node.sync.view
+        for _ in range(200):
+            forged = message(world, epoch=world.items.epoch + 1)
+            node.gateway.peers.datagram_received(forged, sender.addr)
+            await asyncio.sleep(0.02)
+        assert node.sync.view.epoch == view.epoch
+        assert node.store.reads - reads <= 5
+
+    run(scenario)
+
+
 def test_a_late_message_makes_no_view_look_younger():
     """Its age counts from its sending, though clocks differ."""
 
