--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -16,11 +16,6 @@
 DRAIN_IDLE_S = 0.25
 # Time for which a caller may read nothing of what was written for it.
 UNREAD_TIMEOUT_S = 5.0
-# Where held bytes are limited, a stream goes on when its caller has read this
-# many of the bytes that wait for it. The default step of three quarters would
-# leave the upstream without progress for seconds.
-BUFFER_BYTES = 1 << 16
-BUFFER_STEP_BYTES = 1 << 14
 
 
 class CallerConnection(asyncio.Protocol):
@@ -119,6 +114,12 @@
         requests = [*self._queue, self._incoming, self._serving]
         return sum(len(item.body) for item in requests if item is not None)
 
+    @property
+    def arriving_bytes(self):
+        """Returns the bytes of a body that arrives and may be refused."""
+        busy = self._task is not None or self._rejection is not None
+        return 0 if busy or not self._incoming else len(self._incoming.body)
+
     @property
     def held_bytes(self):
         """Returns the bytes held for the caller, of requests and responses."""
@@ -127,10 +128,8 @@
     def assign(self, team):
         """Counts what is held to a team; raises TooManyBytes if too much."""
         self.team = team
-        self._transport.set_write_buffer_limits(
-            BUFFER_BYTES, BUFFER_BYTES - BUFFER_STEP_BYTES
-        )
-        self.server.check_held(0, team)
+        _reader_watch.limit_buffer(self._transport)
+        self.server.check_held(0, self)
 
     def _check_reader(self, now):
         """Aborts the connection of a caller that has stopped to read."""
@@ -158,7 +157,7 @@
         try:
             self._parser.feed(data)
         except _codec.BadMessage as exc:
-            self._reject(exc.status, exc.message)
+            self.reject(exc.status, exc.message)
 
     def on_head(self, head):
         """Checks the head of a request; sends 100 Continue if expected.
@@ -189,7 +188,7 @@
         limit = self.server.limits.max_body_bytes
         if len(self._incoming.body) > limit:
             raise _codec.BodyTooLarge(f'the body is over {limit} bytes')
-        self.server.check_held(len(data), self.team)
+        self.server.check_held(len(data), self)
 
     def on_end(self):
         """Serves a complete request, or queues it behind the current one."""
@@ -237,7 +236,7 @@
             else:
                 self._serve_next()
 
-    def _reject(self, status, reason):
+    def reject(self, status, reason):
         """Answers a bad request after those before it, then closes."""
         self.server.report_rejection(status, reason)
         self._rejection = (status, reason)
@@ -356,7 +355,7 @@
         if self._awaits_reader:
             return
         if self._request_started_at is not None:
-            self._reject(503, 'the instance stops')
+            self.reject(503, 'the instance stops')
         else:
             self._close_if_silent()
 
@@ -387,7 +386,7 @@
         if self._incoming is not None:
             limit_s = BODY_TIMEOUT_S
         if now - self._request_started_at > limit_s:
-            self._reject(408, 'the request took too long to arrive')
+            self.reject(408, 'the request took too long to arrive')
 
     def _max_idle_s(self):
         if self.server.draining:
--- a/dandelionwinch/gateway/_reader_watch.py
+++ b/dandelionwinch/gateway/_reader_watch.py
@@ -3,6 +3,18 @@
 # Longest time between two observations that counts. A process that was
 # suspended has not seen what its callers read meanwhile.
 MAX_STEP_S = 1.0
+# Where held bytes are limited, a stream goes on when its caller has read this
+# many of the bytes that wait for it. The default step of three quarters would
+# leave the upstream without progress for seconds.
+BUFFER_BYTES = 1 << 16
+BUFFER_STEP_BYTES = 1 << 14
+
+
+def limit_buffer(transport):
+    """Sets how much of a stream waits for a caller, and in which steps."""
+    transport.set_write_buffer_limits(
+        BUFFER_BYTES, BUFFER_BYTES - BUFFER_STEP_BYTES
+    )
 
 
 class ReaderWatch:
--- a/dandelionwinch/gateway/_server.py
+++ b/dandelionwinch/gateway/_server.py
@@ -99,7 +99,7 @@
         """Counts bytes that were written for a caller."""
         self._held_bytes += more_bytes
 
-    def check_held(self, more_bytes, team):
+    def check_held(self, more_bytes, caller):
         """Counts bytes of a body that were received.
 
         Callers that read slowly lose their connections first, those with
@@ -107,7 +107,7 @@
 
         Args:
             more_bytes: Number of bytes.
-            team: Name of the team that sent them, or ''.
+            caller: The CallerConnection that received them.
 
         Raises:
             TooManyBytes: If a bound is exceeded nevertheless.
@@ -116,17 +116,30 @@
         limit = self._max_held_bytes
         if limit is None:
             return
-        if team and self._held_bytes > limit // 2:
-            self._team_bytes.check(team, self._held_bytes)
+        if caller.team and self._held_bytes > limit // 2:
+            self._team_bytes.check(caller.team, self._held_bytes)
         if self._held_bytes <= limit:
             return
         self._sum_held()
         self._abort_unread()
+        if self._held_bytes > limit and self.lingers:
+            self._refuse_largest(caller.arriving_bytes)
         if self._held_bytes > limit:
             raise _incoming_request.TooManyBytes(
                 f'the instance holds over {limit} bytes'
             )
 
+    def _refuse_largest(self, size):
+        """Refuses the largest body that still arrives, if above a size.
+
+        Else slow senders of large bodies would have all small ones refused.
+        """
+        largest = max(self.connections, key=lambda conn: conn.arriving_bytes)
+        arriving = largest.arriving_bytes
+        if arriving > size:
+            self._held_bytes -= arriving
+            largest.reject(503, 'the instance holds too many bytes')
+
     def held(self):
         """Returns the bytes of bodies and those of unread responses."""
         bodies = sum(conn.body_bytes for conn in self.connections)
--- a/dandelionwinch/tests/test_slow_callers.py
+++ b/dandelionwinch/tests/test_slow_callers.py
@@ -266,3 +266,19 @@
     assert stalled == 1
     assert 0 < len(data) < len(LARGE)
     assert not data.endswith(b'0\r\n\r\n')
+
+
+def test_the_largest_arriving_body_gives_way_to_a_small_one():
+    """Slow senders of large bodies had the calls of all others refused."""
+
+    async def scenario(site):
+        site.server.lingers = True
+        large = await site.connect(POST % 5000 + b'b' * 3900)
+        while sum(c.body_bytes for c in site.server.connections) < 3900:
+            await asyncio.sleep(0)
+        small = await site.connect(POST % 200 + b'b' * 200)
+        return await small.readline(), await large.readline()
+
+    small, large = _run(scenario, max_held_bytes=4000)
+    assert small.startswith(b'HTTP/1.1 200')
+    assert large.startswith(b'HTTP/1.1 503')
