--- a/dandelionwinch/gateway/_byte_limits.py
+++ b/dandelionwinch/gateway/_byte_limits.py
@@ -157,6 +157,7 @@
             team: Name of the team of its request, or ''.
         """
         self._server = caller.server
+        self._server.sheds_largest = True
         caller.assign(team)
 
     def _tick(self):
