--- a/dandelionwinch/limits/_call_queue.py
+++ b/dandelionwinch/limits/_call_queue.py
@@ -30,6 +30,10 @@
 # 1 a team whose callers leave early got more than its share, and the small
 # teams were served a tenth less often.
 LEFT_DURATION_FACTOR = 2.0
+# The duration that is assumed at first follows from the rate of calls in time.
+# If few are in time it is far too long, and the moving average would follow
+# only after some fifty calls, which are hardly sent meanwhile.
+FAR_OFF_FACTOR = 4.0
 
 
 @attrs.frozen(eq=False)
@@ -183,6 +187,7 @@
     """
 
     __slots__ = (
+        '_assumed',
         '_credit',
         '_credit_at',
         '_deviation_s',
@@ -201,6 +206,8 @@
         self._limit = 1.0
         self._duration_s = None
         self._deviation_s = 0.0
+        # Whether no call has ended yet.
+        self._assumed = True
         # Calls that may be sent at once, which rises with time. It keeps
         # the average in flight at a limit below 1.
         self._credit = 1.0
@@ -230,14 +237,17 @@
             now: Time in seconds.
         """
         if self._duration_s is None:
-            self._duration_s = max(MIN_DURATION_S, usual_s)
-            self._deviation_s = self._duration_s / 4
+            self._assume(usual_s)
             self._credit = max(1.0, limit)
             self._credit_at = now
         self._refill(now)
         self._limit = limit
         self._credit = min(self._credit, max(1.0, limit))
 
+    def _assume(self, duration_s):
+        self._duration_s = max(MIN_DURATION_S, duration_s)
+        self._deviation_s = self._duration_s / 4
+
     def offer(self, call, now):
         """Decides on a call that arrives.
 
@@ -294,8 +304,14 @@
     def release(self, call, now):
         """Records that a call that was sent has ended."""
         sent_at = self._in_flight.pop(call, None)
-        if sent_at is not None:
-            self._learn(now - sent_at)
+        if sent_at is None:
+            return
+        taken_s = now - sent_at
+        if self._assumed and self._duration_s > FAR_OFF_FACTOR * taken_s:
+            self._assume(taken_s)
+        else:
+            self._learn(taken_s)
+        self._assumed = False
 
     def _learn(self, taken_s):
         beyond_s = taken_s - self._duration_s
--- a/dandelionwinch/tests/test_call_queue.py
+++ b/dandelionwinch/tests/test_call_queue.py
@@ -338,3 +338,30 @@
             rates = totals.rates(second + 0.9)
             assert rates == {'a': [20.0, 2.0, 5.0], 'b': [1.0, 0.0, 0.0]}
     assert totals.rates(27.0) == {}
+
+
+def test_the_first_call_that_ends_tells_how_long_calls_take():
+    """While few are in time, the capacity is far below that of the slots.
+
+    The duration that was derived from it refused all waiting calls of these
+    teams until some fifty calls had ended, and let few be sent meanwhile.
+    """
+    queue = limits.CallQueue()
+    # 36 slots and a capacity of 2 calls a second; a call takes 0.05 s.
+    queue.set_limit(4.0, 18.0, 0.0)
+    calls = [_late_call(f'r{number}', 0.5) for number in range(4)]
+    assert all(queue.offer(call, 0.0) == limits.Send() for call in calls)
+    queue.release(calls[0], 0.05)
+    queue.release(calls[1], 0.05)
+    sent, now = 0, 0.05
+    while now < 1.0:
+        call = _late_call(f's{now}', now + 0.5)
+        if queue.offer(call, now) == limits.Send():
+            sent += 1
+            queue.release(call, now + 0.05)
+        now += 0.05
+    assert sent >= 15
+
+
+def _late_call(request_id, deadline):
+    return limits.QueuedCall('large', 1.0, deadline, request_id)
