--- a/dandelionwinch/gateway/_share_link.py
+++ b/dandelionwinch/gateway/_share_link.py
@@ -27,6 +27,9 @@
 MAX_COUNT = 1 << 20
 MAX_RATE_PER_S = 1 << 30
 MAX_SPAN_S = 60.0
+# Less than a request in the longest span. The slots of a service divided by it
+# are a finite duration of a call.
+MIN_CAPACITY_PER_S = 1e-3
 
 
 class ShareLink:
@@ -89,7 +92,7 @@
             math.inf if level is None else _checked_rate(level),
             tuple(_read_excess(*row) for row in _checked_rows(rows)),
         )
-        if shares.excesses and not shares.capacity:
+        if shares.excesses and shares.capacity < MIN_CAPACITY_PER_S:
             raise ValueError('shares without a capacity')
         self._receiver.take_shares(
             _checked_name(service), token, shares, sender
--- a/dandelionwinch/tests/test_fair_sharing.py
+++ b/dandelionwinch/tests/test_fair_sharing.py
@@ -286,6 +286,8 @@
         ['shares', 's', 1, [1.0, 'x', 3.0], []],
         ['shares', 's', 1, [1.0, 1e300, 3.0], []],
         ['shares', 's', 1, [0.0, 2.0, 3.0], [['s1', 0.5, 0.5]]],
+        # The slots divided by this are no finite duration of a call.
+        ['shares', 's', 1, [1e-320, 2.0, 3.0], [['s1', 0.5, 0.5]]],
         ['shares', 's', 1, RATES, [['s1']]],
         ['shares', 's', 1, RATES, [['s1', 0.5]]],
         ['shares', 's', 1, RATES, [['s1', 2.0, 0.1]]],
