--- a/dandelionwinch/tests/test_call_gate.py
+++ b/dandelionwinch/tests/test_call_gate.py
@@ -10,6 +10,7 @@
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
+from dandelionwinch.gateway import _suspicion
 from dandelionwinch import limits
 from dandelionwinch.platform import samples
 from dandelionwinch import routes
@@ -378,6 +379,107 @@
     assert found == (503, True, 0)
 
 
+def _put_in_force(harness, services, directory):
+    harness.gateway.set_table(
+        routes.RouteTable(
+            3,
+            list(gateway_harness.ROUTES),
+            services,
+            routes.Limits(),
+            directory,
+        )
+    )
+
+
+def test_a_call_whose_key_is_removed_while_it_waits_is_served():
+    """Its key was valid when it arrived; later calls with it are refused."""
+
+    async def scenario(harness):
+        end_first = await _call_in_queue(harness)
+        services = harness.gateway.fleet.table.services.values()
+        others = [(teams.Team('small'), [teams.digest(b'q')])]
+        _put_in_force(harness, services, teams.TeamDirectory(others))
+        end_first()
+        first = await harness.read_response()
+        second = await _call_sent(harness, request_id='r2')
+        (req,) = harness.requests
+        assert req.headers['x-dandelionwinch-tenant'] == 'large'
+        assert 'authorization' not in req.headers
+        return first[0], second[0]
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    assert found == (200, 401)
+
+
+def test_a_call_whose_service_is_removed_while_it_waits_is_served():
+    async def scenario(harness):
+        await _call_in_queue(harness)
+        _put_in_force(harness, [], DIRECTORY)
+        harness.gateway.fair_sharing._tick()
+        status, _headers, _body = await harness.read_response()
+        return status, _ids(harness)
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    assert found == (200, ['r1'])
+
+
+def test_a_call_that_would_miss_its_deadline_leaves_the_queue():
+    """Nothing ends before it, so that only its deadline ends the wait."""
+
+    async def scenario(harness):
+        await _call_in_queue(harness, timeout_ms=300)
+        status, headers, _body = await harness.read_response()
+        queue = harness.gateway.call_gate._of('s').queue
+        return status, 'retry-after' in headers, _ids(harness), queue.waiting
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    assert found == (503, True, [], 0)
+
+
+def test_a_caller_that_leaves_the_queue_has_nothing_sent():
+    async def scenario(harness):
+        end_first = await _call_in_queue(harness)
+        harness.writer.close()
+        queue = harness.gateway.call_gate._of('s').queue
+        while queue.waiting:
+            await asyncio.sleep(0)
+        end_first()
+        assert 'request.left' in harness.log.names()
+        return _ids(harness), queue.in_flight, await _rows(harness)
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    assert found == ([], 0, [])
+
+
+class _Hold:
+    subject = 'x'
+
+    @staticmethod
+    def ends_at():
+        return 0.0
+
+
+def test_a_call_whose_subject_is_held_while_it_waits_is_not_sent(monkeypatch):
+    """It frees its place, and is no sign of a shortage."""
+
+    def is_held(suspicion):
+        suspicion.hold = _Hold
+        return True
+
+    async def scenario(harness):
+        end_first = await _call_in_queue(harness)
+        monkeypatch.setattr(_suspicion.Suspicion, 'is_held', is_held)
+        end_first()
+        status, headers, _body = await harness.read_response()
+        rows = await _rows(harness)
+        queue = harness.gateway.call_gate._of('s').queue
+        assert 'retry-after' in headers
+        return status, _ids(harness), queue.in_flight, rows
+
+    found = _run([[[gateway_harness.response()]]], scenario)
+    assert found == (503, [], 0, [])
+
+
 @pytest.mark.parametrize(
     ('step', 'row'),
     [
