--- a/dandelionwinch/tests/test_soak.py
+++ b/dandelionwinch/tests/test_soak.py
@@ -44,6 +44,9 @@
     (1524, 20.0, 6, 12),
     # The first one with teams, duties and capacity together.
     (3001, 20.0, 6, 12),
+    # The same upstreams were ordered down again with each plan, until fewer
+    # than the smallest number were left.
+    (3011, 20.0, 6, 12),
 )
 
 
