--- a/dandelionwinch/gateway/_usage_link.py
+++ b/dandelionwinch/gateway/_usage_link.py
@@ -16,7 +16,6 @@
 from dandelionwinch.gateway import _datagram_rows
 from dandelionwinch import usage
 
-# Teams in one datagram; more of them take several.
 # Numbers up to which parsers with floating-point numbers are exact.
 MAX_NUMBER = (1 << 53) - 1
 
--- a/dandelionwinch/limits/_call_counts.py
+++ b/dandelionwinch/limits/_call_counts.py
@@ -42,13 +42,14 @@
         self._past = collections.deque()
         # Begin and counts of the periods since a shortage began.
         self._short = collections.deque()
-        # Time at which a call was refused, by its id; the oldest first.
+        # Time at which a call was refused, by the hash of its id, which a
+        # caller may choose as long as it likes; the oldest first.
         self._refused = {}
 
     def ask(self, team, call_id, now):
         """Counts a call that arrives."""
         self._forget_refused(now)
-        if call_id not in self._refused:
+        if hash(call_id) not in self._refused:
             self._asked[team] += 1
 
     def record_served(self, team, call_id, delayed, now):
@@ -63,17 +64,18 @@
         counts = self._of(team)
         counts[0] += 1
         counts[1] += delayed
-        if self._refused.pop(call_id, None) is not None:
+        if self._refused.pop(hash(call_id), None) is not None:
             counts[2] -= 1
 
     def record_refused(self, team, call_id, now):
         """Counts a call that was refused, unless it was before."""
-        if call_id in self._refused:
+        key = hash(call_id)
+        if key in self._refused:
             return
         self._of(team)[2] += 1
         if len(self._refused) >= MAX_REFUSED:
             del self._refused[next(iter(self._refused))]
-        self._refused[call_id] = now
+        self._refused[key] = now
 
     def _of(self, team):
         return self._counts.setdefault(team, [0, 0, 0])
--- a/dandelionwinch/limits/_return_times.py
+++ b/dandelionwinch/limits/_return_times.py
@@ -17,7 +17,8 @@
 
     def __init__(self):
         self._schedule = ratelimits.ReturnSchedule()
-        # Time told, by id; the oldest first.
+        # Time told, by the hash of the id, which a caller may choose as long as
+        # it likes; the oldest first.
         self._return_at = {}
 
     def wait_s(self, call, first_s, rate_per_s, now):
@@ -29,14 +30,15 @@
             rate_per_s: Calls a second that are sent, above 0.
             now: Time in seconds.
         """
-        at = self._return_at.get(call.id, now)
+        key = hash(call.id)
+        at = self._return_at.get(key, now)
         if at > now:
             return at - now
-        self._return_at.pop(call.id, None)
+        self._return_at.pop(key, None)
         wait_s = self._schedule.wait_s(
             call.team, first_s, rate_per_s, True, now
         )
         if len(self._return_at) >= MAX_CALLS:
             del self._return_at[next(iter(self._return_at))]
-        self._return_at[call.id] = now + wait_s
+        self._return_at[key] = now + wait_s
         return wait_s
--- a/dandelionwinch/tests/test_call_queue.py
+++ b/dandelionwinch/tests/test_call_queue.py
@@ -401,3 +401,13 @@
 
 def _late_call(request_id, deadline):
     return limits.QueuedCall('large', 1.0, deadline, request_id)
+
+
+def test_long_ids_of_calls_are_not_kept():
+    """A caller chooses the id; 4096 of 16 KB took 64 MB."""
+    counts = limits.CallCounts(0.0)
+    call_id = 'x' * 10_000
+    counts.record_refused('l0', call_id, 0.0)
+    counts.ask('l0', call_id, 0.1)
+    assert not counts._asked
+    assert len(repr(counts._refused)) < 100
