--- a/dandelionwinch/limits/_return_times.py
+++ b/dandelionwinch/limits/_return_times.py
@@ -17,8 +17,8 @@
 
     def __init__(self):
         self._schedule = ratelimits.ReturnSchedule()
-        # Time told, by the hash of the id, which a caller may choose as long as
-        # it likes; the oldest first.
+        # Time told, by the hash of the id, which a caller may choose as long
+        # as it likes; the oldest first.
         self._return_at = {}
 
     def wait_s(self, call, first_s, rate_per_s, now):
