--- a/dandelionwinch/gateway/_call_gate.py
+++ b/dandelionwinch/gateway/_call_gate.py
@@ -26,7 +26,7 @@
 
 
 @attrs.frozen(eq=False)
-class Pass:
+class Permit:
     """Permission to send a call, which counts to the limit until its end.
 
     Attributes:
@@ -94,7 +94,7 @@
             call: limits.QueuedCall.
 
         Returns:
-            A Pass, to be given to `end` or `leave`; None if the team of the
+            A Permit, to be given to `end` or `leave`; None if the team of the
             call is not above its share.
 
         Raises:
@@ -113,7 +113,7 @@
             case limits.Wait():
                 self._limited_calls.labels('waited').inc()
                 await self._wait(service, waiting, call)
-        return Pass(service, call)
+        return Permit(service, call)
 
     def _of(self, service):
         waiting = self._services.get(service)
@@ -178,32 +178,32 @@
             at = min(due.next_at, now + LIMIT_S)
             waiting.timer = self._loop.call_at(at, self._poll, service)
 
-    def end(self, permission, *, answered):
+    def end(self, permit, *, answered):
         """Ends a call that was sent.
 
         Args:
-            permission: Pass of the call.
+            permit: Permit of the call.
             answered: Whether an upstream answered it, so that its duration
                 tells how long calls take.
         """
-        queue = self._services[permission.service].queue
+        queue = self._services[permit.service].queue
         if answered:
-            queue.release(permission.call, self._loop.time())
+            queue.release(permit.call, self._loop.time())
         else:
-            queue.drop(permission.call)
-        self._poll(permission.service)
+            queue.drop(permit.call)
+        self._poll(permit.service)
 
-    def leave(self, permission):
+    def leave(self, permit):
         """Ends a call whose caller has left while it was sent."""
-        queue = self._services[permission.service].queue
-        hold_s = queue.leave(permission.call, self._loop.time())
+        queue = self._services[permit.service].queue
+        hold_s = queue.leave(permit.call, self._loop.time())
         if hold_s:
-            self._loop.call_later(hold_s, self._end_left, permission)
+            self._loop.call_later(hold_s, self._end_left, permit)
         else:
-            self._poll(permission.service)
+            self._poll(permit.service)
 
-    def _end_left(self, permission):
-        self.end(permission, answered=False)
+    def _end_left(self, permit):
+        self.end(permit, answered=False)
 
 
 def _wake(future, refuse):
--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -18,20 +18,20 @@
 class CallHandler(_request_handler.RequestHandler):
     """Serves one call of a plain service."""
 
-    __slots__ = ('_pass',)
+    __slots__ = ('_permit',)
 
     def __init__(self, *args):
         super().__init__(*args)
-        # Permission to send a call of a team above its share, or None.
-        self._pass = None
+        # Permit to send a call of a team above its share, or None.
+        self._permit = None
 
     async def run(self):
         """Serves the call; counts what became of it for its team."""
         try:
             await super().run()
         except BaseException as exc:
-            if self._pass is not None:
-                self._gateway.call_gate.leave(self._pass)
+            if self._permit is not None:
+                self._gateway.call_gate.leave(self._permit)
             if isinstance(exc, asyncio.CancelledError):
                 self._record_left()
             raise
@@ -47,7 +47,7 @@
         if sharing.excess(self._service, self._req.team) is None:
             return ''
         try:
-            self._pass = await self._gateway.call_gate.enter(
+            self._permit = await self._gateway.call_gate.enter(
                 self._service, self._queued_call()
             )
         except _call_gate.CallRefused as exc:
@@ -84,8 +84,8 @@
 
     def _record_end(self):
         answered = self.outcome == _RELAYED
-        if self._pass is not None:
-            self._gateway.call_gate.end(self._pass, answered=answered)
+        if self._permit is not None:
+            self._gateway.call_gate.end(self._permit, answered=answered)
         sharing, req = self._gateway.fair_sharing, self._req
         if answered or self.outcome == _TIMEOUT:
             delayed = not answered or self._is_delayed()
