--- a/dandelionwinch/gateway/_pool.py
+++ b/dandelionwinch/gateway/_pool.py
@@ -6,6 +6,8 @@
 from dandelionwinch.gateway import _connection
 
 CONNECT_TIMEOUT_S = 0.4
+# Lateness of a timer from which this process has stalled.
+MIN_STALL_S = 0.05
 
 
 class NotConnected(Exception):
@@ -149,11 +151,15 @@
         timeout_s = min(CONNECT_TIMEOUT_S, left_s)
         self.open += 1
         try:
-            async with asyncio.timeout(timeout_s):
-                _transport, conn = await self._loop.create_connection(
-                    self._new_connection, host, int(port)
-                )
-            return conn
+            began = self._loop.time()
+            try:
+                return await self._open(host, int(port), timeout_s)
+            except TimeoutError:
+                # After a stall of this process, timers run before sockets
+                # are looked at: the connection may have been established.
+                if self._loop.time() - began < timeout_s + MIN_STALL_S:
+                    raise
+            return await self._open(host, int(port), timeout_s)
         except (OSError, ValueError) as exc:
             self._free_slot()
             raise NotConnected(
@@ -163,6 +169,13 @@
             self._free_slot()
             raise
 
+    async def _open(self, host, port, timeout_s):
+        async with asyncio.timeout(timeout_s):
+            _transport, conn = await self._loop.create_connection(
+                self._new_connection, host, port
+            )
+        return conn
+
     def _new_connection(self):
         return _connection.Connection(self._loop, self._observe_head)
 
--- a/dandelionwinch/tests/test_pool.py
+++ b/dandelionwinch/tests/test_pool.py
@@ -82,3 +82,37 @@
         assert await pool.acquire(BUSY_S) is conn
 
     virtual.run(scenario())
+
+
+def test_a_stall_of_this_process_fails_no_connection(monkeypatch):
+    """The upstream was ejected, though the connection had been made."""
+    monkeypatch.setattr(_pool, 'CONNECT_TIMEOUT_S', 0.02)
+    monkeypatch.setattr(_pool, 'MIN_STALL_S', 0.02)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        server = await asyncio.start_server(
+            lambda _reader, writer: writer.close(), '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        pool = _pool.Pool(loop, f'127.0.0.1:{port}', 1)
+        stalls = [0.1]
+        new_connection = pool._new_connection
+
+        class Stalling(_pool.Pool):
+            __slots__ = ()
+
+            def _new_connection(self):
+                until = loop.time() + (stalls.pop() if stalls else 0.0)
+                while loop.time() < until:
+                    pass
+                return new_connection()
+
+        pool = Stalling(loop, f'127.0.0.1:{port}', 1)
+        conn = await pool.acquire(5.0)
+        opened = pool.open
+        pool.discard(conn)
+        server.close()
+        return stalls, opened, pool.open
+
+    assert asyncio.run(scenario()) == ([], 1, 0)
