--- a/dandelionwinch/dispatch/_engines.py
+++ b/dandelionwinch/dispatch/_engines.py
@@ -30,9 +30,6 @@
 FAR_KV_TRANSFER_COST_S = 0.03
 ACTIVE_REQUEST_COST_S = 0.002
 FAILURE_COST_S = 0.2
-# Cost of an engine that may be taken away, for answers that last for seconds:
-# in 1 of 20 cases it goes at shorter notice than they need.
-RECLAIMABLE_COST_S = 0.05 * FAILURE_COST_S
 # Part of the round trip that counts in the choice for short prompts.
 ROUND_TRIP_RATIO = 0.1
 # Relative shares of the sessions: of a prefill engine, of an engine that
@@ -288,7 +285,6 @@
             + self._round_trip_s(engine) * ROUND_TRIP_RATIO
             + self._late_gap_cost_s(engine, now)
             + FAILURE_COST_S * engine.failure_rate
-            + RECLAIMABLE_COST_S * engine.entry.reclaimable
             + self._rng.random() * ACTIVE_REQUEST_COST_S
         )
 
