--- a/dandelionwinch/dispatch/_engine_speeds.py
+++ b/dandelionwinch/dispatch/_engine_speeds.py
@@ -11,6 +11,7 @@
 """
 
 import enum
+import itertools
 import math
 import statistics
 
@@ -26,6 +27,8 @@
 # Other engines without which an engine is not compared. Of two, neither is the
 # usual one, and what they read may differ.
 MIN_OTHERS = 2
+# Other engines with which one is compared at most; more tell little more.
+MAX_OTHERS = 64
 # Octaves by which an engine must be slower than it usually is to count as slow
 # now, and below which it no longer does.
 BEGIN_SLOW_OCTAVES = 1.0
@@ -211,12 +214,16 @@
             changed and those that were published long ago.
         """
         verdicts = []
+        known = {}
         for entry in entries:
             if entry.id not in judged:
                 continue
             self._add_reads(entry.id, now)
             for work in Work:
-                verdict = self._judge(entry, work, entries, now)
+                role = None if work is Work.DECODE else entry.role
+                if (work, role) not in known:
+                    known[work, role] = self._known(entries, work, role, now)
+                verdict = self._judge(entry, work, known[work, role], now)
                 if verdict is not None and self._is_due(verdict, now):
                     verdicts.append(verdict)
         return verdicts
@@ -244,19 +251,37 @@
                 window = self._window(upstream_id, Work.READ)
                 window.add(ended_at, tokens, taken_s)
 
-    def _judge(self, entry, work, entries, now):
+    def observed_ids(self):
+        """Returns the ids of the engines that this instance has samples of."""
+        return self._reads.keys() | {id_ for id_, _work in self._windows}
+
+    def _known(self, entries, work, role, now):
+        """Returns id and published quartiles of engines of a role.
+
+        Args:
+            entries: Entries of the engines of a service.
+            work: Work.
+            role: Role, None for all.
+            now: Time in seconds.
+        """
+        verdicts = (
+            self._verdict(entry.id, work, now)
+            for entry in entries
+            if role is None or entry.role is role
+        )
+        found = (v for v in verdicts if v is not None)
+        return [
+            (verdict.upstream_id, verdict.quartiles)
+            for verdict in itertools.islice(found, MAX_OTHERS + 1)
+        ]
+
+    def _judge(self, entry, work, known, now):
         window = self._windows.get((entry.id, work))
         typical = window and window.typical(now)
         if not typical:
             return None
-        others = [
-            self._verdict(other.id, work, now)
-            for other in entries
-            if other.id != entry.id
-            and (work is Work.DECODE or other.role is entry.role)
-        ]
-        known = [other.quartiles for other in others if other is not None]
-        ahead = _ahead(typical.quartiles, known)
+        others = [q for id_, q in known if id_ != entry.id][:MAX_OTHERS]
+        ahead = _ahead(typical.quartiles, others)
         speed = self._stepped(entry, work, ahead, typical.error, now)
         slowness = self._slowness(entry, work, typical, now)
         return Verdict(entry.id, work, typical.quartiles, speed, slowness)
--- a/dandelionwinch/gateway/_speed_sharing.py
+++ b/dandelionwinch/gateway/_speed_sharing.py
@@ -30,11 +30,11 @@
     __slots__ = (
         '_fleet',
         '_judges',
-        '_judges_of',
         '_link',
         '_log',
         '_loop',
         '_name',
+        '_names',
         '_speeds',
         '_timer',
     )
@@ -46,9 +46,10 @@
         self._link = _speed_link.SpeedLink(loop, link, self)
         self._name = name
         self._log = log
-        # Name of the judge of each engine, for the names it was chosen from.
+        # Names of all instances, and for each engine the score and the name
+        # of its judge among them.
+        self._names = frozenset([name])
         self._judges = {}
-        self._judges_of = frozenset()
         self._timer = None
 
     def start(self):
@@ -89,20 +90,34 @@
 
     def _judge(self, upstream_id):
         """Returns the name of the instance that judges an engine."""
-        names = self._link.peers.keys()
-        if names != self._judges_of:
-            self._judges_of = frozenset(names)
-            self._judges.clear()
         if upstream_id not in self._judges:
-
-            def score(name):
-                return utils.rendezvous_score(1.0, upstream_id, name)
-
-            self._judges[upstream_id] = max([self._name, *names], key=score)
-        return self._judges[upstream_id]
+            self._judges[upstream_id] = _best(upstream_id, self._names)
+        _score, name = self._judges[upstream_id]
+        return name
+
+    def _update_names(self):
+        """Follows the instances that come and go.
+
+        All engines are not scored anew for all instances: with 300 instances
+        and 3,000 engines that took most of a core while instances registered.
+        """
+        names = frozenset([self._name, *self._link.peers])
+        if names == self._names:
+            return
+        added, gone = names - self._names, self._names - names
+        self._names = names
+        registry = self._fleet.registry
+        self._judges = {
+            upstream_id: max(judge, _best(upstream_id, added), key=_score_of)
+            if added
+            else judge
+            for upstream_id, judge in self._judges.items()
+            if judge[1] not in gone and registry.get(upstream_id) is not None
+        }
 
     def _tick(self):
         self._timer = self._loop.call_later(TICK_S, self._tick)
+        self._update_names()
         self._report()
         self._publish()
 
@@ -117,16 +132,41 @@
             self._link.send_times(samples, self._link.peers[judge])
 
     def _publish(self):
-        services = {}
-        for upstream in self._fleet.registry:
-            entry = upstream.entry
-            is_engine = entry.role is not upstreams.Role.PLAIN
-            if is_engine and upstream.in_service:
-                services.setdefault(entry.service, []).append(entry)
+        judged = {}
+        for upstream_id in self._speeds.observed_ids():
+            upstream = self._fleet.registry.get(upstream_id)
+            if upstream is None or not _is_engine(upstream):
+                continue
+            if self._judge(upstream_id) == self._name:
+                judged.setdefault(upstream.entry.service, set()).add(
+                    upstream_id
+                )
         verdicts = []
-        for entries in services.values():
-            judged = {e.id for e in entries if self._judge(e.id) == self._name}
-            verdicts += self._speeds.judge(entries, judged, self._loop.time())
+        for service, ids in judged.items():
+            entries = [
+                upstream.entry
+                for upstream in self._fleet.registry.in_service(service)
+                if _is_engine(upstream)
+            ]
+            verdicts += self._speeds.judge(entries, ids, self._loop.time())
         for verdict in verdicts:
             self._take(verdict, 'own')
         self._link.send_speeds(verdicts)
+
+
+def _is_engine(upstream):
+    is_plain = upstream.entry.role is upstreams.Role.PLAIN
+    return upstream.in_service and not is_plain
+
+
+def _best(upstream_id, names):
+    """Returns score and name of the judge of an engine among some names."""
+    return max(
+        (utils.rendezvous_score(1.0, upstream_id, name), name)
+        for name in names
+    )
+
+
+def _score_of(judge):
+    score, _name = judge
+    return score
--- a/dandelionwinch/tests/test_engine_speeds.py
+++ b/dandelionwinch/tests/test_engine_speeds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import attrs
 import pytest
@@ -20,6 +21,7 @@
 from dandelionwinch.tests import virtual
 from dandelionwinch.tools import bench
 from dandelionwinch import upstreams
+from dandelionwinch import utils
 
 PREFILL = upstreams.Role.PREFILL
 READ = dispatch.Work.READ
@@ -354,3 +356,32 @@
 @pytest.mark.parametrize('seed', range(4))
 def test_slowness_of_a_moment_moves_nothing(seed):
     assert not watch_slowness(0.6, 2.5, seed)
+
+
+def test_judges_follow_the_instances_without_scoring_all_anew(monkeypatch):
+    """With 300 instances and 3,000 engines this took most of a core."""
+    scored = []
+    score = utils.rendezvous_score
+
+    def counting(*args):
+        scored.append(args)
+        return score(*args)
+
+    monkeypatch.setattr(utils, 'rendezvous_score', counting)
+    link = types.SimpleNamespace(peers={}, register=lambda *_args: None)
+    registry = {f'e{number}': object() for number in range(50)}
+    fleet = types.SimpleNamespace(registry=registry)
+    sharing = _speed_sharing.SpeedSharing(None, fleet, None, link, 'i0', None)
+    rng = random.Random(1)
+    for step in range(60):
+        name = f'i{rng.randrange(1, 30)}'
+        if link.peers.pop(name, None) is None:
+            link.peers[name] = ('127.0.0.1', step)
+        before = len(scored)
+        sharing._update_names()
+        # One score for each engine if an instance came.
+        assert len(scored) - before <= len(registry)
+        names = ['i0', *link.peers]
+        for engine in registry:
+            best = max(names, key=lambda name: score(1.0, engine, name))
+            assert sharing._judge(engine) == best
