--- a/dandelionwinch/eventlog.py
+++ b/dandelionwinch/eventlog.py
@@ -69,7 +69,11 @@
         self._pending_bytes += len(line)
 
     def flush(self):
-        """Writes as much as standard output accepts now."""
+        """Writes as much as standard output accepts now.
+
+        Output that cannot be written, as its reader is gone or its disk is
+        full, is kept within the bound: an instance serves without its log.
+        """
         if self._dropped and self._pending_bytes < MAX_PENDING_BYTES:
             dropped, self._dropped = self._dropped, 0
             self._append('log.dropped', self._clock(), {'lines': dropped})
@@ -79,7 +83,7 @@
         self._pending.clear()
         try:
             written = os.write(self._descriptor, data)
-        except BlockingIOError:
+        except OSError:
             written = 0
         unwritten = data[written:]
         if unwritten:
