--- a/dandelionwinch/tests/test_soak.py
+++ b/dandelionwinch/tests/test_soak.py
@@ -6,6 +6,8 @@
 import math
 import multiprocessing
 import random
+import signal
+import sys
 
 import pytest
 
@@ -386,6 +388,51 @@
     second.close()
 
 
+def _replace_instance(monkeypatch, tmp_path, commands):
+    """Lets a shell script run in place of each instance."""
+    path = tmp_path / 'program'
+    path.write_text(f'#!/bin/sh\n{commands}\n')
+    path.chmod(0o700)
+    monkeypatch.setattr(sys, 'executable', str(path))
+
+
+def test_a_block_stays_reserved_while_an_instance_uses_it(
+    monkeypatch, tmp_path
+):
+    """Seed 127 did not start on addresses of instances of a killed soak."""
+    _replace_instance(monkeypatch, tmp_path, 'exec sleep 60')
+
+    async def scenario():
+        lock, block = _process.reserve_address_block()
+        instance = _process.Instance(
+            'i-0', 'a', tmp_path / 'settings', tmp_path / 'log', lock
+        )
+        await instance.start()
+        # The soak was killed: only its instance is left.
+        lock.close()
+        second, other = _process.reserve_address_block()
+        second.close()
+        instance.send_signal(signal.SIGKILL)
+        await instance.process.wait()
+        third, again = _process.reserve_address_block()
+        third.close()
+        return block, other, again
+
+    block, other, again = asyncio.run(scenario())
+    assert other != block
+    assert again == block
+
+
+def test_a_soak_tells_why_an_instance_did_not_start(monkeypatch, tmp_path):
+    """It said nothing but that the time was up, and its logs were gone."""
+    commands = 'echo address in use >&2\nexit 3'
+    _replace_instance(monkeypatch, tmp_path, commands)
+    with pytest.raises(_process.StartFailed) as caught:
+        soak.run(7, 5.0, 3, 4)
+    assert 'exited with 3' in str(caught.value)
+    assert 'address in use' in str(caught.value)
+
+
 CRASHES = (1.0, 1.1, 1.2, 1.3, 1.4)
 PROMPT = _poison.Kind.PROMPT
 CALL = _poison.Kind.CALL
