--- a/dandelionwinch/soak/_process.py
+++ b/dandelionwinch/soak/_process.py
@@ -15,6 +15,12 @@
 # Event that the soak itself writes into an instance's log before a process
 # of it starts. The process logs its own start only once it listens.
 PROCESS_STARTED = 'process.started'
+# Lines of an instance's log that an error message repeats.
+LOG_TAIL_LINES = 3
+
+
+class StartFailed(Exception):
+    """An instance did not start."""
 
 
 def reserve_address_block():
@@ -23,8 +29,9 @@
     Soaks that run at the same time get different blocks.
 
     Returns:
-        A bound socket that holds the reservation until it is closed, and
-        the number of the block, the second byte of its addresses.
+        A bound socket that holds the reservation until it is closed by this
+        process and by those that it is passed to, and the number of the
+        block, the second byte of its addresses.
 
     Raises:
         OSError: If all blocks are reserved.
@@ -44,16 +51,25 @@
 class Instance:
     """An instance in a process of its own.
 
+    Args:
+        name: Its name.
+        frontend: Its frontend address.
+        settings_path: Path of its settings file.
+        log_path: Path of the file that its output is added to.
+        lock: Socket of the reserved addresses, which the process holds, too:
+            one that outlives its soak keeps them. None without one.
+
     Attributes:
         frontend: Its frontend address.
         stopped: Whether ``restart`` must not start it again.
     """
 
-    def __init__(self, name, frontend, settings_path, log_path):
+    def __init__(self, name, frontend, settings_path, log_path, lock=None):
         self.name = name
         self.frontend = frontend
         self._settings_path = settings_path
         self._log_path = log_path
+        self._lock = lock
         self.process = None
         self.stopped = False
         self._restarting = False
@@ -74,6 +90,7 @@
                 env=env,
                 stdout=log,
                 stderr=log,
+                pass_fds=() if self._lock is None else (self._lock.fileno(),),
             )
 
     def _start_line(self):
@@ -86,6 +103,14 @@
         }
         return b'\n' + json.dumps(fields).encode() + b'\n'
 
+    def describe_state(self):
+        """Returns the state of the process and the end of its log."""
+        code = self.process.returncode
+        state = 'runs' if code is None else f'exited with {code}'
+        with open(self._log_path, encoding='utf-8') as log:
+            tail = log.read().splitlines()[-LOG_TAIL_LINES:]
+        return '\n'.join([f'{self.name} {state}', *tail])
+
     def send_signal(self, signal_number):
         """Sends a signal if the process runs."""
         if self.process.returncode is None:
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -245,16 +245,38 @@
             )
 
     async def _wait_until_registered(self):
-        """Waits until all instances are registered in the store."""
+        """Waits until all instances are registered in the store.
+
+        Raises:
+            _process.StartFailed: If an instance exits or time is up.
+        """
         loop = asyncio.get_running_loop()
         self._store.on_change = lambda: loop.call_soon_threadsafe(
             self._store_changed.set
         )
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while len(self._registered()) < self._instance_count:
-                self._store_changed.clear()
-                await self._store_changed.wait()
+        exits = [
+            loop.create_task(instance.process.wait())
+            for instance in self._instances
+        ]
+        registered = loop.create_task(self._see_registrations())
+        waits = [registered, *exits]
+        await asyncio.wait(
+            waits,
+            timeout=START_TIMEOUT_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
         self._store.on_change = lambda: None
+        is_registered = registered.done()
+        for wait in waits:
+            wait.cancel()
+        if not is_registered:
+            states = [one.describe_state() for one in self._instances]
+            raise _process.StartFailed('\n'.join(states))
+
+    async def _see_registrations(self):
+        while len(self._registered()) < self._instance_count:
+            self._store_changed.clear()
+            await self._store_changed.wait()
 
     def _registered(self):
         entries, _more = self._store.items.page(
@@ -287,7 +309,9 @@
             )
             path.write_text(self._add_settings(text))
             log_path = self._folder / f'{name}.log'
-            instance = _process.Instance(name, frontend, path, log_path)
+            instance = _process.Instance(
+                name, frontend, path, log_path, self._lock
+            )
             await instance.start()
             self._instances.append(instance)
             directories.append(f'{ip}:{ports[2]}')
--- a/dandelionwinch/tests/test_pressure_processes.py
+++ b/dandelionwinch/tests/test_pressure_processes.py
@@ -117,6 +117,8 @@
             *options,
             stdout=asyncio.subprocess.PIPE,
             env={**os.environ, **variable},
+            # It keeps the addresses if it outlives the test.
+            pass_fds=(self._lock.fileno(),),
         )
         self._processes.append(process)
         return process
