--- a/dandelionwinch/platform/_duties.py
+++ b/dandelionwinch/platform/_duties_page.py
@@ -1,32 +1,16 @@
 """The operators' view of the holder and its duties."""
 
-import json
-import math
+from dandelionwinch.platform import _page
 
-DUTIES_PATH = '/-/duties'
 MAX_CANDIDATES = 3
-_JSON = (('Content-Type', 'application/json'),)
 _DECIMALS = 1
 
 
-def is_request(head):
-    """Tells whether a request is for the duties."""
-    return head.method == 'GET' and head.path == DUTIES_PATH
-
-
-def respond(instance, now, caller):
-    """Answers a request for the duties.
-
-    Args:
-        instance: The Instance.
-        now: Loop time.
-        caller: Connection that receives the response.
-    """
+def _read(instance, now):
     status = instance.duties()
     if status is None:
-        caller.respond(404, (), b'the settings name no duty')
-        return
-    body = {
+        return None
+    return {
         'instance': status.instance,
         'holder': status.holder,
         'token': status.token,
@@ -36,12 +20,6 @@
         'view_age_s': _seconds(status.view_age_s),
         'duties': [_row(row, now) for row in status.rows],
     }
-    caller.respond(200, _JSON, json.dumps(body).encode())
-
-
-def _seconds(value):
-    """Returns rounded seconds, None for infinite ones, unknown to JSON."""
-    return round(value, _DECIMALS) if math.isfinite(value) else None
 
 
 def _row(row, now):
@@ -54,3 +32,10 @@
         'token': last.token if last else 0,
         'age_s': _seconds(now - last.at) if last else None,
     }
+
+
+def _seconds(value):
+    return _page.rounded(value, _DECIMALS)
+
+
+PAGE = _page.Page('/-/duties', b'the settings name no duty', _read)
--- a/dandelionwinch/platform/_entry.py
+++ b/dandelionwinch/platform/_entry.py
@@ -12,14 +12,11 @@
 
 from dandelionwinch import control
 from dandelionwinch.platform import _boot
-from dandelionwinch.platform import _capacity_page
-from dandelionwinch.platform import _duties
 from dandelionwinch.platform import _duty_api
 from dandelionwinch.platform import _holds
-from dandelionwinch.platform import _shares_page
+from dandelionwinch.platform import _operator_pages
 from dandelionwinch.platform import _store
 from dandelionwinch.platform import _store_codec
-from dandelionwinch.platform import _usage_page
 from dandelionwinch.platform import _wire_codec
 
 METRICS_PORT = 9464
@@ -72,21 +69,13 @@
         caller.respond(200 if self.instance.ready else 503, (), b'')
 
     async def _answer_metrics(self, incoming, caller):
-        if _holds.is_request(incoming.head):
-            now = self._loop.time()
-            _holds.respond(self.instance, now, incoming.head, caller)
+        head, now = incoming.head, self._loop.time()
+        if _holds.is_request(head):
+            _holds.respond(self.instance, now, head, caller)
             return
-        if _capacity_page.is_request(incoming.head):
-            _capacity_page.respond(self.instance, caller)
-            return
-        if _usage_page.is_request(incoming.head):
-            _usage_page.respond(self.instance, caller)
-            return
-        if _shares_page.is_request(incoming.head):
-            _shares_page.respond(self.instance, caller)
-            return
-        if _duties.is_request(incoming.head):
-            _duties.respond(self.instance, self._loop.time(), caller)
+        page = _operator_pages.find(head)
+        if page is not None:
+            page.respond(self.instance, now, caller)
             return
         caller.respond(200, (), self.instance.metrics())
 
--- a/dandelionwinch/platform/_shares_page.py
+++ b/dandelionwinch/platform/_shares_page.py
@@ -1,36 +1,20 @@
 """The operators' view of the shares of teams, by service."""
 
-import json
-import math
+from dandelionwinch.platform import _page
 
-SHARES_PATH = '/-/shares'
-_JSON = (('Content-Type', 'application/json'),)
 _DECIMALS = 3
 
 
-def is_request(head):
-    """Tells whether a request is for the shares."""
-    return head.method == 'GET' and head.path == SHARES_PATH
-
-
-def respond(instance, caller):
-    """Answers a request for the shares.
-
-    Args:
-        instance: The Instance.
-        caller: Connection that receives the response.
-    """
+def _read(instance, _now):
     report = instance.shares()
     if report is None:
-        caller.respond(404, (), b'the settings name no reports of usage')
-        return
-    body = {
+        return None
+    return {
         'instance': report.instance,
         'holder': report.holder,
         'token': report.token,
         'services': [_row(view, report.instance) for view in report.views],
     }
-    caller.respond(200, _JSON, json.dumps(body).encode())
 
 
 def _row(view, instance):
@@ -53,5 +37,7 @@
 
 
 def _rounded(value):
-    """Returns a rounded number, None for an infinite one, unknown to JSON."""
-    return round(value, _DECIMALS) if math.isfinite(value) else None
+    return _page.rounded(value, _DECIMALS)
+
+
+PAGE = _page.Page('/-/shares', b'the settings name no reports of usage', _read)
--- a/dandelionwinch/platform/_usage_page.py
+++ b/dandelionwinch/platform/_usage_page.py
@@ -1,30 +1,15 @@
 """The operators' view of the usage of teams, by window."""
 
-import json
+from dandelionwinch.platform import _page
 
-USAGE_PATH = '/-/usage'
-_JSON = (('Content-Type', 'application/json'),)
 _DECIMALS = 1
 
 
-def is_request(head):
-    """Tells whether a request is for the usage."""
-    return head.method == 'GET' and head.path == USAGE_PATH
-
-
-def respond(instance, caller):
-    """Answers a request for the usage.
-
-    Args:
-        instance: The Instance.
-        caller: Connection that receives the response.
-    """
+def _read(instance, _now):
     windows = instance.usage()
     if windows is None:
-        caller.respond(404, (), b'the settings name no reports of usage')
-        return
-    body = {'windows': [_row(window) for window in windows]}
-    caller.respond(200, _JSON, json.dumps(body).encode())
+        return None
+    return {'windows': [_row(window) for window in windows]}
 
 
 def _row(window):
@@ -34,3 +19,6 @@
         'counted': window.counted,
         'reported': window.reported,
     }
+
+
+PAGE = _page.Page('/-/usage', b'the settings name no reports of usage', _read)
--- a/dandelionwinch/tests/instance_harness.py
+++ b/dandelionwinch/tests/instance_harness.py
@@ -3,11 +3,13 @@
 import asyncio
 
 import attrs
+import click.testing
 
 from dandelionwinch.platform import _boot
 from dandelionwinch.platform import _entry
 from dandelionwinch.platform import samples
 from dandelionwinch.tests import recorder
+from dandelionwinch.tools import cli
 
 
 class RunningInstance:
@@ -107,3 +109,10 @@
         """Sends a GET request to one of the servers other than callers'."""
         lines = f'GET {target} HTTP/1.1\r\nHost: desk\r\nConnection: close'
         return await self.exchange(server, f'{lines}\r\n\r\n'.encode())
+
+    async def invoke(self, command):
+        """Returns the result of a command of the command line for it."""
+        port = self.process.instance.ports()['metrics']
+        runner = click.testing.CliRunner()
+        args = [command, f'{self._ip}:{port}']
+        return await asyncio.to_thread(runner.invoke, cli.main, args)
--- a/dandelionwinch/tools/cli.py
+++ b/dandelionwinch/tools/cli.py
@@ -33,6 +33,7 @@
 from dandelionwinch.tools import usage
 
 FINDINGS_EXIT_CODE = 2
+NO_USAGE = 'the settings name no reports of usage'
 DEFAULT_OPERATOR_ADDRESS = '127.0.0.1:8082'
 
 logger = loguru.logger
@@ -49,6 +50,24 @@
     sys.exit(FINDINGS_EXIT_CODE)
 
 
+def _fetch_page(fetch, address, absent):
+    """Returns what a page of an instance holds; exits if there is none.
+
+    Args:
+        fetch: Function of an address that returns it, or None.
+        address: Address of the instance's metrics server.
+        absent: What to tell if there is none.
+    """
+    try:
+        found = fetch(address)
+    except errors.DandelionwinchError as exc:
+        _exit_with_error(exc)
+    if found is None:
+        click.echo(f'error: {absent}', err=True)
+        sys.exit(1)
+    return found
+
+
 def _report_settings(cfg, path):
     """Logs what a changed settings file would bring at the next start."""
     try:
@@ -166,14 +185,9 @@
     IP:PORT is the metrics server of the instance that holds the order
     lease; any other one tells its name, and the exit code is 1.
     """
-    try:
-        found = capacity.fetch(address)
-    except errors.DandelionwinchError as exc:
-        _exit_with_error(exc)
-    if found is None:
-        click.echo('error: the settings name no orders of capacity', err=True)
-        sys.exit(1)
-    holder, plans = found
+    holder, plans = _fetch_page(
+        capacity.fetch, address, 'the settings name no orders of capacity'
+    )
     for plan in plans:
         for line in capacity.format_plan(plan):
             click.echo(line)
@@ -190,13 +204,7 @@
     IP:PORT is the metrics server of an instance. Exits with 1 if its
     settings name no duty.
     """
-    try:
-        found = duties.fetch(address)
-    except errors.DandelionwinchError as exc:
-        _exit_with_error(exc)
-    if found is None:
-        click.echo('error: the settings name no duty', err=True)
-        sys.exit(1)
+    found = _fetch_page(duties.fetch, address, 'the settings name no duty')
     for line in duties.format_lines(found):
         click.echo(line)
 
@@ -210,13 +218,7 @@
     shows what it found, any other one what it received. Exits with 1 if its
     settings name no reports of usage.
     """
-    try:
-        found = shares.fetch(address)
-    except errors.DandelionwinchError as exc:
-        _exit_with_error(exc)
-    if found is None:
-        click.echo('error: the settings name no reports of usage', err=True)
-        sys.exit(1)
+    found = _fetch_page(shares.fetch, address, NO_USAGE)
     for line in shares.format_lines(found):
         click.echo(line)
 
@@ -229,13 +231,7 @@
     IP:PORT is the metrics server of an instance. Exits with 1 if its settings
     name no reports of usage.
     """
-    try:
-        windows = usage.fetch(address)
-    except errors.DandelionwinchError as exc:
-        _exit_with_error(exc)
-    if windows is None:
-        click.echo('error: the settings name no reports of usage', err=True)
-        sys.exit(1)
+    windows = _fetch_page(usage.fetch, address, NO_USAGE)
     for window in windows:
         for line in usage.format_lines(window):
             click.echo(line)
