--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -319,15 +319,15 @@
         """
         view = self._follower.view
         before, listed, changes = told
-        failed_s = self._follower.failed_s()
+        failed_s = self._follower.ages.failed_s()
         message = relay.Message(
             view.epoch,
             before,
             self._history.number,
             listed,
             self._loop.time(),
-            self._follower.answer_age_s(),
-            self._follower.known_age_s(),
+            self._follower.ages.answer_age_s(),
+            self._follower.ages.known_age_s(),
             failed_s if failed_s <= MAX_FAILED_S else None,
             changes,
         )
@@ -346,7 +346,7 @@
             return
         if epoch is not None and epoch > (view.epoch or 0):
             self._check_soon(now)
-        if self._follower.answer_age_s() > MAX_ANSWER_AGE_S:
+        if self._follower.ages.answer_age_s() > MAX_ANSWER_AGE_S:
             return
         if not self._audience.may_answer(sender, now):
             return
@@ -429,7 +429,7 @@
             # Any of them may be the one that the store answers.
             lone = not self._has_listeners()
             limit_s = LONE_SILENCE_S if lone else SILENCE_S
-            if self._follower.answer_age_s() >= limit_s:
+            if self._follower.ages.answer_age_s() >= limit_s:
                 self._ask(view, order)
         elif self._cfg.instance not in order:
             self._ask(view, order[: relay.WATCHERS])
--- a/dandelionwinch/control/_duty_status.py
+++ b/dandelionwinch/control/_duty_status.py
@@ -107,6 +107,6 @@
         holder.token > 0,
         holder.may_act(holder.token),
         sync.candidates(),
-        sync.age_s(),
+        sync.ages.age_s(),
         rows,
     )
--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -81,7 +81,7 @@
             self._on_config,
             _order_sender.boot_clock,
         )
-        self._gateway.authenticator.view_age_s = self._sync.age_s
+        self._gateway.authenticator.view_age_s = self._sync.ages.age_s
         self._gateway.fair_sharing.holder = lambda: self._sync.holder
         self._entry = addresses.InstanceEntry(
             cfg.instance,
--- a/dandelionwinch/control/_lease_holder.py
+++ b/dandelionwinch/control/_lease_holder.py
@@ -282,7 +282,7 @@
         if later or self._sync.holder not in ('', self._name):
             self._record_loss(self.token, 'another instance holds it')
         else:
-            self._leadership.renewed(sent_at, self._sync.view_age_s())
+            self._leadership.renewed(sent_at, self._sync.ages.view_age_s())
 
     async def _renew_verified(self, token):
         """Renews the lease and reads its key, at the same time."""
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -9,7 +9,8 @@
 from dandelionwinch.control import _due_calls
 from dandelionwinch.control import _epoch
 from dandelionwinch.control import _store
-from dandelionwinch import relay
+from dandelionwinch.control import _told_changes
+from dandelionwinch.control import _view_ages
 
 ALL_KEYS = ''
 WATCH_TIMEOUT_S = 3.0
@@ -49,6 +50,9 @@
         on_config: Function that is called with each new RouteTable.
         clock: Function that returns seconds of a clock that runs while the
             machine is suspended, or None for the loop's clock.
+
+    Attributes:
+        ages: ViewAges.
     """
 
     __slots__ = (
@@ -58,7 +62,6 @@
         '_clock',
         '_confirmed_at',
         '_consistent',
-        '_failed_at',
         '_gateway',
         '_listed',
         '_listing',
@@ -69,11 +72,10 @@
         '_rng',
         '_store',
         '_store_codec',
-        '_store_reached_at',
         '_synced',
         '_task',
-        '_view_at',
         '_watch_call',
+        'ages',
     )
 
     def __init__(
@@ -90,8 +92,6 @@
     ):
         self._loop = loop
         self._clock = clock or loop.time
-        # Time at which what is known was still the store's state.
-        self._view_at = float('-inf')
         self._store = store
         self._store_codec = store_codec
         self._gateway = gateway
@@ -120,10 +120,15 @@
         # that the store no longer has what changed since.
         self._consistent = False
         self._synced = False
-        self._store_reached_at = float('-inf')
-        self._failed_at = float('-inf')
         self._confirmed_at = float('-inf')
         self._announced = _announced_config.AnnouncedConfig()
+        self.ages = _view_ages.ViewAges(
+            loop,
+            self._clock,
+            self._relay,
+            self._announced,
+            lambda: self.current,
+        )
 
     def start(self):
         """Starts following the store."""
@@ -142,59 +147,6 @@
         if self._watch_call is not None:
             self._watch_call.cancel()
 
-    def view_age_s(self):
-        """Returns the seconds for which the store may have changed unseen.
-
-        An answer may have been under way for long, so they count from the
-        earliest time at which the store can have made it. `age_s` counts
-        from its arrival. What other instances told does not count, as the
-        lease of orders relies on this age.
-        """
-        if not self.current:
-            return float('inf')
-        return self._clock() - self._view_at
-
-    def answer_age_s(self):
-        """Returns the seconds since the store answered any instance.
-
-        That is this one, or another one that has told all changes up to
-        then, but for a configuration.
-        """
-        if not self.current:
-            return float('inf')
-        answered_at = max(self._store_reached_at, self._relay.answered_at())
-        return self._loop.time() - answered_at
-
-    def known_age_s(self):
-        """Returns the seconds for which all may have changed unseen.
-
-        Unlike `view_age_s`, it counts what other instances told.
-        """
-        if not self.current:
-            return float('inf')
-        told_age_s = self._loop.time() - self._relay.known_at()
-        return min(self.view_age_s(), told_age_s)
-
-    def age_s(self):
-        """Returns the seconds since the store last answered.
-
-        If another instance has told all of its view, they count from the
-        earliest time of that. A configuration that others told of and that
-        was not fetched yet makes the view older. They are infinite while
-        nothing of the store's epoch is known.
-        """
-        if not self.current:
-            return float('inf')
-        known_at = min(self._known_at(), self._announced.missing_at)
-        return self._loop.time() - known_at
-
-    def _known_at(self):
-        return max(self._store_reached_at, self._relay.known_at())
-
-    def failed_s(self):
-        """Returns the seconds since a call of the watch failed."""
-        return self._loop.time() - self._failed_at
-
     @property
     def view(self):
         """The Revision of the view, None while changes can't be applied."""
@@ -320,14 +272,13 @@
         if self._synced:
             self._log.event('store.lost', reason=str(exc))
         self._synced = False
-        self._failed_at = self._loop.time()
-        self._applier.guard.store_failed(self._failed_at)
+        self._applier.guard.store_failed(self.ages.failed())
 
-    def _store_reached(self):
+    def _store_reached(self, view_at):
         if not self._synced:
             self._log.event('store.reached', revision=self._revision.number)
         self._synced = True
-        self._store_reached_at = self._loop.time()
+        self.ages.answered(view_at)
 
     def _listing_delay_s(self):
         """Returns the pause before a listing, random after a restore."""
@@ -351,33 +302,23 @@
     async def _list(self):
         sent_at = self._clock()
         listing = await self._store.list(ALL_KEYS)
-        self._view_at = sent_at
         now = self._loop.time()
         previous, self._revision = self._revision, listing.revision
-        self._store_reached()
+        self._store_reached(sent_at)
         epoch = listing.revision.epoch
         restored = previous is not None and previous.epoch != epoch
         changes = None
         if self._consistent and not restored:
-            changes = self._changes_since(previous.number, listing)
+            changes = _told_changes.from_listing(
+                listing,
+                previous.number,
+                self._applier.known_keys(),
+                self._store_codec.config_key,
+            )
         await self._applier.apply_listing(listing, now, restored)
         self._announced.clear()
         self._relay.listed(listing.revision.number, changes)
 
-    def _changes_since(self, number, listing):
-        """Returns Change items from a revision to that of a listing.
-
-        The store's history may be gone for others too, which it may turn
-        away.
-        """
-        newer = [item for item in listing.items if item.revision > number]
-        newer.sort(key=lambda item: item.revision)
-        gone = self._applier.known_keys() - {i.key for i in listing.items}
-        return self._told_of(newer) + [
-            relay.Change(key, None, listing.revision.number)
-            for key in sorted(gone)
-        ]
-
     async def _watch(self):
         due_s = self._applier.guard.next_due_s(self._loop.time())
         wait_s = self._watch_timeout_s()
@@ -388,7 +329,6 @@
         listing = await self._call_watch(wait_s)
         # Without a change the store answers after the whole wait.
         whole = not listing.items and self._clock() >= sent_at + wait_s
-        self._view_at = sent_at + wait_s if whole else sent_at
         now = self._loop.time()
         items = listing.items
         if self._revision != after:
@@ -396,9 +336,10 @@
             number = self._revision.number
             items = [item for item in items if item.revision > number]
         self._revision = max(self._revision, listing.revision)
-        self._store_reached()
+        self._store_reached(sent_at + wait_s if whole else sent_at)
         self._applier.apply_changes(items, self._revision.epoch, now)
-        self._relay.learned(self._told_of(items), self._revision.number)
+        told = _told_changes.from_items(items, self._store_codec.config_key)
+        self._relay.learned(told, self._revision.number)
         await self._applier.apply_config(listing.items)
         self._announced.watched(after.number, listing.revision.number)
         self._applier.end_response(now)
@@ -406,16 +347,6 @@
         if listing.items:
             await asyncio.sleep(self._coalesce_s())
 
-    def _told_of(self, items):
-        """Returns Change items; a configuration is too large to be told."""
-        key = self._store_codec.config_key
-        return [
-            relay.Change(item.key, None, item.revision, withheld=True)
-            if item.key == key and item.value is not None
-            else relay.Change(item.key, item.value, item.revision)
-            for item in items
-        ]
-
     def _watch_timeout_s(self):
         """Returns the time after which a watch without changes ends.
 
@@ -425,7 +356,7 @@
         wait_s = WATCH_TIMEOUT_S
         if self._cfg.strict_revoke:
             wait_s = min(wait_s, STRICT_WATCH_RATIO * self._cfg.revoke_s)
-        return self._relay.watch_wait_s(wait_s, self._store_reached_at)
+        return self._relay.watch_wait_s(wait_s, self.ages.reached_at)
 
     async def _call_watch(self, wait_s):
         self._watch_call = self._loop.create_task(
@@ -508,7 +439,7 @@
         due_at = self._announced.due_at
         if self._announced.number is None:
             due_at = now + _due_calls.SPREAD_S * self._rng.random()
-        self._announced.announce(number, due_at, self._known_at())
+        self._announced.announce(number, due_at, self.ages.known_at())
 
     async def _fetch_config(self):
         """Reads the configuration that others told of."""
