--- a/dandelionwinch/control/_change_relay.py
+++ b/dandelionwinch/control/_change_relay.py
@@ -8,15 +8,13 @@
 
 import asyncio
 
-from dandelionwinch.control import _audience
+from dandelionwinch.control import _change_sender
 from dandelionwinch.control import _due_calls
 from dandelionwinch import gateway
 from dandelionwinch import relay
 
 # With fewer instances each one watches for itself.
 MIN_INSTANCES = 20
-# Longest time between two messages of a watcher.
-CYCLE_S = 1.0
 # Pause of a watcher after changes, so that a message has several.
 RELAY_COALESCE_S = 0.8
 RELAY_COALESCE_JITTER = 0.4
@@ -27,14 +25,7 @@
 # Of those whom the store answers then, the first one in the order tells the
 # others; each further one waits this much longer for it.
 RANK_INTERVAL_S = 0.02
-# Changes of this time are in the first message of one that begins to tell.
-# Those that it tells were silent for SILENCE_S and that of all ranks.
-TELL_BACK_S = 5.0
 ASK_INTERVAL_S = 0.5
-# What is told with an older view answers no question.
-MAX_ANSWER_AGE_S = 2.0
-# A failed call of another instance matters for upstreams.REREGISTER_S.
-MAX_FAILED_S = 3.0
 # A lower revision that was in force this much later than a higher one was
 # known contradicts it. A call to the store takes less time.
 CONTRADICTION_S = 3.0
@@ -43,7 +34,7 @@
 
 
 class ChangeRelay:
-    """The messages of one instance, and when it calls the store itself.
+    """When an instance calls the store, tells others, or relies on them.
 
     Args:
         loop: Event loop.
@@ -58,7 +49,6 @@
 
     __slots__ = (
         '_acting',
-        '_audience',
         '_cfg',
         '_due_calls',
         '_enabled',
@@ -73,8 +63,8 @@
         '_registered',
         '_rng',
         '_role',
+        '_sender',
         '_ticker',
-        '_told_number',
         '_views',
         '_wake',
     )
@@ -97,9 +87,10 @@
         self._acting = False
         self._role = 'alone'
         self._ticker = None
-        self._told_number = 0
         self._listed_at = float('-inf')
-        self._audience = _audience.Audience()
+        self._sender = _change_sender.ChangeSender(
+            loop, self._link, self._history, follower, metrics
+        )
         # Names that were ordered last, and their order.
         self._ordered = ((), [])
         self._due_calls = _due_calls.DueCalls(rng)
@@ -125,7 +116,7 @@
         if not self._enabled or not self._link.bound:
             return False
         many = len(self._registered.entries) >= MIN_INSTANCES
-        return many or self._audience.has_askers(self._loop.time())
+        return many or self._sender.has_askers()
 
     def answered_at(self):
         """Returns when the store last answered one that told all of it."""
@@ -150,7 +141,7 @@
         if changes is None or number < self._history.number:
             self._history.restart(number, now)
             self._views.clear()
-            self._told_number = number
+            self._sender.restart(number)
         else:
             self._history.add(changes, number, now, listed=True)
         self._listed_at = now
@@ -171,7 +162,7 @@
             await self._take_over(order)
         # Meanwhile another call may have been answered in a new epoch.
         if self._tells(order) and self._follower.view is not None:
-            self._tell()
+            self._sender.tell(self._order())
 
     def _called(self):
         self._due_calls.called(self._loop.time(), safeguard=self.in_force)
@@ -227,7 +218,7 @@
             self._follower.failed_elsewhere(now)
         elif previous in ('alone', 'holder', 'listener'):
             # Others have told what is older.
-            self._told_number = self._history.number_at(now - CYCLE_S)
+            self._sender.begin(now)
 
     def _current_role(self, keeps_watch, now):
         order = self._order()
@@ -256,7 +247,7 @@
             self._role == 'silent' and self._cfg.instance in self._order()
         ):
             return 0.0
-        left_s = answered_at + CYCLE_S - self._loop.time()
+        left_s = answered_at + _change_sender.CYCLE_S - self._loop.time()
         return min(wait_s, max(0.0, left_s))
 
     def _has_listeners(self):
@@ -264,7 +255,7 @@
         if not self.in_force:
             return False
         return len(self._order()) > relay.WATCHERS or (
-            self._audience.has_askers(self._loop.time())
+            self._sender.has_askers()
             or self._cfg.instance not in self._order()
         )
 
@@ -299,65 +290,20 @@
         except TimeoutError:
             pass
 
-    def _tell(self):
-        now, peers = self._loop.time(), self._link.peers
-        known = {n: peers[n] for n in self._order() if n in peers}
-        addresses = self._audience.addresses(known, now)
-        # One that begins to tell may know a minute of changes.
-        late_number = self._history.number_at(now - TELL_BACK_S)
-        number = max(self._told_number, late_number)
-        self._send(self._history.after(number), addresses)
-        self._told_number = self._history.number
-
-    def _send(self, told, addresses):
-        """Sends changes.
-
-        Args:
-            told: Numbers of the revisions at which they begin and of the
-                last listing among them, and the Change items or None.
-            addresses: Addresses of the receivers.
-        """
-        view = self._follower.view
-        before, listed, changes = told
-        failed_s = self._follower.ages.failed_s()
-        message = relay.Message(
-            view.epoch,
-            before,
-            self._history.number,
-            listed,
-            self._loop.time(),
-            self._follower.ages.answer_age_s(),
-            self._follower.ages.known_age_s(),
-            failed_s if failed_s <= MAX_FAILED_S else None,
-            changes,
-        )
-        self._link.send_changes(message, addresses)
-        self._metrics.relay_messages.labels('sent').inc(len(addresses))
-
     def take_question(self, epoch, number, sender, addr):
         """Answers an instance that asks for what changed."""
         if not self._enabled:
             return
         now = self._loop.time()
         addr = tuple(addr[:2])
-        self._audience.asked(sender, addr, now)
+        self._sender.asked(sender, addr, now)
         view = self._follower.view
         if view is None or not self.in_force:
             return
         if epoch is not None and epoch > (view.epoch or 0):
             self._check_soon(now)
-        if self._follower.ages.answer_age_s() > MAX_ANSWER_AGE_S:
-            return
-        if not self._audience.may_answer(sender, now):
-            return
-        self._answer(number if epoch == view.epoch else view.number, addr)
-
-    def _answer(self, number, addr):
-        if self._history.covers(number):
-            self._send(self._history.after(number), [addr])
-        else:
-            # All that is kept may be large, and is of no use to the other.
-            self._send((number, number, None), [addr])
+        known = number if epoch == view.epoch else view.number
+        self._sender.answer(known, sender, addr, now)
 
     def take_message(self, message, sender):
         """Applies what another instance tells, or calls the store for it."""
