--- a/dandelionwinch/dispatch/_engine_speeds.py
+++ b/dandelionwinch/dispatch/_engine_speeds.py
@@ -42,7 +42,8 @@
 REPUBLISH_S = 20.0
 # Least time between two publications of the same speed with other quartiles,
 # and between two reports of the gaps of an engine, which keep the datagrams
-# few. Twice of both took 0.011 of the credit on uneven-engines.
+# few. Twice of both lowers the credit in simulations of engines of unequal
+# speeds, see docs/design/placement.md.
 QUARTILES_INTERVAL_S = 1.0
 GAPS_INTERVAL_S = 0.5
 # Smaller prompts yield no sample: their time is mostly a fixed one.
