--- a/dandelionwinch/dispatch/_speed_window.py
+++ b/dandelionwinch/dispatch/_speed_window.py
@@ -24,9 +24,9 @@
 # Time within which the reports of all instances arrive, which they send each
 # quarter of a second.
 REPORT_DELAY_S = 0.4
-# Time over which an engine must be slow to count as slow now. Spells of 0.6 s
-# leave the lower quartile of its gaps as it was, and the reading in one of its
-# halves.
+# Time over which an engine must be slow to count as slow now. Spells of up to
+# half of it leave the lower quartile of its gaps as it was, and the reading in
+# one of its halves.
 RECENT_S = 1.0
 # Samples in it that are needed, or part of it in which the engine read.
 MIN_RECENT_SAMPLES = 5
