--- a/dandelionwinch/gateway/_crash_guard.py
+++ b/dandelionwinch/gateway/_crash_guard.py
@@ -5,16 +5,12 @@
 import attrs
 
 from dandelionwinch.gateway import _crash_link
+from dandelionwinch.gateway import _crash_probe
 from dandelionwinch import quarantine
 from dandelionwinch import utils
 
-# Time within which a crashed upstream refuses a new connection.
-CONFIRM_TIMEOUT_S = 0.15
 # Time for which the result holds for other connections to the upstream.
 CONFIRMED_S = 0.5
-# Time within which the system of a process that is ending closes a connection
-# to it that was still accepted.
-ENDING_S = 0.03
 # Time for which reports of one crash are awaited before subjects are held.
 SETTLE_S = 0.1
 TICK_S = 1.0
@@ -44,17 +40,6 @@
     suspects: dict = attrs.Factory(dict)
 
 
-class _Probe(asyncio.Protocol):
-    """A connection that tells when it is lost."""
-
-    def __init__(self, loop):
-        self.lost = loop.create_future()
-
-    def connection_lost(self, exc):
-        """Ends the future, whatever the cause."""
-        self.lost.set_result(None)
-
-
 class CrashGuard:
     """Puts crashes of upstreams down to subjects, with all instances.
 
@@ -182,18 +167,42 @@
         return crash
 
     async def _confirm(self, upstream, crash):
-        """Tells a crash from a lost connection by a new connection.
+        """Tells a crash from a lost connection by new connections.
 
-        A process that is gone refuses it at once; one that lives accepts
-        it, and one that is frozen or cut off does not answer.
+        An upstream that still accepts them is watched while the result
+        holds: a process that ends may close its listening socket last.
         """
-        refused = await self._refuses_connections(upstream.entry.address)
-        crash.confirmed.set_result(refused)
-        self._loop.call_later(
-            CONFIRMED_S, self._crashes.pop, upstream.entry.incarnation, None
+        probe = _crash_probe.CrashProbe(
+            self._loop,
+            upstream.entry.address,
+            # Waiting delays what follows the attempt; the bounds of the
+            # bytes at upstreams rely on the answer.
+            patient=self._fleet.byte_limits is not None,
         )
-        if not refused:
-            return
+        try:
+            refused = await probe.refuses()
+            crash.confirmed.set_result(refused)
+            self._loop.call_later(
+                CONFIRMED_S,
+                self._crashes.pop,
+                upstream.entry.incarnation,
+                None,
+            )
+            if refused:
+                self._record_crash(upstream, crash)
+            elif await probe.ends(CONFIRMED_S) and upstream.in_service:
+                self._confirm_late(upstream, crash)
+        finally:
+            probe.close()
+
+    def _confirm_late(self, upstream, crash):
+        """Records a crash after attempts were told that there was none."""
+        crash.confirmed = self._loop.create_future()
+        crash.confirmed.set_result(True)
+        self._record_crash(upstream, crash)
+        self._report(crash, list(crash.suspects))
+
+    def _record_crash(self, upstream, crash):
         upstream.eject(self._loop.time())
         self._fleet.upstream_crashed(upstream)
         self._metrics.engine_crashes.inc()
@@ -204,35 +213,6 @@
             subjects=sorted(crash.suspects),
         )
 
-    async def _refuses_connections(self, address):
-        host, _, port = address.rpartition(':')
-        try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
-                while await self._is_ending(host, int(port)):
-                    pass
-        except ConnectionRefusedError:
-            return True
-        except (OSError, ValueError):
-            return False
-        return False
-
-    async def _is_ending(self, host, port):
-        """Tells whether a process closes a new connection at once.
-
-        The system may close the connections of a process that ends before
-        it closes its listening socket. This takes time that is spent only
-        where the bytes at upstreams are limited, which rely on it.
-        """
-        transport, probe = await self._loop.create_connection(
-            lambda: _Probe(self._loop), host, port
-        )
-        try:
-            if self._fleet.byte_limits is not None:
-                await asyncio.wait([probe.lost], timeout=ENDING_S)
-            return probe.lost.done()
-        finally:
-            transport.abort()
-
     def _report(self, crash, subjects):
         suspects = [crash.suspects[subject] for subject in subjects]
         now = self._loop.time()
