--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -90,15 +90,13 @@
 
     def _update(self, now):
         """Starts and stops the tasks of single engines."""
-        engines = {
-            _key(u): u
-            for u in self._fleet.registry
-            if self._fleet.serves(u)
-            and u.entry.role is not upstreams.Role.PLAIN
-            and u.ejected_until <= now
-            and not u.rate_limit.in_force
-        }
-        self._interval_s = self._placer.watch_interval_s(len(engines), now)
+        # Most instances of a large fleet place too few prompts to follow even
+        # one engine; they need not look at all of them.
+        engines = {}
+        self._interval_s = self._placer.watch_interval_s(1, now)
+        if self._interval_s is not None:
+            engines = self._followed(now)
+            self._interval_s = self._placer.watch_interval_s(len(engines), now)
         if self._interval_s is None:
             self._stop_all()
             return
@@ -112,6 +110,17 @@
                 self._follow(key, engines[key])
             )
 
+    def _followed(self, now):
+        """Returns the engines whose events are wanted, by key."""
+        return {
+            _key(u): u
+            for u in self._fleet.registry
+            if u.entry.role is not upstreams.Role.PLAIN
+            and u.accepts_requests(now)
+            and u.ejected_until <= now
+            and not u.rate_limit.in_force
+        }
+
     async def _follow(self, key, engine):
         """Calls one engine again and again, each time for the next changes."""
         while True:
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -136,14 +136,9 @@
     def sweep(self, now):
         """Closes idle connections and those to deregistered upstreams."""
         self.registry.forget(now, FORGET_UPSTREAM_AFTER_S)
-        in_use = {
-            u.entry.incarnation
-            for u in self.registry
-            if u.gone_at is None and not u.leaving
-        }
         for key, pool in list(self._pools.items()):
             pool.sweep()
-            if key not in in_use:
+            if not self.registry.is_registered(key):
                 pool.close()
                 if not pool.open:
                     del self._pools[key]
--- a/dandelionwinch/tests/test_upstreams.py
+++ b/dandelionwinch/tests/test_upstreams.py
@@ -28,6 +28,40 @@
     assert registry.get('u1').failure_rate == 0
 
 
+def test_an_id_that_another_service_takes_leaves_the_one_before():
+    """A call to the former service would reach an upstream of another."""
+    registry = upstreams.Registry()
+    for name in ('u1', 'u2', 'u3'):
+        registry.apply(entry(name))
+    registry.apply(entry('u2', service='t', started_at_ms=2))
+    assert [u.entry.id for u in registry.serving('s', 0.0)] == ['u1', 'u3']
+    assert [u.entry.id for u in registry.serving('t', 0.0)] == ['u2']
+    # The former incarnation comes back, as from a copy of the store.
+    registry.apply(entry('u2'))
+    assert [u.entry.id for u in registry.in_service('t')] == []
+    assert len(registry.in_service('s')) == 3
+    registry.replace([entry('u3')], 0.0)
+    registry.forget(100.0, 10.0)
+    assert [u.entry.id for u in registry.in_service('s')] == ['u3']
+
+
+def test_what_is_registered_is_told_by_incarnation():
+    """Connections to any other incarnation are closed."""
+    registry = upstreams.Registry()
+    registry.apply(entry())
+    first = entry().incarnation
+    assert registry.is_registered(first)
+    registry.get('u1').leaving = True
+    assert not registry.is_registered(first)
+    registry.apply(entry(started_at_ms=2))
+    second = entry(started_at_ms=2).incarnation
+    assert not registry.is_registered(first)
+    assert registry.is_registered(second)
+    registry.remove('u1', 1.0)
+    assert not registry.is_registered(second)
+    assert not registry.is_registered(entry('u9').incarnation)
+
+
 def test_another_software_version_under_the_old_id_is_another_incarnation():
     """A resumed stream that waits for a connection is not sent there."""
     registry = upstreams.Registry()
--- a/dandelionwinch/upstreams/_registry.py
+++ b/dandelionwinch/upstreams/_registry.py
@@ -213,6 +213,7 @@
 
     def __init__(self):
         self._by_id = {}
+        # For each service, its upstreams by id.
         self._by_service = {}
         # Upstreams that another incarnation replaced, by incarnation.
         self._replaced = {}
@@ -226,20 +227,23 @@
         Returns:
             Whether this is a new upstream or another incarnation.
         """
-        upstream = self._by_id.get(entry.id)
-        same_incarnation = (
-            upstream is not None
-            and upstream.entry.incarnation == entry.incarnation
-        )
-        if not same_incarnation:
-            if upstream is not None:
-                self._replaced[upstream.entry.incarnation] = upstream
-            upstream = self._replaced.pop(entry.incarnation, Upstream(entry))
-            self._by_id[entry.id] = upstream
+        current = self._by_id.get(entry.id)
+        if current is not None and current.entry.service != entry.service:
+            del self._by_service[current.entry.service][entry.id]
+        upstream = self._incarnation_of(entry, current)
         upstream.entry = entry
         upstream.gone_at = None
-        self._index()
-        return not same_incarnation
+        self._by_id[entry.id] = upstream
+        self._by_service.setdefault(entry.service, {})[entry.id] = upstream
+        return upstream is not current
+
+    def _incarnation_of(self, entry, current):
+        """Returns the Upstream of an entry, a new one if need be."""
+        if current is not None:
+            if current.entry.incarnation == entry.incarnation:
+                return current
+            self._replaced[current.entry.incarnation] = current
+        return self._replaced.pop(entry.incarnation, None) or Upstream(entry)
 
     def remove(self, upstream_id, now):
         """Marks an upstream as gone and returns it, or None."""
@@ -273,9 +277,8 @@
             if upstream.gone_at is not None and now - upstream.gone_at > keep_s
         ]
         for upstream_id in old:
-            del self._by_id[upstream_id]
-        if old:
-            self._index()
+            upstream = self._by_id.pop(upstream_id)
+            del self._by_service[upstream.entry.service][upstream_id]
 
     def get(self, upstream_id):
         """Returns an Upstream or None."""
@@ -288,6 +291,16 @@
             return upstream
         return self._replaced.get(incarnation)
 
+    def is_registered(self, incarnation):
+        """Tells whether an incarnation is current, listed and not leaving."""
+        current = self._by_id.get(incarnation[0])
+        return (
+            current is not None
+            and current.entry.incarnation == incarnation
+            and current.gone_at is None
+            and not current.leaving
+        )
+
     def serves(self, upstream, now):
         """Tells whether this incarnation is current and accepts requests."""
         current = self._by_id.get(upstream.entry.id)
@@ -297,7 +310,7 @@
         """Returns the upstreams of a service, those held off included."""
         return [
             upstream
-            for upstream in self._by_service.get(service, ())
+            for upstream in self._by_service.get(service, {}).values()
             if upstream.in_service
         ]
 
@@ -339,7 +352,7 @@
         """Returns the upstreams of a service that accept requests."""
         return [
             upstream
-            for upstream in self._by_service.get(service, ())
+            for upstream in self._by_service.get(service, {}).values()
             if upstream.accepts_requests(now)
         ]
 
@@ -360,12 +373,6 @@
     def __len__(self):
         return len(self._by_id)
 
-    def _index(self):
-        self._by_service = {}
-        for upstream in self._by_id.values():
-            name = upstream.entry.service
-            self._by_service.setdefault(name, []).append(upstream)
-
 
 def of_version(upstreams, software_version):
     """Returns the upstreams of a software version.
