--- a/dandelionwinch/adapters/service.py
+++ b/dandelionwinch/adapters/service.py
@@ -10,6 +10,9 @@
 from dandelionwinch import errors
 
 _OUTCOME_TIMEOUT_S = 2.0
+# The second one is for a connection that the service closed meanwhile.
+_OUTCOME_ATTEMPTS = 2
+_SERVER_ERROR = 500
 _NOT_SENT_ERRORS = (
     exceptions.NewConnectionError,
     exceptions.ConnectTimeoutError,
@@ -121,6 +124,9 @@
         except exceptions.HTTPError:
             self._pools.discard(address)
             return NoAnswer()
+        if reply.status >= _SERVER_ERROR:
+            # Many servers close the connection behind it without a word.
+            self._pools.discard(address)
         content_type = reply.headers.get('Content-Type', '')
         return Answered(reply.status, reply.data, content_type)
 
@@ -130,16 +136,23 @@
         Returns:
             Ran, NeverSeen or CannotSay.
         """
-        try:
-            reply = self._pools.pool_for(address).request(
-                'GET', f'/outcomes/{key}', timeout=_OUTCOME_TIMEOUT_S
-            )
-            if reply.status != 200:
-                return CannotSay()
-            return _parse_outcome(reply.json())
-        except (exceptions.HTTPError, *errors.SHAPE_ERRORS):
-            self._pools.discard(address)
+        for _attempt in range(_OUTCOME_ATTEMPTS):
+            try:
+                return self._ask_outcome(address, key)
+            except exceptions.ProtocolError:
+                self._pools.discard(address)
+            except (exceptions.HTTPError, *errors.SHAPE_ERRORS):
+                self._pools.discard(address)
+                break
+        return CannotSay()
+
+    def _ask_outcome(self, address, key):
+        reply = self._pools.pool_for(address).request(
+            'GET', f'/outcomes/{key}', timeout=_OUTCOME_TIMEOUT_S
+        )
+        if reply.status != 200:
             return CannotSay()
+        return _parse_outcome(reply.json())
 
     def close(self):
         """Closes all idle connections."""
--- a/dandelionwinch/standins/http_server.py
+++ b/dandelionwinch/standins/http_server.py
@@ -1,6 +1,7 @@
 """The HTTP server of the stand-ins."""
 
 import abc
+import errno
 import http
 import json
 import threading
@@ -28,8 +29,15 @@
     headers: tuple = ()
 
 
-class DropConnection(Exception):
-    """Raised by a handler to close the connection without a response."""
+class DropConnection(ConnectionResetError):
+    """Raised by a handler to close the connection without a response.
+
+    The server answers any other exception than a lost connection with
+    status 500.
+    """
+
+    def __init__(self):
+        super().__init__(errno.ECONNRESET, 'dropped by the handler')
 
 
 @attrs.frozen
