--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -4,8 +4,10 @@
 import traceback
 
 from dandelionwinch.control import _announced_config
+from dandelionwinch.control import _call_timing
 from dandelionwinch.control import _change_relay
 from dandelionwinch.control import _changes
+from dandelionwinch.control import _config_fetch
 from dandelionwinch.control import _due_calls
 from dandelionwinch.control import _epoch
 from dandelionwinch.control import _store
@@ -13,19 +15,8 @@
 from dandelionwinch.control import _view_ages
 
 ALL_KEYS = ''
-WATCH_TIMEOUT_S = 3.0
-# Part of the bound on the age of the view that a watch may take.
-STRICT_WATCH_RATIO = 0.5
-# Pause between watches, so that each one returns several changes.
-COALESCE_S = 0.4
-COALESCE_PER_INSTANCE_S = 0.01
-MAX_COALESCE_S = 1.2
 BACKOFF_S = 0.3
 MAX_BACKOFF_S = 1.5
-# After a restore all instances list the store: the items that one call
-# returns, and the part of the store's read rate that these calls may take.
-ITEMS_PER_CALL = 400
-LISTING_READ_RATIO = 0.5
 # While the order lease has no holder, this many candidates for it watch the
 # store themselves, as the next holder needs a fresh view.
 WATCHING_CANDIDATES = 3
@@ -60,6 +51,7 @@
         '_applier',
         '_cfg',
         '_clock',
+        '_config_fetch',
         '_confirmed_at',
         '_consistent',
         '_gateway',
@@ -74,6 +66,7 @@
         '_store_codec',
         '_synced',
         '_task',
+        '_timing',
         '_watch_call',
         'ages',
     )
@@ -111,6 +104,9 @@
             gateway.metrics,
             rng,
         )
+        self._timing = _call_timing.CallTiming(
+            cfg, self._applier.registered, gateway.fleet, self._relay, rng
+        )
         self._revision = None
         self._task = None
         self._watch_call = None
@@ -122,6 +118,15 @@
         self._synced = False
         self._confirmed_at = float('-inf')
         self._announced = _announced_config.AnnouncedConfig()
+        self._config_fetch = _config_fetch.ConfigFetch(
+            loop,
+            store,
+            store_codec.config_key,
+            self._applier,
+            self._announced,
+            lambda: self.view_epoch,
+            rng,
+        )
         self.ages = _view_ages.ViewAges(
             loop,
             self._clock,
@@ -253,14 +258,14 @@
             # The watch may take longer than until the fetch is due.
             soon = self._loop.time() + _due_calls.SPREAD_S
             if self._announced.due_at <= soon:
-                await self._fetch_config()
+                await self._config_fetch.run()
             await self._watch()
         elif not self.current:
             raise _store.EpochChanged('another call was answered in it')
         elif self._announced.due_at > self._loop.time():
             await self._relay.listen(due_s, self._announced.due_at)
         if self._announced.due_at <= self._loop.time():
-            await self._fetch_config()
+            await self._config_fetch.run()
 
     def _keeps_watch(self):
         """Tells whether the order lease needs the instance's own view."""
@@ -284,11 +289,7 @@
         """Returns the pause before a listing, random after a restore."""
         if self._revision is None or self.current:
             return 0.0
-        instances = len(self.registered.entries)
-        items = instances + len(self._gateway.fleet.registry)
-        calls = instances * (1 + items // ITEMS_PER_CALL)
-        spread_s = calls / (LISTING_READ_RATIO * self._cfg.reads_per_s)
-        return spread_s * self._rng.random()
+        return self._timing.restore_delay_s()
 
     async def _list_all(self):
         """Lists the store; what others tell meanwhile is not applied."""
@@ -321,7 +322,7 @@
 
     async def _watch(self):
         due_s = self._applier.guard.next_due_s(self._loop.time())
-        wait_s = self._watch_timeout_s()
+        wait_s = self._timing.watch_timeout_s(self.ages.reached_at)
         if due_s is not None:
             wait_s = min(wait_s, due_s)
         after = self._revision
@@ -345,18 +346,7 @@
         self._applier.end_response(now)
         await self._relay.answered()
         if listing.items:
-            await asyncio.sleep(self._coalesce_s())
-
-    def _watch_timeout_s(self):
-        """Returns the time after which a watch without changes ends.
-
-        With strict revocation of keys the view of the store must not age
-        beyond a bound while nothing changes.
-        """
-        wait_s = WATCH_TIMEOUT_S
-        if self._cfg.strict_revoke:
-            wait_s = min(wait_s, STRICT_WATCH_RATIO * self._cfg.revoke_s)
-        return self._relay.watch_wait_s(wait_s, self.ages.reached_at)
+            await asyncio.sleep(self._timing.coalesce_s())
 
     async def _call_watch(self, wait_s):
         self._watch_call = self._loop.create_task(
@@ -371,20 +361,6 @@
         finally:
             self._watch_call = None
 
-    def _coalesce_s(self):
-        """Returns the pause before the next watch.
-
-        It grows with the number of instances, as all of them call the
-        store.
-        """
-        pause_s = self._relay.coalesce_s()
-        if pause_s is not None:
-            return pause_s
-        instances = len(self.registered.entries)
-        return min(
-            MAX_COALESCE_S, COALESCE_S + COALESCE_PER_INSTANCE_S * instances
-        )
-
     def told(self, message, known_at):
         """Applies changes that another instance told.
 
@@ -402,7 +378,9 @@
             return False
         now = self._loop.time()
         if withheld:
-            self._config_announced(withheld[-1].revision, now)
+            self._config_fetch.announce(
+                withheld[-1].revision, now, self.ages.known_at()
+            )
         try:
             self._applier.apply_changes(
                 [change for change in changes if not change.withheld],
@@ -434,20 +412,3 @@
     def failed_elsewhere(self, at):
         """Records that a call of another instance to the store failed."""
         self._applier.guard.store_failed(at)
-
-    def _config_announced(self, number, now):
-        due_at = self._announced.due_at
-        if self._announced.number is None:
-            due_at = now + _due_calls.SPREAD_S * self._rng.random()
-        self._announced.announce(number, due_at, self.ages.known_at())
-
-    async def _fetch_config(self):
-        """Reads the configuration that others told of."""
-        wanted = self._announced.number
-        listing = await self._store.list(self._store_codec.config_key)
-        if listing.revision.epoch != self._revision.epoch:
-            raise _store.EpochChanged('before a configuration was read')
-        await self._applier.apply_config(listing.items)
-        self._announced.read(
-            wanted, listing.revision.number, self._loop.time()
-        )
