--- a/dandelionwinch/gateway/_caller_connection.py
+++ b/dandelionwinch/gateway/_caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from dandelionwinch.gateway import _caller_writer
 from dandelionwinch.gateway import _codec
 from dandelionwinch.gateway import _incoming_request
 from dandelionwinch.gateway import _reader_watch
@@ -13,8 +14,6 @@
 # Time without a request after which a draining server closes a connection;
 # a new one needs it until its first request has arrived.
 DRAIN_IDLE_S = 0.25
-# Time for which a caller may read nothing of what was written for it.
-UNREAD_TIMEOUT_S = 5.0
 # Time after which a caller may repeat a request that was not run, as another
 # instance serves it or the requests before it have ended.
 REJECTED_RETRY_AFTER_S = 0.2
@@ -45,16 +44,14 @@
         '_idle_since',
         '_incoming',
         '_parser',
-        '_paused',
         '_queue',
-        '_reader',
         '_rejection',
         '_request_started_at',
         '_responded',
         '_serving',
         '_task',
         '_transport',
-        '_write_resumed',
+        '_writer',
         'server',
         'team',
     )
@@ -63,6 +60,7 @@
         self.server = server
         self.team = ''
         self._transport = None
+        self._writer = _caller_writer.CallerWriter(server)
         limit = server.limits.max_header_bytes
         self._parser = _codec.RequestParser(self, limit)
         self._queue = collections.deque()
@@ -72,13 +70,10 @@
         self._closing = False
         self._close_after_response = False
         self._continue_due = False
-        self._paused = False
-        self._write_resumed = None
         self._request_started_at = None
         self._responded = False
         # Request that is being served, whose body is held.
         self._serving = None
-        self._reader = _reader_watch.ReaderWatch()
         self._idle_since = 0.0
         self._idle_limit_s = 0.0
         self._begin_idle()
@@ -91,7 +86,7 @@
 
     def connection_made(self, transport):
         """Registers the connection with the server."""
-        self._transport = transport
+        self._transport = self._writer.transport = transport
         self.server.connections.add(self)
 
     def connection_lost(self, exc):
@@ -104,15 +99,10 @@
         self._cancel()
         return False
 
-    def _write(self, data):
-        self._reader.written_bytes += len(data)
-        self.server.count_held(len(data))
-        self._transport.write(data)
-
     @property
     def unread_bytes(self):
         """Returns the bytes that were written and the caller has not read."""
-        return self._transport.get_write_buffer_size()
+        return self._writer.unread_bytes
 
     @property
     def body_bytes(self):
@@ -139,10 +129,8 @@
 
     def _check_reader(self, now):
         """Aborts the connection of a caller that has stopped to read."""
-        unread = self.unread_bytes
-        self._reader.observe(unread, now)
-        if self._reader.silent_s > UNREAD_TIMEOUT_S:
-            self.server.report_stalled(unread)
+        if self._writer.has_stalled(now):
+            self.server.report_stalled(self.unread_bytes)
             self.abort()
 
     def _cancel(self):
@@ -190,7 +178,7 @@
     def _send_continue(self):
         due, self._continue_due = self._continue_due, False
         if due:
-            self._write(_codec.response_head(100, ()))
+            self._writer.write(_codec.response_head(100, ()))
 
     def on_body(self, data):
         """Collects the body of a request."""
@@ -217,7 +205,7 @@
     @property
     def _awaits_reader(self):
         """Whether requests wait until the responses before them are read."""
-        return self._paused and bool(self._queue)
+        return self._writer.paused and bool(self._queue)
 
     def _serve_next(self):
         if self._awaits_reader and not self._closing:
@@ -307,7 +295,7 @@
             self._close_after_response = True
             pairs.append(('Connection', 'close'))
         head = _codec.response_head(status, pairs)
-        self._write(head + body)
+        self._writer.write(head + body)
 
     def start_stream(self, status, headers):
         """Writes the head of a chunked response."""
@@ -317,18 +305,15 @@
         if self.closes_after_response:
             self._close_after_response = True
             pairs.append(('Connection', 'close'))
-        self._write(_codec.response_head(status, pairs))
+        self._writer.write(_codec.response_head(status, pairs))
 
     async def send_chunk(self, data):
         """Writes a chunk; waits while the write buffer is full."""
-        self._write(_codec.encode_chunk(data))
-        if self._paused:
-            self._write_resumed = self.server.loop.create_future()
-            await self._write_resumed
+        await self._writer.write_chunk(data)
 
     def end_stream(self):
         """Writes the end of a chunked response."""
-        self._write(_codec.LAST_CHUNK)
+        self._writer.write(_codec.LAST_CHUNK)
 
     def abort(self):
         """Aborts the connection, so that the response is seen truncated."""
@@ -337,15 +322,12 @@
 
     def pause_writing(self):
         """Blocks `send_chunk`, as the write buffer is full."""
-        self._paused = True
+        self._writer.pause()
 
     def resume_writing(self):
         """Unblocks `send_chunk`."""
-        was_paused, self._paused = self._paused, False
-        waiter, self._write_resumed = self._write_resumed, None
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
-        elif was_paused and self._task is None and self._queue:
+        idle = self._writer.resume() and self._task is None
+        if idle and self._queue:
             self._serve_next()
 
     def _close(self):
