--- a/dandelionwinch/gateway/__init__.py
+++ b/dandelionwinch/gateway/__init__.py
@@ -5,7 +5,6 @@
 from dandelionwinch.gateway._codec import Head
 from dandelionwinch.gateway._codec import request_bytes
 from dandelionwinch.gateway._connection import ConnectionLost
-from dandelionwinch.gateway._connection import read_response
 from dandelionwinch.gateway._fair_sharing import ShareView
 from dandelionwinch.gateway._fleet import Fleet
 from dandelionwinch.gateway._gateway import Gateway
@@ -19,6 +18,7 @@
 from dandelionwinch.gateway._pool import Pool
 from dandelionwinch.gateway._server import Server
 from dandelionwinch.gateway._usage_sharing import UsageView
+from dandelionwinch.gateway._whole_response import read_response
 
 __all__ = [
     'AttemptParams',
--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -6,6 +6,7 @@
 from dandelionwinch.gateway import _codec
 from dandelionwinch.gateway import _connection
 from dandelionwinch.gateway import _pool
+from dandelionwinch.gateway import _whole_response
 from dandelionwinch import upstreams
 
 # Time between two looks at which engines there are and how often to call.
@@ -150,7 +151,7 @@
             if not self._fleet.serves(engine):
                 raise _pool.NotConnected('the engine accepts no requests')
             conn.send(request)
-            head, body = await _connection.read_response(
+            head, body = await _whole_response.read_response(
                 conn, WAIT_S + RESPONSE_MARGIN_S
             )
             events = self._read_events(head, body)
--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -11,6 +11,7 @@
 
 from dandelionwinch.gateway import _codec
 from dandelionwinch.gateway import _read_ahead
+from dandelionwinch.gateway import _surplus
 from dandelionwinch.gateway import _unread
 
 MAX_HEAD_BYTES = 65536
@@ -23,17 +24,6 @@
 MAX_READ_AHEAD_BYTES = 1 << 18
 # Memory of a queued item beside its bytes, which counts as read ahead too.
 ITEM_BYTES = 128
-# Maximum size of the interim responses to one request, and of each one
-# beside its headers.
-MAX_INTERIM_BYTES = 65536
-MIN_HEAD_BYTES = 16
-# Maximum number and size of responses to other requests that are skipped
-# before that to the current one.
-MAX_SKIPPED_RESPONSES = 8
-MAX_SKIPPED_BYTES = 1 << 21
-# Maximum size of a body that `read_response` returns; a page of the store
-# has about 1 MB.
-MAX_CALL_BODY_BYTES = 1 << 24
 NO_BODY_STATUSES = (204, 304)
 # Value of SO_LINGER by which a close resets the connection.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -101,15 +91,13 @@
         '_body_until_close',
         '_exc',
         '_interim',
-        '_interim_bytes',
         '_items',
         '_keep_alive',
         '_loop',
         '_no_reuse',
         '_observe_head',
         '_parser',
-        '_skipped_bytes',
-        '_skipped_responses',
+        '_surplus',
         '_transport',
         '_waiter',
         'busy',
@@ -128,9 +116,7 @@
         self._exc = None
         self._keep_alive = False
         self._interim = False
-        self._interim_bytes = 0
-        self._skipped_bytes = 0
-        self._skipped_responses = 0
+        self._surplus = _surplus.Surplus()
         self._no_reuse = False
         self._body_until_close = False
         self.busy = False
@@ -158,7 +144,7 @@
             self._observe_head(head)
         self._interim = head.status < 200
         if self._interim:
-            self._count_interim(head)
+            self._surplus.add_interim(head)
             return
         if not self.busy:
             self._fail(
@@ -171,13 +157,6 @@
         self._set_reusable_until(head)
         self._queue_item(head)
 
-    def _count_interim(self, head):
-        self._interim_bytes += head.size + MIN_HEAD_BYTES
-        if self._interim_bytes > MAX_INTERIM_BYTES:
-            raise _codec.HeadTooLarge(
-                f'interim responses are over {MAX_INTERIM_BYTES} bytes'
-            )
-
     def _set_reusable_until(self, head):
         keep_alive_s = MAX_KEEP_ALIVE_S
         for item in head.header('keep-alive').split(','):
@@ -252,9 +231,7 @@
         self.busy = True
         self._keep_alive = False
         self._body_until_close = False
-        self._interim_bytes = 0
-        self._skipped_bytes = 0
-        self._skipped_responses = 0
+        self._surplus.clear()
         self.read_ahead.stood_still = False
         self.written_bytes += len(data)
         self._transport.write(data)
@@ -323,12 +300,7 @@
                 connection is closed.
         """
         self._no_reuse = True
-        self._skipped_bytes += item.size
-        self._skipped_responses += isinstance(item, _codec.Head)
-        if (
-            self._skipped_bytes > MAX_SKIPPED_BYTES
-            or self._skipped_responses > MAX_SKIPPED_RESPONSES
-        ):
+        if self._surplus.add_skipped(item):
             self._items.clear()
             self._fail(
                 LossCause.PROTOCOL_ERROR, 'too many responses to others'
@@ -381,25 +353,3 @@
         """Closes the connection at once."""
         if self._transport is not None:
             self._transport.abort()
-
-
-async def read_response(conn, timeout_s):
-    """Returns head and body of the next response on a connection.
-
-    Raises:
-        ConnectionLost: If the connection failed, the response was not
-            complete within `timeout_s`, or its body is too large.
-    """
-    deadline = asyncio.get_running_loop().time() + timeout_s
-    body = bytearray()
-    head = await conn.next_item(timeout_s)
-    while True:
-        left_s = deadline - asyncio.get_running_loop().time()
-        item = await conn.next_item(left_s)
-        if isinstance(item, End):
-            return head, bytes(body)
-        body += item.data
-        if len(body) > MAX_CALL_BODY_BYTES:
-            raise ConnectionLost(
-                LossCause.PROTOCOL_ERROR, 'the body is too large'
-            )
