--- a/dandelionwinch/daemon/_core.py
+++ b/dandelionwinch/daemon/_core.py
@@ -3,7 +3,6 @@
 import asyncio
 import concurrent.futures
 import random
-import threading
 import time
 
 import loguru
@@ -18,6 +17,7 @@
 from dandelionwinch.daemon import _heartbeats
 from dandelionwinch.daemon import _holds
 from dandelionwinch.daemon import _load_reports
+from dandelionwinch.daemon import _loop_thread
 from dandelionwinch.daemon import _metrics
 from dandelionwinch.daemon import _peers
 from dandelionwinch.daemon import _placement_router
@@ -36,8 +36,6 @@
 # Largest number of blocking calls at the same time: of the store, of the live
 # list and of upstreams, for load reports, orders and outcomes of claims.
 IO_THREADS = 24
-# Longest wait of another thread for the event loop.
-REQUEST_TIMEOUT_S = 30.0
 DRAIN_POLL_S = 0.1
 MICROSECONDS_PER_S = 1_000_000
 
@@ -102,10 +100,7 @@
         self.executor = concurrent.futures.ThreadPoolExecutor(
             IO_THREADS, thread_name_prefix='core-io'
         )
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(
-            target=self._loop.run_forever, name='core', daemon=True
-        )
+        self._thread = _loop_thread.LoopThread(cfg.instance.name)
         self._tasks = []
         self._findings = {}
 
@@ -135,7 +130,7 @@
     def start(self):
         """Starts the event loop, the listener for peers and all tasks."""
         self._thread.start()
-        self._wait(self._start(), REQUEST_TIMEOUT_S)
+        self._thread.run(self._start())
 
     async def _start(self):
         await self.peers.start()
@@ -155,21 +150,7 @@
                 )
         self.event('instance.started', self.name)
 
-    def _wait(self, coroutine, timeout_s):
-        fut = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
-        return self._result(fut, timeout_s)
-
-    def _result(self, fut, timeout_s):
-        try:
-            return fut.result(timeout_s)
-        except concurrent.futures.TimeoutError:
-            fut.cancel()
-            raise errors.DeadlinePassed(
-                f'instance "{self.name}" did not answer itself in '
-                f'{timeout_s:g} s'
-            ) from None
-
-    def request(self, message, timeout_s=REQUEST_TIMEOUT_S):
+    def request(self, message, timeout_s=_loop_thread.REQUEST_TIMEOUT_S):
         """Sends a message from another thread and waits for the reply.
 
         Args:
@@ -183,24 +164,7 @@
             DeadlinePassed: If there was no reply in time.
             DandelionwinchError: If the handler of the message raised it.
         """
-        fut = concurrent.futures.Future()
-        self._loop.call_soon_threadsafe(self._dispatch, message, fut)
-        return self._result(fut, timeout_s)
-
-    def _dispatch(self, message, fut):
-        """Handles a message; only coroutine handlers become a task."""
-        if fut.cancelled():
-            return
-        try:
-            reply = self._handle(message)
-        except Exception as exc:
-            fut.set_exception(exc)
-            return
-        if not asyncio.iscoroutine(reply):
-            fut.set_result(reply)
-            return
-        task = asyncio.ensure_future(reply)
-        task.add_done_callback(lambda done: _copy_outcome(done, fut))
+        return self._thread.call(self._handle, message, timeout_s)
 
     def _handle(self, message):
         match message:
@@ -252,7 +216,7 @@
     async def call_store(self, request):
         """Executes a store request in a worker thread."""
         self.metrics.store_calls.labels(type(request).__name__).inc()
-        return await self._loop.run_in_executor(
+        return await self._thread.loop.run_in_executor(
             self.executor, self.store.execute, request
         )
 
@@ -285,7 +249,9 @@
 
     async def run_blocking(self, function, *args):
         """Runs a blocking function in a worker thread of the core."""
-        return await self._loop.run_in_executor(self.executor, function, *args)
+        return await self._thread.loop.run_in_executor(
+            self.executor, function, *args
+        )
 
     def find_address(self, data_centre, team):
         """Returns the instance that a client should use.
@@ -349,7 +315,7 @@
         ``close``, in this order and from another thread than the event
         loop's, as each of them blocks.
         """
-        self._wait(self._leave(), REQUEST_TIMEOUT_S)
+        self._thread.run(self._leave())
 
     async def _leave(self):
         self.members.leave()
@@ -392,9 +358,8 @@
 
         Blocks; must not be called from the event loop's thread.
         """
-        self._wait(self._close(), REQUEST_TIMEOUT_S)
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(timeout=REQUEST_TIMEOUT_S)
+        self._thread.run(self._close())
+        self._thread.close()
         self.executor.shutdown(wait=False, cancel_futures=True)
         for adapter in (
             self.store,
@@ -414,18 +379,6 @@
         await self.peers.close()
 
 
-def _copy_outcome(task, fut):
-    """Copies the outcome of a task to the future of a waiting thread."""
-    if fut.cancelled():
-        return
-    if task.cancelled():
-        fut.cancel()
-    elif task.exception() is not None:
-        fut.set_exception(task.exception())
-    else:
-        fut.set_result(task.result())
-
-
 async def _log_failure(coroutine):
     """Logs an exception that ends a background task."""
     try:
