--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from dandelionwinch.gateway import _limit_sharing
 from dandelionwinch.gateway import _metrics
 from dandelionwinch.gateway import _peer_link
+from dandelionwinch.gateway import _planned_stop
 from dandelionwinch.gateway import _refusals
 from dandelionwinch.gateway import _response_observer
 from dandelionwinch.gateway import _speed_sharing
@@ -60,7 +61,6 @@
         fleet: Upstreams and their connection pools.
         peers: The PeerLink to other instances.
         placer: Chooses the engines of a generation.
-        stop_began_at: Loop time at which a graceful stop began, or None.
         streams: The StreamVersions.
         usage: The UsageSharing with other instances.
         usage_meter: The UsageMeter.
@@ -69,14 +69,12 @@
     __slots__ = (
         '_cache_watch',
         '_demand_meter',
-        '_durations',
-        '_ended',
         '_key_sharing',
         '_limits',
         '_notices',
         '_speeds',
         '_refusals',
-        '_stop_at',
+        '_stop',
         '_sweep_timer',
         '_tasks',
         'active',
@@ -94,7 +92,6 @@
         'peers',
         'placer',
         'rng',
-        'stop_began_at',
         'streams',
         'usage',
         'usage_meter',
@@ -171,12 +168,9 @@
             loop, self.fleet, self.fair_sharing, self.metrics.registry
         )
         self.active = 0
-        self.stop_began_at = None
-        self._stop_at = None
+        self._stop = _planned_stop.PlannedStop(loop)
         # Tasks of the requests that are being served.
         self._tasks = set()
-        self._ended = False
-        self._durations = attempts.LongestDurations()
         self._sweep_timer = None
         self._cache_watch = _cache_watch.CacheWatch(
             loop, self.fleet, self.placer, wire_codec, log
@@ -294,7 +288,7 @@
         try:
             await handler.run()
         except asyncio.CancelledError as exc:
-            if self._ended and not caller.closed:
+            if self._stop.ended and not caller.closed:
                 handler.respond_stopped()
                 return
             self._demand_meter.record_left(handler)
@@ -327,7 +321,7 @@
             'request.left',
             request=request_id,
             reason=repr(exc),
-            stopping_s=self._stopping_s(incoming.received_at),
+            stopping_s=self._stop.lasted_s(incoming.received_at),
         )
 
     def begin_stop(self, stop_at):
@@ -336,15 +330,14 @@
         Args:
             stop_at: Loop time at which the instance stops.
         """
-        self.stop_began_at = self.loop.time()
-        self._stop_at = stop_at
+        self._stop.begin(stop_at)
 
     def end_requests(self):
         """Gives all requests their final responses, as the stop is due.
 
         Streams that have begun are aborted.
         """
-        self._ended = True
+        self._stop.ended = True
         for task in self._tasks:
             task.cancel('the instance stops')
 
@@ -363,26 +356,7 @@
             answer_tokens: Maximum number of tokens of its answer.
             limit_s: Seconds until its deadline.
         """
-        if self._ended:
-            return False
-        if self._stop_at is None:
-            return True
-        now = self.loop.time()
-        expected_s = self._durations.expected_s(route.name, answer_tokens, now)
-        return attempts.ends_in_time(limit_s, expected_s, self._stop_at - now)
-
-    def _stopping_s(self, received_at):
-        """Returns how long a stop had lasted when a request arrived.
-
-        Args:
-            received_at: Loop time at which the request began to arrive.
-
-        Returns:
-            Seconds, or None if no stop had begun.
-        """
-        if self.stop_began_at is None or received_at < self.stop_began_at:
-            return None
-        return round(received_at - self.stop_began_at, 3)
+        return self._stop.allows(route.name, answer_tokens, limit_s)
 
     def log_early_rejection(self, status, reason):
         """Logs a request that was rejected before it was complete."""
@@ -484,13 +458,7 @@
         self.metrics.record_response(name, status, handler.outcome, stages)
         if status == SUCCESS_STATUS:
             first_s = handler.first_event_s or elapsed_s
-            self._durations.record(
-                name,
-                handler.answer_tokens,
-                first_s,
-                elapsed_s,
-                self.loop.time(),
-            )
+            self._stop.record(name, handler.answer_tokens, first_s, elapsed_s)
         self.log.event(
             'request.answered',
             request=handler.request_id,
@@ -504,5 +472,5 @@
             first_ms=round(handler.first_event_s * 1e3, 1),
             gap_ms=round(handler.longest_gap_s * 1e3, 1),
             taken_ms=round(elapsed_s * 1e3, 1),
-            stopping_s=self._stopping_s(handler.started_at),
+            stopping_s=self._stop.lasted_s(handler.started_at),
         )
