--- a/dandelionwinch/quarantine/_quarantine.py
+++ b/dandelionwinch/quarantine/_quarantine.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from dandelionwinch.quarantine import _subjects
+from dandelionwinch.quarantine import _crashes
 
 # Crashes after which a subject is held. Those on which answers began shortly
 # before are mostly shared by those that crash upstreams and are found first.
@@ -22,8 +22,6 @@
 # explain them, and crashes from which another one is likely to.
 CRASHES_REGARDLESS = 12
 LIKELY_CRASHES = 2
-# Age up to which a crash counts.
-EVIDENCE_S = 120.0
 # A hold ends when no request for its subject came for QUIET_S, at the latest
 # after MAX_HOLD_S. For RELAPSE_S after it one crash suffices.
 QUIET_S = 30.0
@@ -31,27 +29,10 @@
 PENDING_S = 0.2
 MAX_HOLD_S = 600.0
 RELAPSE_S = 600.0
-MAX_CRASHES = 64
-MAX_SUSPECTS = 512
 MAX_HOLDS = 64
 MAX_ANSWERED = 16384
 
 
-@attrs.define
-class _Crash:
-    """A crash of an upstream.
-
-    Attributes:
-        at: Time in seconds.
-        suspects: For each subject, its Suspect as all instances reported it.
-        explained_by: Subjects that are, or were, held for it.
-    """
-
-    at: float
-    suspects: dict = attrs.Factory(dict)
-    explained_by: set = attrs.Factory(set)
-
-
 @attrs.define
 class Hold:
     """A subject whose requests are refused.
@@ -83,7 +64,7 @@
     __slots__ = ('_answered', '_crashes', '_holds', '_lifted', '_relapses')
 
     def __init__(self):
-        self._crashes = collections.OrderedDict()
+        self._crashes = _crashes.Crashes()
         # Time of the last begin of an answer, by subject.
         self._answered = collections.OrderedDict()
         self._holds = {}
@@ -103,25 +84,7 @@
         Returns:
             Whether anything in it was not known.
         """
-        crash = self._crashes.get(crash_id)
-        if crash is None:
-            crash = self._crashes[crash_id] = _Crash(at)
-            self._trim(self._crashes, MAX_CRASHES)
-        news = False
-        for suspect in suspects:
-            news = self._add_suspect(crash, suspect) or news
-        crash.explained_by.update(crash.suspects.keys() & self._holds.keys())
-        return news
-
-    @staticmethod
-    def _add_suspect(crash, suspect):
-        known = crash.suspects.get(suspect.subject)
-        if known is None and len(crash.suspects) >= MAX_SUSPECTS:
-            return False
-        if known is not None and (known.answered or not suspect.answered):
-            return False
-        crash.suspects[suspect.subject] = suspect
-        return True
+        return self._crashes.record(crash_id, suspects, at, self._holds.keys())
 
     def record_answer(self, subjects, now):
         """Records that an answer began, which clears its subjects.
@@ -181,47 +144,9 @@
         after = max(
             self._answered.get(subject, float('-inf')),
             self._lifted.get(subject, float('-inf')),
-            now - EVIDENCE_S,
-        )
-        crashes = [
-            crash
-            for crash in self._crashes.values()
-            if crash.at > after and subject in crash.suspects
-        ]
-        found = [crash for crash in crashes if self._is_open(crash, subject)]
-        if not found or _subjects.is_call(subject):
-            return found
-        # A part that crashed an upstream under another request, too, is
-        # the likelier explanation of those put down to a whole request.
-        return [
-            crash for crash in crashes if self._may_be_part(crash, subject)
-        ]
-
-    @staticmethod
-    def _may_be_part(crash, subject):
-        """Tells whether only whole requests, if any, explain a crash."""
-        if not crash.explained_by:
-            return True
-        if crash.suspects[subject].answered:
-            return False
-        return all(map(_subjects.is_call, crash.explained_by))
-
-    @staticmethod
-    def _is_open(crash, subject):
-        """Tells whether a crash may still be put down to a subject.
-
-        Two calls in flight under the same crashes can't be told apart. Both
-        are held, unless one was answered before: to hold a call that was not
-        harms nobody but its callers.
-        """
-        if not crash.explained_by:
-            return True
-        if crash.suspects[subject].answered:
-            return False
-        return all(
-            _subjects.are_other_calls(subject, other)
-            for other in crash.explained_by
+            now - _crashes.EVIDENCE_S,
         )
+        return self._crashes.against(subject, after)
 
     def decide(self, now):
         """Holds the subjects that the crashes speak against.
@@ -268,10 +193,7 @@
 
     def _likely_subjects(self, now):
         """Returns the subjects of several crashes that were not answered."""
-        counts = collections.Counter()
-        for crash in self._crashes.values():
-            if not crash.explained_by:
-                counts.update(crash.suspects.keys())
+        counts = self._crashes.unexplained_counts()
         return {
             subject
             for subject, count in counts.items()
@@ -286,9 +208,7 @@
 
     def _suspected_subjects(self):
         """Returns the few subjects that may be held, without their answers."""
-        counts = collections.Counter()
-        for crash in self._crashes.values():
-            counts.update(s for s in crash.suspects if self._is_open(crash, s))
+        counts = self._crashes.counts()
         counts = {s: n for s, n in counts.items() if s not in self._holds}
         return sorted(
             subject
@@ -310,17 +230,14 @@
 
     def _hold(self, hold):
         self._holds[hold.subject] = hold
-        for crash in self._crashes.values():
-            if hold.subject in crash.suspects:
-                crash.explained_by.add(hold.subject)
+        self._crashes.explain(hold.subject)
         return hold
 
     def _refute(self, subject):
         """Ends a hold that was wrong; its crashes are open again."""
         if self._holds.pop(subject, None) is None:
             return
-        for crash in self._crashes.values():
-            crash.explained_by.discard(subject)
+        self._crashes.reopen(subject)
 
     def adopt(self, hold):
         """Takes over a hold of another instance.
@@ -376,11 +293,7 @@
 
     def recent_crashes(self, now, age_s):
         """Returns id, time and Suspects of the crashes up to an age."""
-        return [
-            (crash_id, crash.at, list(crash.suspects.values()))
-            for crash_id, crash in self._crashes.items()
-            if now - crash.at <= age_s
-        ]
+        return self._crashes.recent(now, age_s)
 
     def lift(self, subject, at):
         """Lifts a hold; the crashes up to then no longer count.
@@ -404,9 +317,7 @@
             del self._holds[hold.subject]
             self._relapses[hold.subject] = now + RELAPSE_S
             self._trim(self._relapses, MAX_HOLDS)
-        for crash_id, crash in list(self._crashes.items()):
-            if now - crash.at > EVIDENCE_S:
-                del self._crashes[crash_id]
+        self._crashes.expire(now)
         for subject, until in list(self._relapses.items()):
             if until <= now:
                 del self._relapses[subject]
