--- a/dandelionwinch/soak/_capacity.py
+++ b/dandelionwinch/soak/_capacity.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import collections
-import random
 
 import attrs
 
+from dandelionwinch.soak import _selection
 from dandelionwinch.standins import capacity
 
 CAPACITY_RUNS = 0.5
-MIN_RUN_S = 10.0
 LEAST = 2
 MOST = 6
 BOOT_S = 2.0
@@ -43,8 +42,8 @@
         seed: Seed of the run.
         for_s: Seconds for which faults are injected.
     """
-    rng = random.Random(f'{seed} capacity')
-    if for_s < MIN_RUN_S or rng.random() >= CAPACITY_RUNS:
+    rng = _selection.draw(seed, 'capacity', for_s, CAPACITY_RUNS)
+    if rng is None:
         return None
     times = sorted(
         rng.uniform(*TAKEN_SHARES) * for_s
--- a/dandelionwinch/soak/_duties.py
+++ b/dandelionwinch/soak/_duties.py
@@ -2,15 +2,14 @@
 
 import asyncio
 import math
-import random
 
 import attrs
 
+from dandelionwinch.soak import _selection
 from dandelionwinch.standins import duty_api
 from dandelionwinch.standins import settings_text
 
 DUTY_RUNS = 0.5
-MIN_RUN_S = 10.0
 USAGE = 'usage_report'
 CAPACITY = 'autoscale'
 CALLS_PER_S = 50.0
@@ -76,8 +75,8 @@
         seed: Seed of the run.
         for_s: Seconds for which faults are injected.
     """
-    rng = random.Random(f'{seed} duties')
-    if for_s < MIN_RUN_S or rng.random() >= DUTY_RUNS:
+    rng = _selection.draw(seed, 'duties', for_s, DUTY_RUNS)
+    if rng is None:
         return None
     faults = []
     free_s = 0.0
--- a/dandelionwinch/soak/_limits.py
+++ b/dandelionwinch/soak/_limits.py
@@ -1,15 +1,15 @@
 """Rate limits (`Server-Limit`) of the soak's upstreams, and their checks."""
 
 import asyncio
-import random
 
 import attrs
 
+from dandelionwinch.soak import _selection
+
 # Shares: of the runs with such limits, and of the limits after which the
 # upstream states a second one.
 LIMITED_RUNS = 0.5
 CHANGED_LIMITS = 0.3
-MIN_RUN_S = 10.0
 RATES_PER_S = (0.0, 0.5, 2.0, 5.0, 8.2)
 MIN_SPAN_S = 5.0
 MAX_SPAN_S = 9.0
@@ -60,8 +60,8 @@
         seed: Seed of the run.
         for_s: Seconds for which faults are injected.
     """
-    rng = random.Random(f'{seed} limits')
-    if for_s < MIN_RUN_S or rng.random() >= LIMITED_RUNS:
+    rng = _selection.draw(seed, 'limits', for_s, LIMITED_RUNS)
+    if rng is None:
         return []
     limits = []
     for _number in range(rng.randint(1, 2)):
--- a/dandelionwinch/soak/_poison.py
+++ b/dandelionwinch/soak/_poison.py
@@ -2,17 +2,17 @@
 
 import enum
 import math
-import random
 
 import attrs
 
+from dandelionwinch.soak import _selection
+
 # Shares: of the runs that have such a part, of these that have a second one
 # beside it, and of the parts whose requests stop and come again.
 POISONED_RUNS = 0.5
 SECOND_PARTS = 0.4
 POISON_CALL_RUNS = 0.4
 INTERRUPTED_PARTS = 0.4
-MIN_RUN_S = 10.0
 # Share of the generations that have a poison part, and of the calls that are
 # the poison one, while such requests come.
 REQUEST_SHARE = 0.05
@@ -141,14 +141,12 @@
         seed: Seed of the run.
         for_s: Seconds for which faults are injected.
     """
-    if for_s < MIN_RUN_S:
-        return []
     return _plan_parts(seed, for_s) + _plan_call(seed, for_s)
 
 
 def _plan_call(seed, for_s):
-    rng = random.Random(f'{seed} poison call')
-    if rng.random() >= POISON_CALL_RUNS:
+    rng = _selection.draw(seed, 'poison call', for_s, POISON_CALL_RUNS)
+    if rng is None:
         return []
     begin = rng.uniform(*BEGIN_SHARES) * for_s
     spans = _plan_part(rng, '', begin, for_s).spans
@@ -159,8 +157,8 @@
 
 
 def _plan_parts(seed, for_s):
-    rng = random.Random(f'{seed} parts')
-    if rng.random() >= POISONED_RUNS:
+    rng = _selection.draw(seed, 'parts', for_s, POISONED_RUNS)
+    if rng is None:
         return []
     begin = rng.uniform(*BEGIN_SHARES) * for_s
     parts = [_plan_part(rng, 'bad1', begin, for_s)]
--- a/dandelionwinch/soak/_teams.py
+++ b/dandelionwinch/soak/_teams.py
@@ -6,14 +6,13 @@
 
 import asyncio
 import math
-import random
 
 import attrs
 
 from dandelionwinch.platform import samples
+from dandelionwinch.soak import _selection
 
 TEAM_RUNS = 0.6
-MIN_RUN_S = 10.0
 STRICT_RUNS = 0.5
 TEAM_COUNT = 3
 KEYS_PER_TEAM = 2
@@ -60,8 +59,8 @@
         seed: Seed of the run.
         for_s: Seconds for which faults are injected.
     """
-    rng = random.Random(f'{seed} teams')
-    if for_s < MIN_RUN_S or rng.random() >= TEAM_RUNS:
+    rng = _selection.draw(seed, 'teams', for_s, TEAM_RUNS)
+    if rng is None:
         return None
     strict = rng.random() < STRICT_RUNS
     times = []
