--- a/dandelionwinch/tests/instance_harness.py
+++ b/dandelionwinch/tests/instance_harness.py
@@ -11,6 +11,32 @@
 from dandelionwinch.tests import recorder
 from dandelionwinch.tools import cli
 
+# Settings by which instances report the usage of teams.
+USAGE_DUTIES = """
+[cloud]
+address = "127.0.0.1:9"
+dutyPerS = 50
+duties = ["usage_report"]
+"""
+
+
+def run(scenario, kv, tmp_path, **options):
+    """Returns what a coroutine function of a RunningInstance returns.
+
+    Args:
+        scenario: The coroutine function.
+        kv: The KvStore.
+        tmp_path: Folder without a settings file.
+        options: Further arguments of RunningInstance.
+    """
+
+    async def with_instance():
+        running = RunningInstance(kv, tmp_path / 'none', **options)
+        async with running:
+            return await scenario(running)
+
+    return asyncio.run(with_instance())
+
 
 class RunningInstance:
     """Runs an instance on free ports, with a recorded log.
