--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of the data path."""
 
+import functools
+
 import prometheus_client
 
 # Teams with a series of their own; all others share one.
@@ -35,17 +37,19 @@
     def __init__(self):
         registry = prometheus_client.CollectorRegistry()
         self.registry = registry
-        self.answers = prometheus_client.Counter(
+        counter = functools.partial(
+            prometheus_client.Counter, registry=registry
+        )
+        gauge = functools.partial(prometheus_client.Gauge, registry=registry)
+        self.answers = counter(
             'dandelionwinch_gateway_answers',
             'Final answers to callers',
             ['route', 'status'],
-            registry=registry,
         )
-        self.attempts = prometheus_client.Counter(
+        self.attempts = counter(
             'dandelionwinch_gateway_failed_attempts',
             'Attempts without a whole answer',
             ['fate'],
-            registry=registry,
         )
         self.seconds = prometheus_client.Histogram(
             'dandelionwinch_gateway_seconds',
@@ -55,56 +59,47 @@
             registry=registry,
         )
 
-        self.engine_crashes = prometheus_client.Counter(
+        self.engine_crashes = counter(
             'dandelionwinch_gateway_engine_crashes',
             'Crashes of upstreams under requests without an answer',
-            registry=registry,
         )
-        self.held_requests = prometheus_client.Counter(
+        self.held_requests = counter(
             'dandelionwinch_gateway_held_requests',
             'Requests refused as upstreams crash on them',
-            registry=registry,
         )
-        self.holds = prometheus_client.Gauge(
+        self.holds = gauge(
             'dandelionwinch_gateway_holds',
             'Parts of prompts, and calls, that are held',
-            registry=registry,
         )
-        self.limited_upstreams = prometheus_client.Gauge(
+        self.limited_upstreams = gauge(
             'dandelionwinch_gateway_limited_upstreams',
             'Upstreams that state a rate limit',
-            registry=registry,
         )
-        self.malformed_headers = prometheus_client.Counter(
+        self.malformed_headers = counter(
             'dandelionwinch_gateway_malformed_headers',
             'Headers of upstreams about themselves that cannot be read',
-            registry=registry,
         )
 
-        self.usage = prometheus_client.Counter(
+        self.usage = counter(
             'dandelionwinch_usage_requests',
             'Requests of teams that began to run',
             ['team'],
-            registry=registry,
         )
-        self.late_usage = prometheus_client.Counter(
+        self.late_usage = counter(
             'dandelionwinch_usage_late_requests',
             'Requests that were seen after the report of their window',
-            registry=registry,
         )
-        self.unauthorized_requests = prometheus_client.Counter(
+        self.unauthorized_requests = counter(
             'dandelionwinch_gateway_unauthorized_requests',
             'Requests refused as they had no valid key',
-            registry=registry,
         )
-        self.relay_messages = prometheus_client.Counter(
+        self.relay_messages = counter(
             'dandelionwinch_relay_messages',
             'Messages about changes of the store, by what became of them',
             ['result'],
-            registry=registry,
         )
         self._teams = set()
-        self._add_capacity(registry)
+        self._add_capacity(counter, gauge)
 
     def record_usage(self, team):
         """Records a request of a team that began to run."""
@@ -115,31 +110,27 @@
                 team = OTHER_TEAMS
         self.usage.labels(team).inc()
 
-    def _add_capacity(self, registry):
+    def _add_capacity(self, counter, gauge):
         """Adds what the holder of the order lease plans and orders."""
-        self.capacity_demand = prometheus_client.Gauge(
+        self.capacity_demand = gauge(
             'dandelionwinch_gateway_capacity_demand',
             'Work asked for, in engine seconds a second, at the holder',
             ['service'],
-            registry=registry,
         )
-        self.capacity_needed = prometheus_client.Gauge(
+        self.capacity_needed = gauge(
             'dandelionwinch_gateway_capacity_needed',
             'Upstreams that the forecast needs, at the holder',
             ['service'],
-            registry=registry,
         )
-        self.capacity_planned = prometheus_client.Gauge(
+        self.capacity_planned = gauge(
             'dandelionwinch_gateway_capacity_planned',
             'Upstreams that are planned, at the holder',
             ['service', 'kind'],
-            registry=registry,
         )
-        self.capacity_orders = prometheus_client.Counter(
+        self.capacity_orders = counter(
             'dandelionwinch_gateway_capacity_orders',
             'Orders of capacity by what became of them',
             ['result'],
-            registry=registry,
         )
 
     def record_response(self, route, status, outcome, stages):
