--- a/dandelionwinch/usage/_totals.py
+++ b/dandelionwinch/usage/_totals.py
@@ -18,6 +18,10 @@
 # An instance that has unsent counts sends them within a second. One that sent
 # nothing for this long has none, or has ended.
 SILENT_S = 2.0
+# The entry of an instance that is silent for 3 s may lapse meanwhile, so that
+# one that is not registered is awaited for longer. It sends its total again
+# within MIN_REPEAT_S of gateway._usage_sharing.
+AWAITED_S = 5.0
 
 
 @attrs.frozen
@@ -148,9 +152,10 @@
     def missing(self, window, names, now):
         """Returns the instances whose final total is awaited.
 
-        An instance that stops is no longer registered, and is awaited while
-        it is heard. One that started after the end of the window has no
-        total of it.
+        An instance that stops sends its final totals. One that is no longer
+        registered and did not send them is awaited for AWAITED_S, as it may
+        only have been silent. One that started after the end of the window
+        has no total of it.
 
         Args:
             window: Number of the window.
@@ -166,7 +171,7 @@
             known = source.windows.get(window)
             if incarnation >= end_ms or (known is not None and known.final):
                 done.add(name)
-            elif now - source.heard_at <= SILENT_S:
+            elif now - source.heard_at <= AWAITED_S:
                 awaited.add(name)
         return awaited | {name for name in names if name not in done}
 
