--- a/dandelionwinch/ratelimits/_granter.py
+++ b/dandelionwinch/ratelimits/_granter.py
@@ -27,6 +27,15 @@
 # Difference between the share that an instance has and the one that its
 # demand calls for, as a part of the former, up to which it keeps it.
 KEPT_DIFFERENCE = 0.25
+# Time after which an instance that has not asked again when it should is taken
+# for silent: that of a datagram and of the timers.
+LATE_S = 0.15
+# Time after the end of its lease for which a silent instance counts as using
+# an even part, as one that gets no answers does.
+SILENT_S = 10.0
+# Last demand of an instance that has no more to send: an instance asks until
+# its demand, which decays, is close to 0.
+QUIET_DEMAND_PER_S = 0.05
 
 
 @attrs.frozen
@@ -69,16 +78,25 @@
         demand_per_s: Its demand.
         share: Share that it was granted.
         until: Time up to which it has the share.
-        forget_at: Time from which it no longer counts as asking.
+        due_at: Time at which it should ask again.
+        forget_at: Time from which it no longer counts at all.
         replaced: Whether its share goes to another instance.
     """
 
     demand_per_s: float = 0.0
     share: float = 0.0
     until: float = 0.0
+    due_at: float = 0.0
     forget_at: float = 0.0
     replaced: bool = False
 
+    def taken(self, even_part, now):
+        """Returns the share that it may use."""
+        share = self.share if self.until > now else 0.0
+        if now <= self.due_at + LATE_S:
+            return share
+        return max(share, even_part)
+
 
 class Granter:
     """Grants the shares of one upstream's limit.
@@ -108,22 +126,22 @@
         self._forget(now)
         user = self._record(req, now)
         most_users = int(limit_per_s) + EXTRA_USERS
-        others = [
-            u
-            for u in self._users.values()
-            if u is not user and u.share and u.until > now
-        ]
+        rest = [u for u in self._users.values() if u is not user]
+        others = [u for u in rest if u.share and u.until > now]
         share = 0.0
         if len(others) < most_users and not user.replaced:
             wanted = self._wanted_share(user, others, now)
             if now - self._began_at < WARM_UP_S:
                 wanted = 1.0 / min(instances, most_users)
-            taken = sum(u.share for u in others)
+            taken = sum(u.taken(1.0 / instances, now) for u in rest)
             share = max(0.0, min(wanted, 1.0 - taken))
-        next_s = self._next_s(user, others, share)
+        next_s = self._next_s(user, rest, others, share, now)
         user.share = share
         user.replaced = False
+        user.due_at = now + next_s
         user.until = user.forget_at = now + LEASE_INTERVALS * next_s
+        if user.demand_per_s > QUIET_DEMAND_PER_S:
+            user.forget_at += SILENT_S
         return Grant(share, LEASE_INTERVALS * next_s, next_s)
 
     @staticmethod
@@ -138,7 +156,8 @@
             return kept
         return wanted
 
-    def _next_s(self, user, others, share):
+    @staticmethod
+    def _next_s(user, rest, others, share, now):
         """Returns when an instance should ask again.
 
         One that has much more demand than another with a share takes its
@@ -151,7 +170,8 @@
             if user.demand_per_s > REPLACE_FACTOR * least.demand_per_s:
                 least.replaced = True
                 return MIN_INTERVAL_S
-        return max(MIN_INTERVAL_S, len(self._users) / ASKS_PER_S)
+        asking = 1 + sum(u.until > now for u in rest)
+        return max(MIN_INTERVAL_S, asking / ASKS_PER_S)
 
     def _forget(self, now):
         over = [n for n, user in self._users.items() if user.forget_at <= now]
--- a/dandelionwinch/tests/test_silent_instances.py
+++ b/dandelionwinch/tests/test_silent_instances.py
@@ -4,8 +4,10 @@
 
 import pytest
 
+from dandelionwinch.tests import test_limit_sharing
 from dandelionwinch.tests import test_usage
 from dandelionwinch.tests import usage_harness
+from dandelionwinch.tests import virtual
 
 SILENT_S = 3.0
 # Earliest time after its last renewal but one at which an entry lapses.
@@ -32,3 +34,41 @@
         site.check(test_usage.full_windows(site))
 
     usage_harness.run(scenario)
+
+
+def shares(site):
+    """Returns the share of a limit that each instance uses now."""
+    now = asyncio.get_running_loop().time()
+    return {n: site.upstream(n).rate_limit.share(now) for n in site.links}
+
+
+@pytest.mark.parametrize('wanted', ['even', 'one_has_most', 'few_have_all'])
+@pytest.mark.parametrize('grants', [True, False])
+def test_shares_of_a_limit_never_exceed_it_while_one_is_silent(wanted, grants):
+    """A silent granting instance granted itself what others had used.
+
+    These used even parts meanwhile, and all together 1.83 times the limit.
+    """
+
+    async def scenario():
+        rates = getattr(test_limit_sharing, wanted)(6)
+        site = test_limit_sharing.Site(6, rates, 8.0)
+        await asyncio.sleep(8.0)
+        found = shares(site)
+        name = site.sharings['i0']._owner(test_limit_sharing._key(site))
+        if not grants:
+            del found[name]
+            name = max(found, key=found.get)
+        site.network.cut_off.add(site.addresses[name])
+        loop = asyncio.get_running_loop()
+        loop.call_later(SILENT_S, site.network.cut_off.clear)
+        totals = []
+        while loop.time() < 8.0 + 2 * SILENT_S:
+            await asyncio.sleep(0.05)
+            totals.append(sum(shares(site).values()))
+        site.close()
+        return max(totals), site.sent(12.0, 14.0) / 2.0
+
+    total, used_after = virtual.run(scenario())
+    assert total <= 1.01
+    assert used_after >= 0.7 * 8.0
