--- a/dandelionwinch/tests/test_silent_instances.py
+++ b/dandelionwinch/tests/test_silent_instances.py
@@ -1,9 +1,19 @@
 """Instances that the others do not hear for 3 s, and that go on."""
 
 import asyncio
+import random
 
+import prometheus_client
 import pytest
 
+from dandelionwinch import capacity
+from dandelionwinch.control import _duty_calls
+from dandelionwinch.control import _lease_holder
+from dandelionwinch.control import _workers
+from dandelionwinch.tests import relay_harness
+from dandelionwinch.tests import test_capacity_duty
+from dandelionwinch.tests import test_control
+from dandelionwinch.tests import test_lease_holder
 from dandelionwinch.tests import test_limit_sharing
 from dandelionwinch.tests import test_usage
 from dandelionwinch.tests import usage_harness
@@ -72,3 +82,75 @@
     total, used_after = virtual.run(scenario())
     assert total <= 1.01
     assert used_after >= 0.7 * 8.0
+
+
+def test_the_holder_of_the_duties_stays_while_it_is_silent():
+    """Whether it is the holder is asked of the store alone."""
+
+    async def scenario(world):
+        world.items.remove(_lease_holder.HOLDER_KEY)
+        test_control.put_config(world.items, 1)
+        loop = asyncio.get_running_loop()
+        holders, held = [], []
+        for node in world.nodes.values():
+            calls = _duty_calls.DutyCalls(
+                loop,
+                test_lease_holder.Api(),
+                node.log,
+                prometheus_client.CollectorRegistry(),
+            )
+            holder = _lease_holder.LeaseHolder(
+                loop,
+                node.store,
+                node.sync,
+                _workers.DutyRunner(loop, [], calls, node.log),
+                node.log,
+                random.Random(node.name),
+                node.cfg,
+                loop.time,
+            )
+            holder.start()
+            holders.append(holder)
+        await asyncio.sleep(10.0)
+        (name,) = [h._name for h in holders if h.token]
+        world.network.cut_off.add(world.nodes[name].addr)
+        for _step in range(int(2 * SILENT_S / 0.1)):
+            await asyncio.sleep(0.1)
+            held.append([h._name for h in holders if h.may_act(h.token)])
+            if len(held) == SILENT_S / 0.1:
+                world.network.cut_off.clear()
+        acquired = [
+            node.log.names().count('orders.held')
+            for node in world.nodes.values()
+        ]
+        for holder in holders:
+            holder.close()
+        return held, name, sum(acquired)
+
+    held, name, acquired = relay_harness.run(scenario, 6, 2)
+    assert acquired == 1
+    assert held == [[name]] * len(held)
+
+
+@pytest.mark.parametrize('silent', [0, 5])
+@pytest.mark.parametrize('demands', [[1.5] * 6, [0.1] * 5 + [8.0]])
+def test_no_capacity_is_ordered_as_an_instance_is_silent(demands, silent):
+    """The demand is scaled for those that are not heard, and sinks slowly."""
+
+    async def scenario(holder):
+        test_control.put_instances(holder.items, 6)
+        site = test_capacity_duty.Site(6, {})
+        for link, work in zip(site.links, demands, strict=True):
+            link._meter.demands = {'s': capacity.Demand(work, 0.0)}
+        holder.gateway.demand = site.links[0]
+        await holder.perform(100.0)
+        before = list(holder.platform.calls)
+        site.network.cut_off.add((f'10.0.0.{silent}', 7000))
+        await holder.perform(SILENT_S)
+        site.network.cut_off.clear()
+        await holder.perform(20.0)
+        site.close()
+        assert before
+        assert holder.platform.calls == before
+
+    test_capacity_duty.run_holder(scenario)
