--- a/dandelionwinch/limits/_call_counts.py
+++ b/dandelionwinch/limits/_call_counts.py
@@ -7,8 +7,8 @@
 # Tolerance of the length of a period, as timers may be late.
 TOLERANCE_S = 0.5
 # Time for which the counts of an instance are used. They come once a second,
-# so that two of them may be lost.
-VALID_S = 3.2
+# so that an instance may be silent for 3 s.
+VALID_S = 4.2
 # Shortest time that counts are divided by, which bounds forged rates.
 MIN_SPAN_S = 0.5
 # Refused calls that are remembered, so that their repeats are known.
--- a/dandelionwinch/tests/test_silent_instances.py
+++ b/dandelionwinch/tests/test_silent_instances.py
@@ -13,6 +13,7 @@
 from dandelionwinch.tests import relay_harness
 from dandelionwinch.tests import test_capacity_duty
 from dandelionwinch.tests import test_control
+from dandelionwinch.tests import test_fair_sharing
 from dandelionwinch.tests import test_lease_holder
 from dandelionwinch.tests import test_limit_sharing
 from dandelionwinch.tests import test_usage
@@ -154,3 +155,23 @@
         assert holder.platform.calls == before
 
     test_capacity_duty.run_holder(scenario)
+
+
+@pytest.mark.parametrize('silent', [0, 3])
+def test_shares_of_teams_stay_while_an_instance_is_silent(silent):
+    """Counts lapsed after 3.2 s, and came 4 s after those before the silence.
+
+    With the holder silent, no team had to give way for a second.
+    """
+    large_at = {'large': 3} | dict.fromkeys(test_fair_sharing.TEAMS[1:], 2)
+
+    async def scenario(site):
+        await site.run(8, large_at)
+        site.network.cut_off.add(site.addresses[f'i{silent}'])
+        for second in range(6):
+            await site.run(1, large_at)
+            if second == SILENT_S - 1:
+                site.network.cut_off.clear()
+            assert all(s.excess('s', 'large') for s in site.sharings)
+
+    test_fair_sharing.run_site(scenario, 6)
