--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -243,6 +243,11 @@
         """Tells whether items wait to be read, or the connection failed."""
         return bool(self._items) or not self.usable
 
+    @property
+    def quiet(self):
+        """Tells whether nothing arrived that the event loop has not read."""
+        return not _unread.waiting_bytes(self._transport)
+
     def send(self, data):
         """Sends a request.
 
--- a/dandelionwinch/gateway/_pool.py
+++ b/dandelionwinch/gateway/_pool.py
@@ -141,7 +141,10 @@
         now = self._loop.time()
         while self._idle:
             conn = self._idle.pop()
-            if conn.usable and conn.reusable_until - min_keep_alive_s > now:
+            lasts = conn.reusable_until - min_keep_alive_s > now
+            # Bytes that came while it was idle may be a late copy of an
+            # answer, which would be taken for that to the next request.
+            if conn.usable and lasts and conn.quiet:
                 return conn
             self._close(conn)
         return None
--- a/dandelionwinch/gateway/_unread.py
+++ b/dandelionwinch/gateway/_unread.py
@@ -1,4 +1,4 @@
-"""What the peer of a connection has not accepted yet."""
+"""What the peer of a connection, or this process, has not read yet."""
 
 import fcntl
 import struct
@@ -15,8 +15,22 @@
         transport: Transport of a TCP connection.
     """
     waiting = transport.get_write_buffer_size()
+    return waiting + _queued_bytes(transport, termios.TIOCOUTQ)
+
+
+def waiting_bytes(transport):
+    """Returns the bytes that have arrived and the event loop has not read.
+
+    Args:
+        transport: Transport of a TCP connection.
+    """
+    return _queued_bytes(transport, termios.FIONREAD)
+
+
+def _queued_bytes(transport, request):
+    """Returns the bytes in a queue of the system, 0 without a socket."""
     sock = transport.get_extra_info('socket')
     if sock is None or sock.fileno() < 0:
-        return waiting
-    answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-    return waiting + struct.unpack('i', answer)[0]
+        return 0
+    answer = fcntl.ioctl(sock.fileno(), request, bytes(4))
+    return struct.unpack('i', answer)[0]
