--- a/dandelionwinch/gateway/_limit_link.py
+++ b/dandelionwinch/gateway/_limit_link.py
@@ -67,7 +67,7 @@
     def send_request(self, key, statement, req, addr):
         """Asks an instance for a share."""
         stated = self._stated(statement)
-        demand, left_s = round(req.demand_per_s, 3), round(req.share_left_s, 3)
+        demand, left_s = round(req.demand, 3), round(req.share_left_s, 3)
         message = ['share?', *key, *stated, demand, req.share, left_s]
         self._link.send(message, addr)
 
--- a/dandelionwinch/gateway/_limit_sharing.py
+++ b/dandelionwinch/gateway/_limit_sharing.py
@@ -9,10 +9,10 @@
 
 import attrs
 
+from dandelionwinch.gateway import _granting_instances
 from dandelionwinch.gateway import _limit_link
 from dandelionwinch import ratelimits
 from dandelionwinch import upstreams
-from dandelionwinch import utils
 
 # Interval of the periodic work while limits are in force, and otherwise.
 TICK_S = 0.1
@@ -74,14 +74,13 @@
         '_asked',
         '_fleet',
         '_granters',
+        '_instances',
         '_limited',
         '_link',
         '_log',
         '_loop',
         '_metrics',
         '_name',
-        '_owners',
-        '_owners_of',
         '_pending',
         '_rng',
         '_tick_at',
@@ -105,9 +104,9 @@
         self._told = {}
         # Notices to the others that wait, by the same key.
         self._pending = {}
-        # Instance that grants the shares, for the names it was chosen from.
-        self._owners = {}
-        self._owners_of = frozenset()
+        self._instances = _granting_instances.GrantingInstances(
+            self._link, name, fleet
+        )
         self._asked = False
         self._tick_at = None
         self._timer = None
@@ -134,7 +133,7 @@
         if not upstream.rate_limit.in_force and statement.rate_per_s is None:
             upstream.rate_limit.statement = statement
             return
-        key = _key_of(upstream)
+        key = _granting_instances.key_of(upstream)
         self._apply(key, upstream, statement, 'own')
         if _differ(statement.rate_per_s, self._told.get(key)):
             self._tell_soon(key, statement.rate_per_s)
@@ -194,7 +193,7 @@
             upstream = limited.upstream
         else:
             upstream = self._fleet.registry.get(key[0])
-            if upstream is None or _key_of(upstream) != key:
+            if upstream is None or _granting_instances.key_of(upstream) != key:
                 return None
         return upstream if upstream.gone_at is None else None
 
@@ -240,13 +239,13 @@
         if self._owner(key) != self._name:
             # The instances do not agree yet on who grants.
             return ratelimits.Grant(
-                1.0 / self._instances(), EVEN_PART_S, ANSWER_TIMEOUT_S
+                1.0 / self._instances.count(), EVEN_PART_S, ANSWER_TIMEOUT_S
             )
         granter = self._granters.get(key)
         if granter is None:
             granter = self._granters[key] = ratelimits.Granter(now)
         limit_per_s = upstream.rate_limit.limit_per_s()
-        return granter.grant(req, limit_per_s, self._instances(), now)
+        return granter.grant(req, limit_per_s, self._instances.count(), now)
 
     def take_grant(self, key, grant, sender):
         """Takes over a share that another instance granted."""
@@ -284,23 +283,9 @@
             source=source,
         )
 
-    def _instances(self):
-        known = 1 + len(self._link.peers)
-        return max(known, round(self._fleet.capacity_ratio))
-
     def _owner(self, key):
         """Returns the name of the instance that grants the shares."""
-        names = self._link.peers.keys()
-        if names != self._owners_of:
-            self._owners_of = frozenset(names)
-            self._owners.clear()
-        if key not in self._owners:
-
-            def score(name):
-                return utils.rendezvous_score(1.0, *key, name)
-
-            self._owners[key] = max([self._name, *names], key=score)
-        return self._owners[key]
+        return self._instances.of(key)
 
     def _ask(self, key, limited, now):
         """Asks for a share; here if this instance grants them."""
@@ -329,7 +314,7 @@
             limited.unanswered += 1
         ends_soon = allowance.share_left_s(now) < 2 * ANSWER_TIMEOUT_S
         if limited.unanswered >= MAX_UNANSWERED and ends_soon:
-            part = 1.0 / self._instances()
+            part = 1.0 / self._instances.count()
             allowance.grant(part, now + EVEN_PART_S, now)
             self._log_share(limited, part, 'even', now)
         if allowance.demand_per_s(now) >= MIN_DEMAND_PER_S:
@@ -370,10 +355,6 @@
         return self._rng.sample(addresses, min(count, len(addresses)))
 
 
-def _key_of(upstream):
-    return upstream.entry.id, upstreams.digest(upstream.entry.incarnation)
-
-
 def _differ(rate_per_s, told):
     """Tells whether a limit, None for none, is news after another one."""
     if told is None or rate_per_s is None:
--- a/dandelionwinch/ratelimits/_granter.py
+++ b/dandelionwinch/ratelimits/_granter.py
@@ -35,13 +35,13 @@
 
     Attributes:
         instance: Name of the instance.
-        demand_per_s: Requests a second that it sends or would send.
+        demand: What it uses or would use, in the unit of the limit.
         share: Share that it has now, 0 to 1.
         share_left_s: Time in seconds for which it has it.
     """
 
     instance: str
-    demand_per_s: float
+    demand: float
     share: float
     share_left_s: float
 
@@ -62,18 +62,18 @@
 
 
 @attrs.define
-class _User:
+class User:
     """What is known of an instance that asks.
 
     Attributes:
-        demand_per_s: Its demand.
+        demand: Its demand.
         share: Share that it was granted.
         until: Time up to which it has the share.
         forget_at: Time from which it no longer counts as asking.
         replaced: Whether its share goes to another instance.
     """
 
-    demand_per_s: float = 0.0
+    demand: float = 0.0
     share: float = 0.0
     until: float = 0.0
     forget_at: float = 0.0
@@ -89,16 +89,19 @@
 
     __slots__ = ('_began_at', '_users')
 
+    _user_class = User
+
     def __init__(self, now):
         self._began_at = now
         self._users = {}
 
-    def grant(self, req, limit_per_s, instances, now):
+    def grant(self, req, limit, instances, now):
         """Answers a request for a share.
 
         Args:
             req: Request.
-            limit_per_s: Requests a second that all instances may send.
+            limit: The limit, in requests a second that all instances may
+                send.
             instances: Number of instances.
             now: Time in seconds.
 
@@ -107,32 +110,35 @@
         """
         self._forget(now)
         user = self._record(req, now)
-        most_users = int(limit_per_s) + EXTRA_USERS
         others = [
             u
             for u in self._users.values()
             if u is not user and u.share and u.until > now
         ]
-        share = 0.0
-        if len(others) < most_users and not user.replaced:
-            wanted = self._wanted_share(user, others, now)
-            if now - self._began_at < WARM_UP_S:
-                wanted = 1.0 / min(instances, most_users)
-            taken = sum(u.share for u in others)
-            share = max(0.0, min(wanted, 1.0 - taken))
+        share = self._share(user, others, limit, instances, now)
         next_s = self._next_s(user, others, share)
         user.share = share
         user.replaced = False
         user.until = user.forget_at = now + LEASE_INTERVALS * next_s
         return Grant(share, LEASE_INTERVALS * next_s, next_s)
 
+    def _share(self, user, others, limit, instances, now):
+        most_users = int(limit) + EXTRA_USERS
+        if len(others) >= most_users or user.replaced:
+            return 0.0
+        wanted = self._wanted_share(user, others, now)
+        if now - self._began_at < WARM_UP_S:
+            wanted = 1.0 / min(instances, most_users)
+        taken = sum(u.share for u in others)
+        return max(0.0, min(wanted, 1.0 - taken))
+
     @staticmethod
     def _wanted_share(user, others, now):
         """Returns the share of an instance in proportion to its demand."""
-        total = sum(u.demand_per_s for u in others) + user.demand_per_s
+        total = sum(u.demand for u in others) + user.demand
         if not total:
             return 1.0 / (1 + len(others))
-        wanted = user.demand_per_s / total
+        wanted = user.demand / total
         kept = user.share if user.until > now else 0.0
         if abs(wanted - kept) < KEPT_DIFFERENCE * kept:
             return kept
@@ -147,8 +153,8 @@
         if share:
             return max(MIN_INTERVAL_S, (1 + len(others)) / ASKS_PER_S)
         if others:
-            least = min(others, key=lambda u: u.demand_per_s)
-            if user.demand_per_s > REPLACE_FACTOR * least.demand_per_s:
+            least = min(others, key=lambda u: u.demand)
+            if user.demand > REPLACE_FACTOR * least.demand:
                 least.replaced = True
                 return MIN_INTERVAL_S
         return max(MIN_INTERVAL_S, len(self._users) / ASKS_PER_S)
@@ -162,7 +168,7 @@
         user = self._users.get(req.instance)
         if user is None:
             until = now + req.share_left_s
-            user = _User(share=req.share, until=until)
+            user = self._user_class(share=req.share, until=until)
             self._users[req.instance] = user
-        user.demand_per_s = req.demand_per_s
+        user.demand = req.demand
         return user
