--- a/dandelionwinch/limits/__init__.py
+++ b/dandelionwinch/limits/__init__.py
@@ -3,6 +3,7 @@
 from dandelionwinch.limits._admission import Admission
 from dandelionwinch.limits._body_bounds import BodiesInFlight
 from dandelionwinch.limits._body_bounds import BytesBound
+from dandelionwinch.limits._body_bounds import FREE_BYTES
 from dandelionwinch.limits._body_bounds import most_bytes
 from dandelionwinch.limits._body_bounds import team_above_half
 from dandelionwinch.limits._call_counts import CallCounts
@@ -15,6 +16,8 @@
 from dandelionwinch.limits._call_queue import Refuse
 from dandelionwinch.limits._call_queue import Send
 from dandelionwinch.limits._call_queue import Wait
+from dandelionwinch.limits._crash_log import CrashLog
+from dandelionwinch.limits._crash_log import CrashReport
 from dandelionwinch.limits._fair_shares import Excess
 from dandelionwinch.limits._fair_shares import find_excesses
 from dandelionwinch.limits._fair_shares import find_shares
@@ -34,7 +37,10 @@
     'CallCounts',
     'CallQueue',
     'CallTotals',
+    'CrashLog',
+    'CrashReport',
     'Excess',
+    'FREE_BYTES',
     'FairOrder',
     'MAX_EXCESSES',
     'QueuedCall',
--- a/dandelionwinch/limits/_body_bounds.py
+++ b/dandelionwinch/limits/_body_bounds.py
@@ -19,6 +19,9 @@
 # this part of it, so that no large body has small ones refused.
 SMALL_DIVISOR = 64
 RESERVE_DIVISOR = 16
+# Bodies up to this size need no share of a divided bound: the slots of an
+# upstream bound their number, and usual calls cause no datagram.
+FREE_BYTES = 1 << 12
 
 
 def most_bytes(max_body_bytes):
@@ -33,13 +36,20 @@
 class BytesBound:
     """The bound of one service; each crash under many bytes halves it."""
 
-    __slots__ = ('_changed_at', '_reduced')
+    __slots__ = ('_before', '_changed_at', '_reduced')
 
     def __init__(self):
-        # The bound after a crash, None without one.
+        # The bound after a crash, None without one, and that before the
+        # first crash.
         self._reduced = None
+        self._before = 0
         self._changed_at = 0.0
 
+    @property
+    def learnt(self):
+        """The bound after crashes in bytes, None without one."""
+        return self._reduced
+
     def value(self, most):
         """Returns the bound in bytes.
 
@@ -52,8 +62,9 @@
         """Halves the bound if the upstream held enough bytes.
 
         Args:
-            held: Bytes of bodies that the upstream held.
-            most: The bound without crashes.
+            held: Bytes of bodies that the upstream held. Before the first
+                crash the instances together may have sent more than `most`.
+            most: The bound of one instance without crashes.
             now: Time in seconds.
 
         Returns:
@@ -61,20 +72,28 @@
         """
         if held <= CRASH_BYTES:
             return False
-        before = self.value(most)
-        self._reduced = max(MIN_BOUND_BYTES, before // 2)
+        before = self._reduced
+        if before is None:
+            before = self._before = max(most, held)
+        # An upstream that held more than the bound, which was not in force
+        # there yet, does not show that the bound is too high.
+        after = min(before, max(before, held) // 2)
+        self._reduced = max(MIN_BOUND_BYTES, after)
         self._changed_at = now
         return self._reduced != before
 
     def recover(self, most, now):
-        """Doubles the bound after RECOVERY_S; returns whether it has."""
-        if self._reduced is None or now - self._changed_at < RECOVERY_S:
-            return False
-        self._changed_at = now
-        self._reduced *= 2
-        if self._reduced >= most:
-            self._reduced = None
-        return True
+        """Doubles the bound after each RECOVERY_S; returns whether it has."""
+        recovered = False
+        while (
+            self._reduced is not None and now - self._changed_at >= RECOVERY_S
+        ):
+            recovered = True
+            self._changed_at += RECOVERY_S
+            self._reduced *= 2
+            if self._reduced >= max(most, self._before):
+                self._reduced = None
+        return recovered
 
 
 @attrs.define(eq=False)
@@ -115,33 +134,39 @@
     def __contains__(self, body):
         return body in self._bodies
 
-    def fits(self, size, bound):
+    def fits(self, size, bound, divided=False):
         """Tells whether a body may be sent without displacing another.
 
-        A single body is never refused. Those in the reserve don't count.
+        Where the bound is that of this instance alone, a single body is
+        never refused. Those in the reserve don't count.
 
         Args:
             size: Its bytes.
             bound: The bound in bytes.
+            divided: Whether it is a share of the bound of all instances.
         """
-        return not self.held or self.held + size <= bound
+        if not self.held and not divided:
+            return True
+        return self.held + size <= bound
 
-    def _fits_reserve(self, size, bound):
+    def _fits_reserve(self, size, bound, divided):
+        if divided:
+            return size <= FREE_BYTES
         reserved = sum(self._small.values())
         return (
             size <= bound // SMALL_DIVISOR
             and reserved + size <= bound // RESERVE_DIVISOR
         )
 
-    def admits(self, size, bound):
+    def admits(self, size, bound, divided=False):
         """Tells whether there is room for a body, or could be made."""
         return (
-            self.fits(size, bound)
-            or self._fits_reserve(size, bound)
-            or bool(self._find_displaced(size, bound))
+            self.fits(size, bound, divided)
+            or self._fits_reserve(size, bound, divided)
+            or bool(self._find_displaced(size, bound, divided))
         )
 
-    def admit(self, size, bound):
+    def admit(self, size, bound, divided=False):
         """Takes a body in if there is room for it.
 
         Larger ones that wait lose their places to it, the largest first.
@@ -151,12 +176,12 @@
         """
         body = Body(size)
         displaced = []
-        if not self.fits(size, bound):
-            if self._fits_reserve(size, bound):
+        if not self.fits(size, bound, divided):
+            if self._fits_reserve(size, bound, divided):
                 self._small[body] = size
                 self._bodies.add(body)
                 return body, displaced
-            displaced = self._find_displaced(size, bound)
+            displaced = self._find_displaced(size, bound, divided)
             if not displaced:
                 return None, displaced
         for other in displaced:
@@ -166,7 +191,7 @@
         self.held += size
         return body, displaced
 
-    def _find_displaced(self, size, bound):
+    def _find_displaced(self, size, bound, divided):
         """Returns the waiting bodies that give way, [] if all are too few."""
         larger = [b for b in self._bodies if b.waiting and b.size > size]
         larger.sort(key=lambda body: body.size, reverse=True)
@@ -174,7 +199,8 @@
         for body in larger:
             displaced.append(body)
             left -= body.size
-            if not left or left + size <= bound:
+            fits = left + size <= bound
+            if fits or (not left and not divided):
                 return displaced
         return []
 
