--- a/dandelionwinch/gateway/_byte_limits.py
+++ b/dandelionwinch/gateway/_byte_limits.py
@@ -2,8 +2,10 @@
 
 import prometheus_client
 
+from dandelionwinch.gateway import _byte_reports
+from dandelionwinch.gateway import _byte_shares
+from dandelionwinch.gateway import _learnt_bounds
 from dandelionwinch.gateway import _upstream_bytes
-from dandelionwinch import limits
 
 # Interval of the looks at what upstreams have read.
 POLL_S = 0.25
@@ -17,24 +19,29 @@
     Args:
         loop: The event loop.
         fleet: Fleet with the configuration.
+        link: PeerLink to the other instances.
+        name: Name of the local instance.
         log: EventLog.
         registry: Registry of the metrics.
+        rng: Source of randomness.
     """
 
     __slots__ = (
         '_active',
-        '_bounds',
+        '_bound_bytes',
         '_fleet',
         '_guards',
         '_held',
+        '_learnt',
         '_log',
         '_loop',
         '_server',
+        '_shares',
         '_stalled',
         '_timer',
     )
 
-    def __init__(self, loop, fleet, log, registry):
+    def __init__(self, loop, fleet, link, name, log, registry, rng):
         self._loop = loop
         self._fleet = fleet
         self._log = log
@@ -43,8 +50,13 @@
         self._guards = {}
         self._active = set()
         self._stalled = set()
-        # The BytesBound of each service whose upstreams crashed.
-        self._bounds = {}
+        reports = _byte_reports.ByteReports(log, registry)
+        self._learnt = _learnt_bounds.LearntBounds(
+            loop, fleet, link, name, log, reports, rng
+        )
+        self._shares = _byte_shares.ByteShares(
+            loop, fleet, link, name, self._learnt, reports
+        )
         self._server = None
         self._timer = None
         self._held = prometheus_client.Gauge(
@@ -53,13 +65,23 @@
             ['direction'],
             registry=registry,
         )
+        self._bound_bytes = prometheus_client.Gauge(
+            'dandelionwinch_gateway_bytes_bound',
+            'Bound learnt from crashes on the bytes held by an upstream',
+            ['service'],
+            registry=registry,
+        )
 
     def start(self):
         """Starts to observe the upstreams."""
+        self._learnt.start()
+        self._shares.start()
         self._tick()
 
     def close(self):
         """Stops it."""
+        self._learnt.close()
+        self._shares.close()
         if self._timer is not None:
             self._timer.cancel()
 
@@ -69,7 +91,9 @@
         Args:
             entry: Entry of the upstream that the pool leads to.
         """
-        guard = _upstream_bytes.UpstreamBytes(self._loop, entry, self)
+        guard = _upstream_bytes.UpstreamBytes(
+            self._loop, entry, self, self._shares
+        )
         self._guards[entry.incarnation] = guard
         return guard
 
@@ -104,35 +128,17 @@
         return found
 
     def bound(self, service):
-        """Returns the bound on the bodies in flight at one upstream."""
-        bound = self._bounds.get(service)
-        most = self._most()
-        return most if bound is None else bound.value(most)
-
-    def _most(self):
-        table = self._fleet.table
-        return limits.most_bytes(table.limits.max_body_bytes if table else 0)
+        """Returns the bound on this instance's bodies at one upstream."""
+        learnt = self._learnt.bytes(service)
+        most = self._learnt.most()
+        return most if learnt is None else min(most, learnt)
 
     def crashed(self, upstream):
         """Records that an upstream crashed."""
-        entry = upstream.entry
-        guard = self._guards.get(entry.incarnation)
-        if guard is None:
-            return
-        held, now = guard.held_at_crash(), self._loop.time()
-        bound = self._bounds.setdefault(entry.service, limits.BytesBound())
-        if bound.record_crash(held, self._most(), now):
-            self._log_bound(entry.service, 'crashed', entry.id, held)
-
-    def _log_bound(self, service, why, upstream_id=None, held=None):
-        self._log.event(
-            'upstream.bytes_bound',
-            service=service,
-            bytes=self.bound(service),
-            why=why,
-            upstream=upstream_id,
-            held=held,
-        )
+        guard = self._guards.get(upstream.entry.incarnation)
+        held = 0 if guard is None else guard.held_at_crash()
+        if held:
+            self._learnt.record_crash(upstream, held, guard.known_total())
 
     def stall_changed(self, guard):
         """Records that an upstream has stopped to read, or reads again."""
@@ -166,15 +172,16 @@
             guard.observe(now)
             if guard.idle:
                 self._active.discard(guard)
-        for service, bound in self._bounds.items():
-            if bound.recover(self._most(), now):
-                self._log_bound(service, 'quiet')
         self._update_metrics()
         self._timer = self._loop.call_later(POLL_S, self._tick)
 
     def _update_metrics(self):
         unread = sum(guard.watch.unread_bytes for guard in self._active)
         self._held.labels('to_upstreams').set(unread)
+        self._bound_bytes.clear()
+        for service in self._learnt.services():
+            learnt = self._learnt.bytes(service)
+            self._bound_bytes.labels(service).set(learnt)
         if self._server is not None:
             bodies, responses = self._server.held()
             self._held.labels('from_callers').set(bodies)
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -120,7 +120,13 @@
         self.metrics = _metrics.Metrics()
         if cfg.limits_held_bytes:
             self.fleet.byte_limits = _byte_limits.ByteLimits(
-                loop, self.fleet, log, self.metrics.registry
+                loop,
+                self.fleet,
+                self.peers,
+                cfg.instance,
+                log,
+                self.metrics.registry,
+                self.rng,
             )
         self._refusals = _refusals.Refusals(wire_codec, log, self.metrics)
         self._limits = _limit_sharing.LimitSharing(
--- a/dandelionwinch/gateway/_granting_instances.py
+++ b/dandelionwinch/gateway/_granting_instances.py
@@ -8,7 +8,7 @@
     """Returns the key of one incarnation of an upstream in datagrams.
 
     Args:
-        upstream: The Upstream.
+        upstream: The Upstream, or another object with its `entry`.
 
     Returns:
         Its id, and the digest of its incarnation.
--- a/dandelionwinch/gateway/_pool.py
+++ b/dandelionwinch/gateway/_pool.py
@@ -27,6 +27,14 @@
 
     __slots__ = ()
 
+    async def await_room(self, size, timeout_s):
+        """Waits for room for a body, where there may be some soon.
+
+        Args:
+            size: Bytes of the body.
+            timeout_s: Longest wait in seconds.
+        """
+
     def reserve(self, size):
         """Returns a reservation for a body, or raises NoRoom.
 
@@ -111,6 +119,7 @@
             NotConnected: If a new one could not be established.
         """
         deadline = self._loop.time() + timeout_s
+        await self._guard.await_room(body_bytes, timeout_s)
         reservation = self._guard.reserve(body_bytes)
         try:
             conn = await self._take(
--- a/dandelionwinch/gateway/_upstream_bytes.py
+++ b/dandelionwinch/gateway/_upstream_bytes.py
@@ -1,13 +1,17 @@
 """The requests in flight at one upstream, as far as it has read them."""
 
 from dandelionwinch.gateway import _connection
+from dandelionwinch.gateway import _granting_instances
 from dandelionwinch.gateway import _pool
 from dandelionwinch import limits
+from dandelionwinch import ratelimits
 
 # Bytes that a caller must read before reading from its upstream resumes. A
 # larger step would leave the upstream without progress for so long that it
 # gives up a response which its caller reads slowly but steadily.
 READ_STEP_BYTES = 1 << 14
+# Age up to which what all instances held counts as held at a crash.
+MAX_TOTAL_AGE_S = 2.0
 
 
 class UpstreamBytes(_pool.Guard):
@@ -17,9 +21,12 @@
         loop: The event loop.
         entry: Entry of the upstream.
         owner: The ByteLimits.
+        shares: ByteShares, None if no bound is ever divided.
 
     Attributes:
+        allowance: Share of the bound that this instance has.
         entry: Entry of the upstream.
+        key: Key of its incarnation in datagrams.
         watch: Its StallWatch.
     """
 
@@ -28,22 +35,28 @@
         '_conns',
         '_loop',
         '_owner',
+        '_shares',
         '_trial',
         '_waiters',
+        'allowance',
         'entry',
+        'key',
         'watch',
     )
 
-    def __init__(self, loop, entry, owner):
+    def __init__(self, loop, entry, owner, shares=None):
         self._loop = loop
         self._owner = owner
+        self._shares = shares
         self._bodies = limits.BodiesInFlight()
         # The Body of each connection in use, and the waits for connections.
         self._conns = {}
         self._waiters = {}
         # The Body that was admitted as a trial while it is stalled.
         self._trial = None
+        self.allowance = ratelimits.BytesAllowance()
         self.entry = entry
+        self.key = _granting_instances.key_of(self)
         self.watch = limits.StallWatch()
 
     def admits(self):
@@ -52,9 +65,35 @@
         return self.watch.admits(trial_in_flight, self._loop.time())
 
     def has_room(self, size):
-        """Tells whether a body of a size may be sent."""
+        """Tells whether a body of a size may be sent, or may be soon."""
+        if self.fits(size):
+            return True
+        return self._divided and self._shares.may_have_room(self, size)
+
+    def fits(self, size):
+        """Tells whether a body of a size may be sent now."""
+        return self._bodies.admits(size, self._bound(), self._divided)
+
+    @property
+    def held(self):
+        """Bytes of the bodies of this instance that count to the bound."""
+        return self._bodies.held
+
+    @property
+    def _divided(self):
+        shares = self._shares
+        return shares is not None and shares.divides(self.entry.service)
+
+    def _bound(self):
         bound = self._owner.bound(self.entry.service)
-        return self._bodies.admits(size, bound)
+        if not self._divided:
+            return bound
+        return min(bound, self._shares.limit(self))
+
+    async def await_room(self, size, timeout_s):
+        """Waits for room where the bound is divided among instances."""
+        if self._divided and not self.fits(size):
+            await self._shares.await_room(self, size, timeout_s)
 
     @property
     def idle(self):
@@ -69,10 +108,12 @@
         """
         if not self.admits():
             raise self._stopped()
-        bound = self._owner.bound(self.entry.service)
-        body, displaced = self._bodies.admit(size, bound)
+        divided = self._divided
+        body, displaced = self._bodies.admit(size, self._bound(), divided)
         if body is None:
             raise self._full()
+        if divided and size > limits.FREE_BYTES:
+            self._shares.sent(self, size)
         if self.watch.stalled:
             self._trial = body
             self.watch.begin_trial(self._loop.time())
@@ -143,6 +184,11 @@
         """Returns the bytes of bodies that it held when it crashed."""
         return self._bodies.held_at_crash(self._loop.time())
 
+    def known_total(self):
+        """Returns the bytes that all instances held when last heard of."""
+        age_s = self._loop.time() - self.allowance.total_at
+        return self.allowance.total if age_s <= MAX_TOTAL_AGE_S else 0
+
     def record_response(self):
         """Records the head of a response, which shows that it reads."""
         if self.watch.record_response():
