--- a/dandelionwinch/gateway/_byte_shares.py
+++ b/dandelionwinch/gateway/_byte_shares.py
@@ -109,10 +109,15 @@
             size: Bytes of the body.
             timeout_s: Longest wait in seconds.
         """
-        now = self._loop.time()
-        until = now + min(ROOM_WAIT_S, timeout_s)
+        guard.allowance.begin_wait(size)
+        try:
+            until = self._loop.time() + min(ROOM_WAIT_S, timeout_s)
+            await self._await_room(guard, size, until)
+        finally:
+            guard.allowance.end_wait(size)
+
+    async def _await_room(self, guard, size, until):
         key, allowance = guard.key, guard.allowance
-        allowance.record_wait(size, now)
         asked = allowance.number
         self._use(key, guard)
         while not guard.fits(size):
@@ -134,9 +139,8 @@
             if not waiting and self._answers.get(key) is waiting:
                 del self._answers[key]
 
-    def sent(self, guard, size):
+    def sent(self, guard):
         """Records that a body beyond the even part has been admitted."""
-        guard.allowance.record_sent(size)
         self._use(guard.key, guard)
 
     def _use(self, key, guard):
@@ -154,8 +158,12 @@
         even = ratelimits.even_part(bound, self._instances.count())
         if not allowance.is_wanted(guard.held, even, now):
             return
-        req = allowance.ask(self._name, guard.held, now)
         owner = self._instances.of(key)
+        if owner == self._name and not self._learnt.hears_others():
+            # The others may have chosen another one by now.
+            allowance.next_at = now + TICK_S
+            return
+        req = allowance.ask(self._name, guard.held, now)
         if owner == self._name:
             granter = self._granter(key, guard.entry.service)
             self._grant_own(key, granter, req, bound)
@@ -172,19 +180,22 @@
     def _granter(self, key, service):
         granter = self._granters.get(key)
         if granter is None:
-            began_at = self._learnt.since(service)
-            warm_up_s = 0.0
-            if began_at < self._names_at:
-                began_at = self._names_at
-                warm_up_s = self._instances.count()
-            granter = ratelimits.BytesGranter(
-                began_at, ratelimits.warm_up_s(warm_up_s)
-            )
-            self._granters[key] = granter
+            granter = self._granters[key] = self._new_granter(service)
         return granter
 
+    def _new_granter(self, service):
+        self._note_names()
+        learnt_at = self._learnt.since(service)
+        if learnt_at >= self._names_at:
+            # No share can be in force.
+            warm_up_s = ratelimits.warm_up_s(0)
+            return ratelimits.BytesGranter(learnt_at, warm_up_s)
+        warm_up_s = ratelimits.warm_up_s(self._instances.count())
+        return ratelimits.BytesGranter(self._names_at, warm_up_s)
+
     def take_request(self, key, number, req, addr):
         """Grants a share to another instance."""
+        self._learnt.heard()
         upstream = self._fleet.registry.get(key[0])
         if upstream is None or _granting_instances.key_of(upstream) != key:
             self._reports.count_unknown(key[0], req.instance)
@@ -208,11 +219,10 @@
 
     def take_grant(self, key, number, grant, bound, total):
         """Takes over a share that was granted to this instance."""
-        guard = self._used.get(key)
-        now = self._loop.time()
-        if guard is None or not guard.allowance.grant(
-            number, grant, bound, now
-        ):
+        guard, now = self._used.get(key), self._loop.time()
+        if guard is None:
+            return
+        if not guard.allowance.grant(number, grant, bound, now):
             return
         guard.allowance.set_total(*total, now)
         for answer in self._answers.get(key, ()):
@@ -262,9 +272,9 @@
         self._names = names
         self._names_at = now = self._loop.time()
         for granter in self._granters.values():
-            granter.forget_others({self._name, *names})
+            granter.keep_numbers({self._name, *names})
         for guard in self._used.values():
-            guard.allowance.next_at = now
+            guard.allowance.renew(now)
 
     def _schedule_tick(self):
         self.close()
--- a/dandelionwinch/gateway/_learnt_bounds.py
+++ b/dandelionwinch/gateway/_learnt_bounds.py
@@ -35,6 +35,10 @@
 ASKED_INSTANCES = 3
 ASKED_ROUNDS = 2
 PAUSED_S = 3.0
+# Time for which another instance counts as heard of, and the interval in which
+# it is sought otherwise.
+HEARD_S = 2.0
+SEEK_INTERVAL_S = 0.3
 
 
 class LearntBounds:
@@ -54,6 +58,7 @@
         '_asked',
         '_bounds',
         '_fleet',
+        '_heard_at',
         '_instances',
         '_link',
         '_log',
@@ -64,6 +69,7 @@
         '_reports',
         '_rng',
         '_since',
+        '_sought_at',
         '_tick_at',
         '_timer',
         '_told',
@@ -91,6 +97,8 @@
         self._pending = {}
         # How often other instances were asked for what they know.
         self._asked = 0
+        # Time at which another one was heard of, and was sought.
+        self._heard_at = self._sought_at = float('-inf')
         self._tick_at = None
         self._timer = None
 
@@ -112,6 +120,23 @@
         """Returns the time since which a service has a learnt bound."""
         return self._since[service]
 
+    def heard(self):
+        """Records that another instance was heard of."""
+        self._heard_at = self._loop.time()
+
+    def hears_others(self):
+        """Tells whether another instance was heard of; asks some if not.
+
+        One that is cut off does not know which others there are.
+        """
+        now = self._loop.time()
+        if now - self._heard_at <= HEARD_S:
+            return True
+        if now - self._sought_at >= SEEK_INTERVAL_S:
+            self._sought_at = now
+            self.ask(self._sample(ASKED_INSTANCES))
+        return False
+
     def services(self):
         """Returns the names of the services with a learnt bound."""
         return list(self._bounds)
@@ -171,7 +196,7 @@
             self._pending[crash_id] = self._loop.call_later(
                 LATE_S, functools.partial(self._tell, service, crash_id, False)
             )
-        if total <= self._told.get(crash_id, 0):
+        if total <= max(limits.CRASH_BYTES, self._told.get(crash_id, 0)):
             return
         self._told[crash_id] = total
         known = [r for r in log.reports(self._name) if r.crash_id == crash_id]
@@ -197,6 +222,7 @@
             self._told[report.crash_id] = max(told, report.total)
 
     def _take(self, service, reports, sender, held=False):
+        self.heard()
         if not self._knows(service):
             self._reports.count_unknown(service, sender)
             return []
@@ -247,7 +273,7 @@
 
     def take_question(self, addr):
         """Tells an instance the crashes that are known here."""
-        self._tell_known([addr], float('inf'))
+        self._tell_known([addr], float('inf'), min_age_s=0.0)
 
     def ask(self, addresses):
         """Asks instances for the crashes that they know."""
@@ -257,7 +283,7 @@
         """Counts a malformed datagram."""
         self._reports.count('invalid')
 
-    def _tell_known(self, addresses, max_age_s):
+    def _tell_known(self, addresses, max_age_s, min_age_s=MIN_TOLD_AGE_S):
         now = self._loop.time()
         for service, log in self._logs.items():
             age_s = now - log.newest_at()
@@ -266,7 +292,7 @@
             known = [
                 report
                 for report in log.reports(self._name)
-                if now - report.at >= MIN_TOLD_AGE_S
+                if now - report.at >= min_age_s
             ]
             self._link.send_sums(service, known, addresses)
 
--- a/dandelionwinch/gateway/_upstream_bytes.py
+++ b/dandelionwinch/gateway/_upstream_bytes.py
@@ -113,7 +113,7 @@
         if body is None:
             raise self._full()
         if divided and size > limits.FREE_BYTES:
-            self._shares.sent(self, size)
+            self._shares.sent(self)
         if self.watch.stalled:
             self._trial = body
             self.watch.begin_trial(self._loop.time())
--- a/dandelionwinch/limits/__init__.py
+++ b/dandelionwinch/limits/__init__.py
@@ -3,6 +3,7 @@
 from dandelionwinch.limits._admission import Admission
 from dandelionwinch.limits._body_bounds import BodiesInFlight
 from dandelionwinch.limits._body_bounds import BytesBound
+from dandelionwinch.limits._body_bounds import CRASH_BYTES
 from dandelionwinch.limits._body_bounds import FREE_BYTES
 from dandelionwinch.limits._body_bounds import most_bytes
 from dandelionwinch.limits._body_bounds import team_above_half
@@ -34,6 +35,7 @@
     'Admission',
     'BodiesInFlight',
     'BytesBound',
+    'CRASH_BYTES',
     'CallCounts',
     'CallQueue',
     'CallTotals',
--- a/dandelionwinch/ratelimits/_bytes_allowance.py
+++ b/dandelionwinch/ratelimits/_bytes_allowance.py
@@ -4,17 +4,12 @@
 granted, so that small bodies cause no request for a share.
 """
 
-import collections
-
 from dandelionwinch.ratelimits import _bytes_granter
 
-# Time for which the answer to a request for a share is awaited.
+# Time for which the answer to a request for a share is awaited; it doubles
+# with each that does not come, up to the second time.
 ANSWER_TIMEOUT_S = 0.3
-# Time for which a body that had no room counts as demand: its caller may send
-# it again.
-WAITS_S = 2.0
-# Bodies without room that are kept as demand.
-MAX_WAITS = 64
+MAX_ANSWER_TIMEOUT_S = 4.8
 
 
 class BytesAllowance:
@@ -33,6 +28,7 @@
         '_reported',
         '_share',
         '_share_until',
+        '_unanswered',
         '_waits',
         'next_at',
         'total',
@@ -45,12 +41,13 @@
         self._number = 0
         self._asked_at = 0.0
         self._reported = None
+        self._unanswered = 0
         self._share = 0.0
         self._share_until = 0.0
         # The bound of which the share was granted.
         self._bound = 0
-        # Time and size of bodies that had no room.
-        self._waits = collections.deque(maxlen=MAX_WAITS)
+        # Sizes of the bodies that wait for room.
+        self._waits = []
         self.total = 0
         self.total_at = float('-inf')
         self.next_at = 0.0
@@ -83,22 +80,13 @@
             granted = min(granted, self._reported)
         return max(granted, even_part(bound, instances))
 
-    def record_wait(self, size, now):
-        """Records a body that has no room."""
-        self._waits.append((now, size))
-
-    def record_sent(self, size):
-        """Records that a body has room now."""
-        for wait in self._waits:
-            if wait[1] == size:
-                self._waits.remove(wait)
-                return
+    def begin_wait(self, size):
+        """Records that a body waits for room."""
+        self._waits.append(size)
 
-    def waits(self, now):
-        """Returns the sizes of the bodies that had no room a while ago."""
-        while self._waits and now - self._waits[0][0] > WAITS_S:
-            self._waits.popleft()
-        return [size for _at, size in self._waits]
+    def end_wait(self, size):
+        """Records that a body waits no more."""
+        self._waits.remove(size)
 
     def is_wanted(self, held, even, now):
         """Tells whether there is anything to ask for, or to give up.
@@ -108,7 +96,16 @@
             even: Bytes of its even part.
             now: Time in seconds.
         """
-        return held > even or bool(self.share(now) or self.waits(now))
+        if held > even or self.share(now) or self._waits:
+            return True
+        # What it gives up is not known there before the answer.
+        kept_until = self._share_until + _bytes_granter.KEPT_S
+        return self.asked and now < kept_until
+
+    def renew(self, now):
+        """Has the next request sent at once, to another instance."""
+        self._unanswered = 0
+        self.next_at = now
 
     def is_due(self, now):
         """Tells whether a request for a share may be sent."""
@@ -122,19 +119,20 @@
             held: Bytes that it holds.
             now: Time in seconds.
         """
-        waits = self.waits(now)
         # Numbers rise over a restart, too, as far as clocks do.
         self._number = max(self._number + 1, int(now * 1e3))
         self._asked_at = now
         self._reported = held
-        self.next_at = now + ANSWER_TIMEOUT_S
+        timeout_s = ANSWER_TIMEOUT_S * 2.0**self._unanswered
+        self.next_at = now + min(MAX_ANSWER_TIMEOUT_S, timeout_s)
+        self._unanswered += 1
         return _bytes_granter.BytesRequest(
             instance,
-            held + sum(waits),
+            held + sum(self._waits),
             self.share(now),
             max(0.0, self._share_until - now),
             held=held,
-            waits=max(waits, default=0),
+            waits=max(self._waits, default=0),
         )
 
     def grant(self, number, grant, bound, now):
@@ -152,6 +150,7 @@
         if number != self._number or self._reported is None:
             return False
         self._reported = None
+        self._unanswered = 0
         self._share = grant.share
         self._share_until = self._asked_at + grant.lease_s
         self._bound = bound
--- a/dandelionwinch/ratelimits/_bytes_granter.py
+++ b/dandelionwinch/ratelimits/_bytes_granter.py
@@ -1,10 +1,9 @@
 """Divides a bound on the bytes at one upstream among the instances.
 
 The shares are those of a Granter, with two differences. A body is sent whole,
-so a share for less than a body is of no use: the instances that wait for room
-get it for a whole body, the one that has waited longest first. And what an
-instance holds stays taken while its lease is renewed or has just ended, as
-bodies that were sent can't be taken back.
+so a share for less than a body is of no use: an instance gets room for the
+body that waits, or none. And what an instance may have sent stays taken while
+its lease is renewed or has ended a short while ago, as it can't be taken back.
 """
 
 import attrs
@@ -25,12 +24,10 @@
 EVEN_RATIO = 0.125
 # Part of the room beyond what an instance needs that it may get with it, so
 # that some is left for the next that asks.
-SPARE_RATIO = 0.5
-# Time for which the bytes of an instance that no longer asks count as held.
-HELD_KEPT_S = 10.0
-# Interval of the requests up to which room is kept for the instance that has
-# waited longest. Beyond it room would lie idle until that one asks again.
-MAX_KEPT_INTERVAL_S = 1.0
+SPARE_RATIO = 0.125
+# Time for which the share of an instance that no longer asks stays taken: it
+# may have sent that much just before its lease ended.
+KEPT_S = 10.0
 
 
 @attrs.frozen
@@ -57,7 +54,6 @@
         needed: Part of the bound with which it can send what waits, 0 if
             nothing waits.
         reported_at: Time of its last request.
-        waits_since: Time since which it has had no room, None if it has.
     """
 
     held: int = 0
@@ -65,7 +61,6 @@
     held_share: float = 0.0
     needed: float = 0.0
     reported_at: float = 0.0
-    waits_since: float | None = None
 
     def set_bound(self, bound):
         """Expresses what it holds and needs as parts of a bound in bytes."""
@@ -79,7 +74,8 @@
 
     def taken(self, now):
         """Returns the part of the bound that nobody else can have."""
-        granted = self.share if self.until > now else 0.0
+        kept_until = max(self.until, self.reported_at + KEPT_S)
+        granted = self.share if kept_until > now else 0.0
         return max(granted, self.held_share)
 
 
@@ -104,14 +100,14 @@
         self._numbers = {}
 
     def is_late(self, name, number):
-        """Tells whether a newer request of an instance came before this one.
+        """Tells whether this or a newer request of an instance came before.
 
         Args:
             name: Name of the instance.
             number: Number of the request.
         """
         behind = self._numbers.get(name, 0) - number
-        if 0 < behind <= MAX_LATE_NUMBERS:
+        if 0 <= behind <= MAX_LATE_NUMBERS:
             return True
         self._numbers[name] = number
         return False
@@ -139,14 +135,12 @@
         oldest = min((user.reported_at for user in holding), default=now)
         return sum(user.held for user in holding), now - oldest
 
-    def forget_others(self, names):
-        """Forgets the instances that no longer exist.
+    def keep_numbers(self, names):
+        """Forgets the numbers of requests of instances that are gone.
 
         Args:
             names: Names of those that exist.
         """
-        for name in self._users.keys() - set(names):
-            del self._users[name]
         for name in self._numbers.keys() - set(names):
             del self._numbers[name]
 
@@ -155,7 +149,7 @@
             name
             for name, user in self._users.items()
             if user.forget_at <= now
-            and not (user.held and now - user.reported_at < HELD_KEPT_S)
+            and not (user.taken(now) and now - user.reported_at < KEPT_S)
         ]
         for name in over:
             del self._users[name]
@@ -177,7 +171,6 @@
         room = 1.0 - EVEN_RATIO - taken
         if not taken and not user.held and room < user.needed <= 1.0:
             # A single body may go to an upstream that holds nothing.
-            user.waits_since = None
             return user.needed
         return self._share_of_room(user, rest, room, now)
 
@@ -191,31 +184,15 @@
             now: Time in seconds.
         """
         room = max(0.0, room)
-        kept = self._kept_room(user, rest, now)
-        if user.needed > room - kept:
-            if user.waits_since is None:
-                user.waits_since = now
+        if user.needed > room:
             return min(user.held_share, room)
-        user.waits_since = None
         need = max(user.needed, user.held_share)
         if not user.demand:
             return min(need, room)
-        spare = max(0.0, room - kept - need)
         wanted = self._wanted_share(user, rest, now)
-        return min(room, max(need, min(wanted, need + SPARE_RATIO * spare)))
-
-    def _kept_room(self, user, rest, now):
-        """Returns the part of the room that is kept for one that waits."""
-        waiting = [u for u in rest if u.waits_since is not None]
-        if not waiting:
-            return 0.0
-        if len(self._users) / ASKS_PER_S > MAX_KEPT_INTERVAL_S:
-            return 0.0
-        first = min(waiting, key=lambda u: u.waits_since)
-        since = now if user.waits_since is None else user.waits_since
-        if since <= first.waits_since:
-            return 0.0
-        return max(0.0, first.needed - first.taken(now))
+        return min(
+            room, max(need, min(wanted, need + SPARE_RATIO * (room - need)))
+        )
 
     def _next_s(self, user, others, share):
         users = 1 + len(others) if share else len(self._users)
--- a/dandelionwinch/tests/test_byte_shares.py
+++ b/dandelionwinch/tests/test_byte_shares.py
@@ -42,6 +42,7 @@
 
     async def scenario():
         site = await _overload(count, seed=seed)
+        site.network.doubled = site.network.late = 0.1 * (seed - 1)
         early = len(site.crashes)
         await asyncio.sleep(10.0)
         await site.close()
@@ -110,6 +111,31 @@
     assert LARGEST in after
 
 
+def test_a_granting_instance_that_is_cut_off_grants_itself_nothing():
+    """The others have another one by then, and it does not know."""
+
+    async def scenario():
+        site = await _overload(6)
+        owner = site.owner()
+        site.network.cut_off.add(site.addresses[owner])
+        await asyncio.sleep(4.0)
+        for name, link in site.links.items():
+            if name != owner:
+                others = {**site.addresses}
+                del others[owner]
+                link.set_peers(others)
+        most = 0
+        for _step in range(100):
+            await asyncio.sleep(0.1)
+            most = max(most, site.guard(owner).held)
+        await site.close()
+        return site, most
+
+    site, most = virtual.run(scenario())
+    assert most <= site.bounds()[0] / 6
+    assert site.peak(SETTLED_S) <= site.bounds()[0] + FREE
+
+
 def test_an_instance_that_is_cut_off_uses_an_even_part_at_most():
     async def scenario():
         site = await _overload(6)
@@ -224,6 +250,42 @@
         assert sum(in_force) <= max(most, max(in_force, default=0)) + 1e-9
 
 
+def _asks(name, held=0, waits=0):
+    return ratelimits.BytesRequest(
+        name, held + waits, 0.0, 0.0, held=held, waits=waits
+    )
+
+
+def test_a_share_stays_taken_after_its_instance_has_fallen_silent():
+    """It may have sent so much just before it was cut off."""
+    granter = ratelimits.BytesGranter(-60.0, 0.0)
+    lost = granter.grant(_asks('a', waits=LARGEST), 8 * MIB, 6, 0.0)
+    early = granter.grant(_asks('b', waits=LARGEST), 8 * MIB, 6, 5.0)
+    late = granter.grant(_asks('b', waits=LARGEST), 8 * MIB, 6, 11.0)
+    assert lost.lease_s < 5.0
+    assert (lost.share >= 0.5, early.share, late.share >= 0.5) == (1, 0, 1)
+
+
+def test_an_instance_that_takes_over_grants_only_what_is_held():
+    """Shares of the one before may be in force, and are not known."""
+    granter = ratelimits.BytesGranter(0.0, 1.5)
+    early = granter.grant(_asks('a', MIB, MIB), 8 * MIB, 6, 1.0)
+    late = granter.grant(_asks('a', MIB, MIB), 8 * MIB, 6, 2.0)
+    assert (early.share, late.share >= 0.25) == (0.125, True)
+
+
+def test_an_instance_sends_no_more_than_it_reported_until_it_is_answered():
+    """The answer, or a lost one, may lower its share down to that."""
+    allowance = ratelimits.BytesAllowance()
+    allowance.ask('a', 0, 1.0)
+    grant = ratelimits.Grant(0.5, 3.0, 1.0)
+    assert allowance.grant(allowance.number, grant, 8 * MIB, 1.0)
+    assert allowance.limit(8 * MIB, 6, 1.5) == LARGEST
+    allowance.ask('a', MIB, 2.0)
+    assert allowance.limit(8 * MIB, 6, 2.5) == MIB
+    assert not allowance.grant(allowance.number - 1, grant, 8 * MIB, 2.5)
+
+
 @pytest.mark.parametrize(
     'data',
     [
