--- a/dandelionwinch/tests/byte_site.py
+++ b/dandelionwinch/tests/byte_site.py
@@ -135,6 +135,10 @@
         shares = self.limits['i0']._shares
         return shares._instances.of(self.guard('i0').key)
 
+    def metrics(self, name):
+        """Returns the metric families of an instance."""
+        return list(self._registries[name].collect())
+
     def dropped(self, name):
         """Returns how many datagrams an instance dropped."""
         registry = self._registries[name]
--- a/dandelionwinch/tests/test_byte_shares.py
+++ b/dandelionwinch/tests/test_byte_shares.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import pathlib
 import random
 
 import pytest
@@ -316,3 +317,15 @@
     assert dropped == 3
     assert names in (['peer.invalid'], ['upstream.bytes_unknown'])
     assert bounds == [None, None]
+
+
+def test_the_metrics_are_on_their_page():
+    async def scenario():
+        site = byte_site.Site(2, 0.0, MEMORY)
+        await site.close()
+        return [family.name for family in site.metrics('i0')]
+
+    page = pathlib.Path(__file__).parents[2] / 'docs' / 'metrics.md'
+    text = page.read_text()
+    for name in virtual.run(scenario()):
+        assert f'| {name.removeprefix("dandelionwinch_")}' in text
