--- a/dandelionwinch/ratelimits/_granter.py
+++ b/dandelionwinch/ratelimits/_granter.py
@@ -44,13 +44,13 @@
 
     Attributes:
         instance: Name of the instance.
-        demand_per_s: Requests a second that it sends or would send.
+        demand: What it uses or would use, in the unit of the limit.
         share: Share that it has now, 0 to 1.
         share_left_s: Time in seconds for which it has it.
     """
 
     instance: str
-    demand_per_s: float
+    demand: float
     share: float
     share_left_s: float
 
@@ -71,11 +71,11 @@
 
 
 @attrs.define
-class _User:
+class User:
     """What is known of an instance that asks.
 
     Attributes:
-        demand_per_s: Its demand.
+        demand: Its demand.
         share: Share that it was granted.
         until: Time up to which it has the share.
         due_at: Time at which it should ask again.
@@ -83,14 +83,14 @@
         replaced: Whether its share goes to another instance.
     """
 
-    demand_per_s: float = 0.0
+    demand: float = 0.0
     share: float = 0.0
     until: float = 0.0
     due_at: float = 0.0
     forget_at: float = 0.0
     replaced: bool = False
 
-    def taken(self, even_part, now):
+    def usable(self, even_part, now):
         """Returns the share that it may use."""
         share = self.share if self.until > now else 0.0
         if now <= self.due_at + LATE_S:
@@ -107,16 +107,19 @@
 
     __slots__ = ('_began_at', '_users')
 
+    _user_class = User
+
     def __init__(self, now):
         self._began_at = now
         self._users = {}
 
-    def grant(self, req, limit_per_s, instances, now):
+    def grant(self, req, limit, instances, now):
         """Answers a request for a share.
 
         Args:
             req: Request.
-            limit_per_s: Requests a second that all instances may send.
+            limit: The limit, in requests a second that all instances may
+                send.
             instances: Number of instances.
             now: Time in seconds.
 
@@ -125,39 +128,51 @@
         """
         self._forget(now)
         user = self._record(req, now)
-        most_users = int(limit_per_s) + EXTRA_USERS
-        rest = [u for u in self._users.values() if u is not user]
-        others = [u for u in rest if u.share and u.until > now]
-        share = 0.0
-        if len(others) < most_users and not user.replaced:
-            wanted = self._wanted_share(user, others, now)
-            if now - self._began_at < WARM_UP_S:
-                wanted = 1.0 / min(instances, most_users)
-            taken = sum(u.taken(1.0 / instances, now) for u in rest)
-            share = max(0.0, min(wanted, 1.0 - taken))
-        next_s = self._next_s(user, rest, others, share, now)
+        others = [u for u in self._others(user) if u.share and u.until > now]
+        share = self._share(user, others, limit, instances, now)
+        next_s = self._next_s(user, others, share, now)
         user.share = share
         user.replaced = False
         user.due_at = now + next_s
-        user.until = user.forget_at = now + LEASE_INTERVALS * next_s
-        if user.demand_per_s > QUIET_DEMAND_PER_S:
-            user.forget_at += SILENT_S
+        user.until = now + LEASE_INTERVALS * next_s
+        user.forget_at = user.until + self._silent_s(user)
         return Grant(share, LEASE_INTERVALS * next_s, next_s)
 
+    def _others(self, user):
+        return [other for other in self._users.values() if other is not user]
+
+    @staticmethod
+    def _silent_s(user):
+        """Returns for how long one that falls silent counts after its lease.
+
+        One that asked for close to nothing has no more to send.
+        """
+        return SILENT_S if user.demand > QUIET_DEMAND_PER_S else 0.0
+
+    def _share(self, user, others, limit, instances, now):
+        most_users = int(limit) + EXTRA_USERS
+        if len(others) >= most_users or user.replaced:
+            return 0.0
+        wanted = self._wanted_share(user, others, now)
+        if now - self._began_at < WARM_UP_S:
+            wanted = 1.0 / min(instances, most_users)
+        even_part = 1.0 / instances
+        taken = sum(u.usable(even_part, now) for u in self._others(user))
+        return max(0.0, min(wanted, 1.0 - taken))
+
     @staticmethod
     def _wanted_share(user, others, now):
         """Returns the share of an instance in proportion to its demand."""
-        total = sum(u.demand_per_s for u in others) + user.demand_per_s
+        total = sum(u.demand for u in others) + user.demand
         if not total:
             return 1.0 / (1 + len(others))
-        wanted = user.demand_per_s / total
+        wanted = user.demand / total
         kept = user.share if user.until > now else 0.0
         if abs(wanted - kept) < KEPT_DIFFERENCE * kept:
             return kept
         return wanted
 
-    @staticmethod
-    def _next_s(user, rest, others, share, now):
+    def _next_s(self, user, others, share, now):
         """Returns when an instance should ask again.
 
         One that has much more demand than another with a share takes its
@@ -166,11 +181,11 @@
         if share:
             return max(MIN_INTERVAL_S, (1 + len(others)) / ASKS_PER_S)
         if others:
-            least = min(others, key=lambda u: u.demand_per_s)
-            if user.demand_per_s > REPLACE_FACTOR * least.demand_per_s:
+            least = min(others, key=lambda u: u.demand)
+            if user.demand > REPLACE_FACTOR * least.demand:
                 least.replaced = True
                 return MIN_INTERVAL_S
-        asking = 1 + sum(u.until > now for u in rest)
+        asking = 1 + sum(u.until > now for u in self._others(user))
         return max(MIN_INTERVAL_S, asking / ASKS_PER_S)
 
     def _forget(self, now):
@@ -182,7 +197,7 @@
         user = self._users.get(req.instance)
         if user is None:
             until = now + req.share_left_s
-            user = _User(share=req.share, until=until)
+            user = self._user_class(share=req.share, until=until)
             self._users[req.instance] = user
-        user.demand_per_s = req.demand_per_s
+        user.demand = req.demand
         return user
