--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -8,7 +8,7 @@
 
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
-from dandelionwinch.gateway import _connection
+from dandelionwinch.gateway import _event_reader
 from dandelionwinch.gateway import _next_attempt
 from dandelionwinch.gateway import _request_handler
 from dandelionwinch.gateway import _sse
@@ -306,17 +306,15 @@
                 exchange, head, placement.decode, read_timeout_s
             )
             return
-        most = _sse.max_events(self._req.answer_tokens, self._route.timeout_s)
-        splitter = _sse.EventSplitter(most)
+        reader = _event_reader.EventReader(
+            self._loop,
+            exchange,
+            _sse.max_events(self._req.answer_tokens, self._route.timeout_s),
+            read_timeout_s,
+        )
         last_at = None
-        # Bytes that complete no event are no progress of a stream.
-        progress_at = self._loop.time()
-        while True:
-            waited_s = self._loop.time() - progress_at
-            item = await exchange.read_item(read_timeout_s - waited_s)
-            if isinstance(item, _connection.End):
-                break
-            for event in self._split(splitter, item.data):
+        while (events := await reader.read()) is not None:
+            for event in events:
                 now = self._loop.time()
                 if last_at is None:
                     self._bind_version(placement.decode.entry)
@@ -329,32 +327,12 @@
                     )
                 last_at = now
                 await self._relay_event(head, event)
-                # A caller that reads slowly is no stall of the upstream.
-                progress_at = self._loop.time()
-        if splitter.incomplete:
-            raise _upstream_exchange.AttemptFailed(
-                attempts.AttemptOutcome.UNKNOWN, 'a torn event'
-            )
+                reader.record_progress()
         if not (head.framed or self._begun or self._state.streaming):
-            raise self._closed_without_an_event()
+            raise _event_reader.closed_without_an_event()
         await self._check_end(head, placement.decode)
         self._end_stream(head, placement)
 
-    @staticmethod
-    def _closed_without_an_event():
-        """Returns the failure of a stream that its engine never began.
-
-        Its connection ends as if the body were complete.
-        """
-        reason = 'closed without an event'
-        exc = _upstream_exchange.AttemptFailed(
-            attempts.AttemptOutcome.UNKNOWN, reason
-        )
-        exc.__cause__ = _connection.ConnectionLost(
-            _connection.LossCause.CLOSED, reason
-        )
-        return exc
-
     def _bind_version(self, entry):
         """Binds the stream to the version of the engine that begins it."""
         if self._version is not None:
@@ -387,15 +365,6 @@
         self._state.outcome = 'whole'
         self._gateway.record_response(self, 200, '')
 
-    @staticmethod
-    def _split(splitter, data):
-        try:
-            return splitter.feed(data)
-        except ValueError as exc:
-            raise _upstream_exchange.AttemptFailed(
-                attempts.AttemptOutcome.UNKNOWN, str(exc)
-            ) from exc
-
     async def _relay_event(self, head, event):
         """Sends an event to the caller unless it was sent already."""
         if event.event_id is not None:
