--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -7,18 +7,16 @@
 import attrs
 
 from dandelionwinch import attempts
-from dandelionwinch import dispatch
 from dandelionwinch.gateway import _event_reader
 from dandelionwinch.gateway import _next_attempt
 from dandelionwinch.gateway import _request_handler
+from dandelionwinch.gateway import _separate_prefill
 from dandelionwinch.gateway import _sse
+from dandelionwinch.gateway import _team_shortage
 from dandelionwinch.gateway import _upstream_exchange
 from dandelionwinch import quarantine
 from dandelionwinch import upstreams
 
-# Read timeout of a prefill as a multiple of the route's latency objective,
-# except for background prompts.
-PREFILL_TIMEOUT_FACTOR = 3.0
 # Part of the route's timeout; a caller with a shorter one is retrying.
 RETRIED_TIMEOUT_RATIO = 0.85
 
@@ -26,7 +24,7 @@
 class GenerationHandler(_request_handler.RequestHandler):
     """Serves one generation on model engines."""
 
-    __slots__ = ('_begun', '_shortage_counted', '_standing', '_version')
+    __slots__ = ('_begun', '_team', '_version')
 
     def __init__(self, *args):
         super().__init__(*args)
@@ -34,8 +32,7 @@
         self._begun = False
         # Software version of the engine that began the stream.
         self._version = None
-        self._standing = self._find_standing()
-        self._shortage_counted = False
+        self._team = _team_shortage.TeamShortage(self._state)
 
     def _prompt_parts(self):
         """Returns the keys of the parts that the prompt shares."""
@@ -72,42 +69,12 @@
             late=late,
             objective_s=self._route.objective_s,
             patience_s=self._route.patience_s,
-            standing=self._standing,
+            standing=self._team.standing,
         )
         if not (late or self._state.sent_count):
-            self._count_shortage(placement)
+            self._team.count(placement)
         return placement
 
-    def _find_standing(self):
-        """Returns the Standing of the request's team.
-
-        The priority of a team takes precedence over that of the route.
-        """
-        priority, usual = self._req.team_priority, self._route.priority
-        urgency = 0
-        if priority is not None:
-            urgency = (priority > usual) - (priority < usual)
-        return self._gateway.fair_sharing.standing(
-            self._service, self._req.team, urgency
-        )
-
-    def _count_shortage(self, placement):
-        """Counts once if the request must wait or is refused."""
-        if self._shortage_counted:
-            return
-        self._shortage_counted = True
-        sharing, req = self._gateway.fair_sharing, self._req
-        if placement is None:
-            sharing.record_refused(self._service, req.team, req.id)
-            return
-        background = dispatch.PriorityClass.BACKGROUND
-        sharing.record_served(
-            self._service,
-            req.team,
-            req.id,
-            delayed=placement.priority_class is background,
-        )
-
     def _serves(self, choice):
         """Tells whether the engines of a Placement accept requests."""
         serves = self._fleet.serves
@@ -135,7 +102,13 @@
         try:
             kv_source = ''
             if placement.prefill is not None:
-                kv_source = await self._prefill(placement)
+                prefill = _separate_prefill.SeparatePrefill(
+                    self._state,
+                    self._connections,
+                    self._next,
+                    self._note_failure,
+                )
+                kv_source = await prefill.run(placement)
                 started_at, now = now, self._loop.time()
                 self.prefill_s = now - started_at
                 self._gateway.placer.record_prefill(
@@ -169,51 +142,6 @@
             and timeout_s < RETRIED_TIMEOUT_RATIO * route.timeout_s
         )
 
-    async def _prefill(self, placement):
-        """Prefills the prompt; returns address and handle of its KV cache.
-
-        Raises:
-            AttemptFailed: If it failed; the request was not executed.
-        """
-        upstream = placement.prefill
-        params = self._params(
-            upstream, prefill_only=True, priority=placement.priority
-        )
-        pool, conn = await self._connections.acquire(upstream)
-        self._next.use_token(upstream, pool, conn)
-        try:
-            async with self._open_exchange(
-                upstream, pool, conn, executes=False
-            ) as exchange:
-                handle = await self._request_prefill(
-                    exchange, params, placement.priority_class
-                )
-        except _upstream_exchange.AttemptFailed as exc:
-            self._state.sent_count += 1
-            await self._note_failure(exc, upstream)
-            raise _upstream_exchange.AttemptFailed(
-                attempts.AttemptOutcome.NOT_EXECUTED, f'prefill: {exc}'
-            ) from exc
-        return f'{upstream.entry.address}/{handle}'
-
-    async def _request_prefill(self, exchange, params, priority_class):
-        exchange.send(params)
-        read_timeout_s = self._left_s()
-        if priority_class is not dispatch.PriorityClass.BACKGROUND:
-            read_timeout_s = PREFILL_TIMEOUT_FACTOR * self._route.objective_s
-        head = await exchange.read_head(read_timeout_s)
-        body = await exchange.read_body(read_timeout_s)
-        reply = self._gateway.wire_codec.parse_reply(head)
-        handle = self._gateway.wire_codec.kv_handle(body)
-        if head.status != 200 or not handle:
-            outcome = attempts.AttemptOutcome.UNKNOWN
-            if reply.not_executed:
-                outcome = attempts.AttemptOutcome.NOT_EXECUTED
-            raise _upstream_exchange.AttemptFailed(
-                outcome, f'status {head.status}, no handle'
-            )
-        return handle
-
     def _with_usable_decoder(self, placement):
         """Replaces a decode engine that stopped serving or is not reached."""
         if self._suspicion.is_held():
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -270,20 +270,16 @@
         """Acquires a connection, and spends a retry if this is one."""
         return await self._next.begin(upstream)
 
-    def _open_exchange(self, upstream, pool, conn, *, executes=True):
+    def _open_exchange(self, upstream, pool, conn):
         """Returns a context manager with the UpstreamExchange of an attempt.
 
         Args:
             upstream: The Upstream.
             pool: Its connection pool.
             conn: The connection.
-            executes: Whether the upstream may execute the request.
         """
-        may_leave = self._next.may_leave
-        if not executes:
-            may_leave = self._next.may_leave_prefill
         return self._connections.open_exchange(
-            upstream, pool, conn, may_leave, executes
+            upstream, pool, conn, self._next.may_leave, True
         )
 
     def _params(self, upstream, **more):
