--- a/dandelionwinch/gateway/_messages.py
+++ b/dandelionwinch/gateway/_messages.py
@@ -147,6 +147,15 @@
     def kv_handle(self, body):
         """Returns the KV cache handle in a prefill response, or ''."""
 
+    def move_request(self, upstream_id, request_id, target, last):
+        """Returns method, path, headers and body of a call for a copy."""
+
+    def parse_move_reply(self, head, body):
+        """Returns the answer to it, as a message of a Migration."""
+
+    def free_request(self, upstream_id, handle):
+        """Returns method, path and headers of a call to free a copy."""
+
     def cache_events_request(self, upstream_id, position, wait_s):
         """Returns method, target and headers of a call for cache events."""
 
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -179,6 +179,7 @@
         _read_optional(reader, 'bounds.revokeMs', 5000.0) / 1e3,
         _read_duties(reader),
         _limits_held_bytes(reader),
+        _read_optional(reader, 'bounds.drainMs', 4000.0) / 1e3,
         tuple(reader.findings),
     )
     if not cfg.store or not cfg.instance:
--- a/dandelionwinch/platform/_store_codec.py
+++ b/dandelionwinch/platform/_store_codec.py
@@ -336,6 +336,7 @@
         _read_field(item, 'kvTokenBytes', (int, float), path),
         float(item.get('handleTtlS') or 5.0),
         float(item.get('roleSwitchS') or 3.0),
+        item.get('moves') is True,
     )
 
 
--- a/dandelionwinch/platform/_wire_codec.py
+++ b/dandelionwinch/platform/_wire_codec.py
@@ -10,6 +10,7 @@
 from dandelionwinch import dispatch
 from dandelionwinch import errors
 from dandelionwinch import gateway
+from dandelionwinch.platform import _moves
 from dandelionwinch.platform import _retry_after
 
 REQUEST_ID = 'x-dandelionwinch-request-id'
@@ -210,6 +211,35 @@
         handle = value.get('kvHandle') if isinstance(value, dict) else None
         return handle if isinstance(handle, str) else ''
 
+    def move_request(self, upstream_id, request_id, target, last):
+        """Builds the request to copy a run's KV cache to another engine.
+
+        Args:
+            upstream_id: Id of the engine that runs the request.
+            request_id: Id of the request.
+            target: Address of the other engine.
+            last: Whether the run is to be stopped first.
+
+        Returns:
+            Method, path, headers and body.
+        """
+        headers = [
+            ('Host', 'engine'),
+            ('Content-Type', 'application/json'),
+            (UPSTREAM_ID, upstream_id),
+        ]
+        body = _moves.move_body(request_id, target, last)
+        return 'POST', _moves.MOVE_PATH, headers, body
+
+    def parse_move_reply(self, head, body):
+        """Returns the message for the Migration that asked for a copy."""
+        return _moves.parse_reply(head.status, body)
+
+    def free_request(self, upstream_id, handle):
+        """Returns method, path and headers of a request to free a copy."""
+        headers = [('Host', 'engine'), (UPSTREAM_ID, upstream_id)]
+        return 'DELETE', _moves.free_path(handle), headers
+
     def order_request(self, role_change, holder, token, accepted_count):
         """Builds the request that carries a role order to an engine.
 
--- a/dandelionwinch/platform/samples.py
+++ b/dandelionwinch/platform/samples.py
@@ -3,6 +3,7 @@
 import json
 
 from dandelionwinch.platform import _boot
+from dandelionwinch.platform import _moves
 from dandelionwinch.platform import _store_codec
 from dandelionwinch.platform import _wire_codec
 from dandelionwinch import routes
@@ -16,6 +17,8 @@
 TEAM = _wire_codec.TEAM
 PROMPT_PREFIX = _wire_codec.PROMPT_PREFIX
 LEAVING = _wire_codec.LEAVING
+KV_SOURCE = _wire_codec.KV_SOURCE
+MOVE_PATH = _moves.MOVE_PATH
 RATE_LIMIT = _wire_codec.RATE_LIMIT
 # Header line by which an upstream announces its shutdown.
 LEAVING_LINE = f'{LEAVING}: 1\r\n'
--- a/dandelionwinch/routes/_table.py
+++ b/dandelionwinch/routes/_table.py
@@ -110,6 +110,8 @@
             is held.
         role_switch_s: Duration of a change between the prefill and the
             decode role.
+        moves: Whether the KV cache of a run can be copied to another
+            engine, where its stream goes on.
     """
 
     slots: int
@@ -117,6 +119,7 @@
     kv_token_bytes: float
     handle_ttl_s: float
     role_switch_s: float
+    moves: bool = False
 
 
 @attrs.frozen
@@ -166,6 +169,15 @@
     engine: EngineSpec | None = None
     scaling: Scaling | None = None
 
+    @property
+    def moves_streams(self):
+        """Tells whether streams are moved off engines that leave."""
+        return (
+            self.scaling is not None
+            and self.engine is not None
+            and self.engine.moves
+        )
+
 
 @attrs.frozen
 class Limits:
--- a/dandelionwinch/tests/test_docs.py
+++ b/dandelionwinch/tests/test_docs.py
@@ -64,6 +64,7 @@
     'gateway',
     'leadership',
     'limits',
+    'migration',
     'platform',
     'quarantine',
     'ratelimits',
