--- a/dandelionwinch/control/_config.py
+++ b/dandelionwinch/control/_config.py
@@ -87,6 +87,8 @@
         duty_settings: DutySettings.
         limits_held_bytes: Whether what upstreams and single teams hold is
             bounded, and upstreams that stop to read get nothing.
+        drain_s: Time that an upstream which drains has, unless its entry
+            states another one.
         findings: Fields that were replaced by defaults, with the reason.
     """
 
@@ -115,6 +117,7 @@
     revoke_s: float = 5.0
     duty_settings: DutySettings = DutySettings()
     limits_held_bytes: bool = False
+    drain_s: float = 4.0
     findings: tuple[str, ...] = ()
 
     @property
--- a/dandelionwinch/dispatch/_engine_knowledge.py
+++ b/dandelionwinch/dispatch/_engine_knowledge.py
@@ -77,6 +77,10 @@
         overdue_s = self._overdue.overdue_s(engine.entry.id, now)
         return max(overdue_s, engine.recent_excess_s(now))
 
+    def delay_s(self, engine, now):
+        """Returns the delay of an engine in seconds."""
+        return self._delay_s(engine, now)
+
     def _round_trip_s(self, engine):
         return self._distances.round_trip_s(engine.entry.data_centre)
 
--- a/dandelionwinch/gateway/_event_reader.py
+++ b/dandelionwinch/gateway/_event_reader.py
@@ -14,17 +14,24 @@
         exchange: UpstreamExchange whose response head was read.
         most: Maximum number of events.
         read_timeout_s: How long the engine may complete no event.
+        framed: Whether the response says itself where it ends.
+        settle: Coroutine function that is called if the response may have
+            broken off, and raises how else the stream goes on.
     """
 
     __slots__ = (
         '_exchange',
+        '_framed',
         '_loop',
         '_progress_at',
         '_read_timeout_s',
+        '_settle',
         '_splitter',
     )
 
-    def __init__(self, loop, exchange, most, read_timeout_s):
+    def __init__(self, loop, exchange, most, read_timeout_s, framed, settle):
+        self._framed = framed
+        self._settle = settle
         self._loop = loop
         self._exchange = exchange
         self._read_timeout_s = read_timeout_s
@@ -47,9 +54,17 @@
                 longer events than it may have.
         """
         waited_s = self._loop.time() - self._progress_at
-        item = await self._exchange.read_item(self._read_timeout_s - waited_s)
+        try:
+            item = await self._exchange.read_item(
+                self._read_timeout_s - waited_s
+            )
+        except _upstream_exchange.AttemptFailed:
+            await self._settle()
+            raise
         if not isinstance(item, _connection.End):
             return self._split(item.data)
+        if not self._framed:
+            await self._settle()
         if self._splitter.incomplete:
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.UNKNOWN, 'a torn event'
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from dandelionwinch.gateway import _crash_guard
 from dandelionwinch.gateway import _demand_link
 from dandelionwinch.gateway import _demand_meter
+from dandelionwinch.gateway import _engine_departures
 from dandelionwinch.gateway import _fair_sharing
 from dandelionwinch.gateway import _fleet
 from dandelionwinch.gateway import _generation_handler
@@ -55,6 +56,7 @@
         call_gate: The CallGate.
         crash_guard: The CrashGuard.
         demand: The DemandLink.
+        departures: The EngineDepartures.
         distances: Round-trip times to data centres.
         fair_sharing: The FairSharing.
         fleet: Upstreams and their connection pools.
@@ -85,6 +87,7 @@
         'call_gate',
         'crash_guard',
         'demand',
+        'departures',
         'distances',
         'fair_sharing',
         'fleet',
@@ -114,10 +117,18 @@
         self.fleet = _fleet.Fleet(loop)
         self.peers = _peer_link.PeerLink(loop, log, cfg.instance)
         self.streams = _stream_versions.StreamVersions(loop, log, self.peers)
+        self.metrics = _metrics.Metrics()
+        self.departures = _engine_departures.EngineDepartures(
+            self, cfg.regions, cfg.drain_s
+        )
         self._notices = _leaving_notices.LeavingNotices(
-            loop, self.peers, self.fleet, self.rng, log
+            loop,
+            self.peers,
+            self.fleet,
+            self.rng,
+            log,
+            self.departures.engine_leaves,
         )
-        self.metrics = _metrics.Metrics()
         if cfg.limits_held_bytes:
             self.fleet.byte_limits = _byte_limits.ByteLimits(
                 loop, self.fleet, log, self.metrics.registry
@@ -147,7 +158,7 @@
             self.rng,
             log,
             self.metrics,
-            self._notices.announce,
+            self._upstream_announced,
             self._limits.observe,
         )
         self.fleet.observe_head = response_observer.observe_head
@@ -229,6 +240,7 @@
         self.usage.close()
         self.fair_sharing.close()
         self.call_gate.close()
+        self.departures.close()
         self._speeds.close()
         if self.fleet.byte_limits is not None:
             self.fleet.byte_limits.close()
@@ -419,9 +431,17 @@
         """
         incarnation = upstream.entry.incarnation
         self.fleet.turn_away(incarnation)
+        self.departures.engine_leaves(upstream)
         if upstream.entry.leaves_in_s is not None:
             self._notices.announce(incarnation)
 
+    def _upstream_announced(self, incarnation):
+        """Applies that a response announced the end of its upstream."""
+        upstream = self.fleet.registry.find(incarnation)
+        if upstream is not None:
+            self.departures.engine_leaves(upstream)
+        self._notices.announce(incarnation)
+
     def begin_role_change(self, upstream_id, span_s):
         """Excludes an engine from placement while its role changes.
 
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -12,8 +12,11 @@
 from dandelionwinch.gateway import _request_handler
 from dandelionwinch.gateway import _separate_prefill
 from dandelionwinch.gateway import _sse
+from dandelionwinch.gateway import _stream_continuation
+from dandelionwinch.gateway import _stream_migration
 from dandelionwinch.gateway import _team_shortage
 from dandelionwinch.gateway import _upstream_exchange
+from dandelionwinch import migration
 from dandelionwinch import quarantine
 from dandelionwinch import upstreams
 
@@ -208,24 +211,48 @@
             priority = placement.prefilled_priority
             self._gateway.placer.record_transfer(placement, self._loop.time())
         params = self._params(upstream, kv_source=kv_source, priority=priority)
+        if self._state.last_event_id is not None:
+            self._log_resumption(upstream.entry)
+        leg = _stream_continuation.Leg(placement, params, started_at)
         try:
-            async with self._open_exchange(upstream, pool, conn) as exchange:
-                await self._relay_stream(
-                    exchange, params, placement, started_at
-                )
-        except _upstream_exchange.AttemptFailed as exc:
-            await self._note_failure(exc, upstream)
+            await self._exchange_stream(leg, pool, conn)
+        except _stream_migration.RunStopped as stopped:
+            continuation = _stream_continuation.StreamContinuation(
+                self._state, self._report, self._exchange_stream
+            )
+            await continuation.run(stopped, placement)
+
+    async def _exchange_stream(self, leg, pool, conn):
+        """Sends the request on a connection and relays its response.
+
+        Raises:
+            RunStopped: If the engine stopped the run, to be moved.
+        """
+        upstream = leg.placement.decode
+        stream = self._gateway.departures.watch(self._state, upstream, conn)
+        may_leave = stream.guard(self._next.may_leave)
+        try:
+            async with self._connections.open_exchange(
+                upstream, pool, conn, may_leave, True
+            ) as exchange:
+                await self._relay_stream(exchange, leg, stream)
+            stream.close(migration.Result.ENDED)
+        except _stream_migration.RunStopped:
+            raise
+        except BaseException as exc:
+            stream.close(migration.Result.LEFT)
+            if isinstance(exc, _upstream_exchange.AttemptFailed):
+                await self._note_failure(exc, upstream)
             raise
 
-    async def _relay_stream(self, exchange, params, placement, started_at):
+    async def _relay_stream(self, exchange, leg, stream):
         """Sends the request and relays the events of its response.
 
         Only complete events are relayed, as a resumed stream continues
         after the last of them.
         """
-        if self._state.last_event_id is not None:
-            self._log_resumption(placement.decode.entry)
-        exchange.send(params)
+        placement = leg.placement
+        exchange.send(leg.params)
         read_timeout_s = self._read_timeout_s()
         head = await exchange.read_head(read_timeout_s)
         reply = self._gateway.wire_codec.parse_reply(head)
@@ -239,28 +266,43 @@
             exchange,
             _sse.max_events(self._req.answer_tokens, self._route.timeout_s),
             read_timeout_s,
+            head.framed,
+            stream.settle,
         )
         last_at = None
         while (events := await reader.read()) is not None:
             for event in events:
                 now = self._loop.time()
-                if last_at is None:
-                    self._bind_version(placement.decode.entry)
-                    self._record_first_event(placement, started_at)
-                    self._count_stream(placement.decode)
-                else:
+                if last_at is not None:
                     self.longest_gap_s = max(self.longest_gap_s, now - last_at)
                     self._gateway.placer.record_token_gap(
                         placement, now - last_at, self._route.token_gap_s, now
                     )
+                else:
+                    self._begin_leg(leg, now)
                 last_at = now
+                stream.record_event()
                 await self._relay_event(head, event)
                 reader.record_progress()
+        if last_at is None and leg.moved is not None and not head.framed:
+            raise _event_reader.closed_without_an_event()
         if not (head.framed or self._begun or self._state.streaming):
             raise _event_reader.closed_without_an_event()
         await self._check_end(head, placement.decode)
         self._end_stream(head, placement)
 
+    def _begin_leg(self, leg, now):
+        """Records the first event of an engine."""
+        upstream = leg.placement.decode
+        if leg.moved is not None:
+            gap_s = now - leg.moved.last_event_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            leg.moved.continued(upstream)
+            return
+        self._bind_version(upstream.entry)
+        self._record_first_event(leg.placement, leg.started_at)
+        self._count_stream(upstream)
+
     def _bind_version(self, entry):
         """Binds the stream to the version of the engine that begins it."""
         if self._version is not None:
--- a/dandelionwinch/gateway/_leaving_notices.py
+++ b/dandelionwinch/gateway/_leaving_notices.py
@@ -24,6 +24,7 @@
         fleet: Fleet with the upstreams.
         rng: Source of randomness.
         log: Event log.
+        on_leaving: Called with the Upstream of which others have told.
     """
 
     __slots__ = (
@@ -31,12 +32,14 @@
         '_link',
         '_log',
         '_loop',
+        '_on_leaving',
         '_rng',
         '_told',
         '_unknown_logged',
     )
 
-    def __init__(self, loop, link, fleet, rng, log):
+    def __init__(self, loop, link, fleet, rng, log, on_leaving):
+        self._on_leaving = on_leaving
         self._loop = loop
         self._link = link
         self._fleet = fleet
@@ -103,6 +106,7 @@
             born=upstream.entry.started_at_ms,
             peer=addr[0],
         )
+        self._on_leaving(upstream)
 
     def _log_unknown(self, upstream_id, addr):
         if self._unknown_logged:
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -28,6 +28,7 @@
         'registry',
         'relay_messages',
         'seconds',
+        'stream_moves',
         'unauthorized_requests',
         'usage',
     )
@@ -103,6 +104,12 @@
             ['result'],
             registry=registry,
         )
+        self.stream_moves = prometheus_client.Counter(
+            'dandelionwinch_gateway_stream_moves',
+            'Streams on engines that leave, by how their migration ended',
+            ['result'],
+            registry=registry,
+        )
         self._teams = set()
         self._add_capacity(registry)
 
--- a/dandelionwinch/standins/scripted.py
+++ b/dandelionwinch/standins/scripted.py
@@ -125,6 +125,10 @@
                 return True
         self.requests.append(req)
         self._on_change()
+        return await self._respond(req, reader, writer)
+
+    async def _respond(self, req, reader, writer):
+        """Returns whether the connection stays open."""
         steps = self._take_script(req)
         request_id = req.headers.get(self._id_header, '').encode()
         for step in steps:
