--- a/dandelionwinch/control/_changes.py
+++ b/dandelionwinch/control/_changes.py
@@ -274,8 +274,12 @@
         self.guard.registered(upstream_id)
         if registry.apply(entry):
             self._gateway.placer.forget(upstream_id)
-        if previous is not None and previous.ready and not entry.ready:
-            self._gateway.upstream_drains(registry.get(upstream_id))
+        if previous is not None and not entry.ready:
+            upstream = registry.get(upstream_id)
+            if previous.ready:
+                self._gateway.upstream_drains(upstream)
+            else:
+                self._gateway.departures.engine_leaves(upstream)
         if previous is not None and previous.role is not entry.role:
             self._gateway.end_role_change(upstream_id)
             self._role_changes.pop(upstream_id, None)
--- a/dandelionwinch/gateway/_engine_departures.py
+++ b/dandelionwinch/gateway/_engine_departures.py
@@ -195,7 +195,7 @@
     def _arriving(self, engine_id):
         """Returns the number of streams that are being moved to an engine."""
         return sum(
-            stream.target is not None and stream.target.entry.id == engine_id
+            stream.is_moving_to(engine_id)
             for streams in self._streams.values()
             for stream in streams
         )
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -281,8 +281,8 @@
                 else:
                     self._begin_leg(leg, now)
                 last_at = now
-                stream.record_event()
                 await self._relay_event(head, event)
+                stream.record_event()
                 reader.record_progress()
         if last_at is None and leg.moved is not None and not head.framed:
             raise _event_reader.closed_without_an_event()
--- a/dandelionwinch/gateway/_move_calls.py
+++ b/dandelionwinch/gateway/_move_calls.py
@@ -75,6 +75,9 @@
         request = self._wire_codec.move_request(
             self._engine.entry.id, request_id, target.entry.address, last
         )
+        if not self._conn.usable:
+            self.close()
+            return migration.NotSent()
         try:
             # What was not delivered then must not stop the run later.
             self._conn.limit_delivery(timeout_s)
--- a/dandelionwinch/gateway/_stream_continuation.py
+++ b/dandelionwinch/gateway/_stream_continuation.py
@@ -138,6 +138,9 @@
                 body_bytes=len(self._state.req.body),
             )
         except _pool.NotConnected as exc:
+            if not isinstance(exc, _pool.PoolBusy):
+                engine.record_failure(self._loop.time())
+                engine.eject(self._loop.time())
             raise _not_sent(str(exc)) from exc
         if engine is source:
             return pool, conn
--- a/dandelionwinch/gateway/_stream_migration.py
+++ b/dandelionwinch/gateway/_stream_migration.py
@@ -119,6 +119,14 @@
         """Tells whether the source was asked to stop the run."""
         return self._machine is not None and self._machine.stopping
 
+    def is_moving_to(self, engine_id):
+        """Tells whether an engine was asked to take it, and may yet."""
+        return (
+            self.target is not None
+            and self.target.entry.id == engine_id
+            and self._machine.result is None
+        )
+
     def guard(self, may_leave):
         """Returns what tells whether a silent engine may be left.
 
@@ -134,7 +142,7 @@
         return may_leave_unless_stopping
 
     def record_event(self):
-        """Records that an event of the source is relayed."""
+        """Records that an event of the source was relayed."""
         self.last_event_at = self._loop.time()
         self._progress.record_event(self.last_event_at)
         self.consider()
@@ -142,7 +150,8 @@
     def consider(self):
         """Begins to move if the source leaves before the stream ends."""
         leaves_at = self._owner.leaves_at(self.source)
-        if leaves_at is None:
+        # Without the id of an event, what follows it can't be asked for.
+        if leaves_at is None or self._state.last_event_id is None:
             return
         if self._machine is not None:
             self._machine.leaves_at = leaves_at
--- a/dandelionwinch/migration/_departure.py
+++ b/dandelionwinch/migration/_departure.py
@@ -14,10 +14,12 @@
 class Departures:
     """The times at which engines leave, by incarnation."""
 
-    __slots__ = ('_leaves_at',)
+    __slots__ = ('_leaves_at', '_stated')
 
     def __init__(self):
         self._leaves_at = {}
+        # Incarnations whose entries have stated it.
+        self._stated = set()
 
     def record(self, incarnation, stated_s, usual_s, now):
         """Records that an engine leaves.
@@ -33,10 +35,16 @@
             for key, at in self._leaves_at.items()
             if now - at <= REMEMBERED_S
         }
-        if stated_s is not None:
-            self._leaves_at[incarnation] = now + stated_s
-        else:
+        self._stated &= self._leaves_at.keys()
+        if stated_s is None:
             self._leaves_at.setdefault(incarnation, now + usual_s)
+            return
+        at = now + stated_s
+        if incarnation in self._stated:
+            # The same entry may be read again, later.
+            at = min(at, self._leaves_at[incarnation])
+        self._stated.add(incarnation)
+        self._leaves_at[incarnation] = at
 
     def leaves_at(self, incarnation):
         """Returns the time at which an engine leaves, None if it stays."""
@@ -70,13 +78,13 @@
         """Tells whether the engine has sent an event."""
         return self._events > 0
 
-    def left_s(self, now):
+    def left_s(self):
         """Returns the time that the rest should take, None if not known."""
         if not self.tokens or self._events < MIN_EVENTS:
             return None
         gap_s = (self._last_at - self._first_at) / (self._events - 1)
         rest = max(0, self.tokens - self.before - self._events)
-        return max(0.0, rest * gap_s - (now - self._last_at))
+        return rest * gap_s
 
 
 def must_move(progress, leaves_at, now):
@@ -89,5 +97,5 @@
     """
     if not progress.begun or now >= leaves_at:
         return False
-    left_s = progress.left_s(now)
+    left_s = progress.left_s()
     return left_s is None or left_s > leaves_at - now - MARGIN_S
--- a/dandelionwinch/tests/test_migration.py
+++ b/dandelionwinch/tests/test_migration.py
@@ -82,6 +82,7 @@
     departures.record('i', None, 4.0, 11.0)
     assert departures.leaves_at('i') == 14.0
     departures.record('i', 2.0, 4.0, 11.0)
+    departures.record('i', 2.0, 4.0, 11.5)
     assert departures.leaves_at('i') == 13.0
     departures.record('j', None, 4.0, 99.0)
     assert departures.leaves_at('i') is None
