--- a/dandelionwinch/soak/_proxy.py
+++ b/dandelionwinch/soak/_proxy.py
@@ -116,7 +116,8 @@
         dropped = False
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if self.mode in dropping_modes:
+                # What follows lost bytes is never delivered without them.
+                if dropped or self.mode in dropping_modes:
                     dropped = True
                     continue
                 if self.mode is Mode.DELAY:
--- a/dandelionwinch/tests/test_soak.py
+++ b/dandelionwinch/tests/test_soak.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import sys
+from unittest import mock
 
 import pytest
 
@@ -651,6 +652,30 @@
     asyncio.run(scenario())
 
 
+def test_nothing_follows_bytes_that_the_proxy_dropped():
+    """Soak 3014: streams looked whole with some of their chunks missing."""
+
+    async def scenario():
+        writer = mock.Mock(drain=mock.AsyncMock())
+        writer.get_extra_info.return_value.fileno.return_value = -1
+        proxy = _proxy.Proxy('127.0.0.1:1')
+        proxy.mode = _proxy.Mode.SILENT
+        source = asyncio.StreamReader()
+        copying = asyncio.create_task(
+            proxy._copy(source, writer, (_proxy.Mode.SILENT,))
+        )
+        for data in (b'dropped', b'rest'):
+            source.feed_data(data)
+            while source._buffer:
+                await asyncio.sleep(0)
+            proxy.mode = _proxy.Mode.PASS
+        source.feed_eof()
+        await copying
+        return writer.write.called
+
+    assert not asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ('told', 'count', 'interrupted', 'broken'),
     [
