--- a/dandelionwinch/gateway/_engine_departures.py
+++ b/dandelionwinch/gateway/_engine_departures.py
@@ -81,7 +81,8 @@
         return stream
 
     def _moves_streams(self, service_name):
-        service = self._fleet.table.services.get(service_name)
+        table = self._fleet.table
+        service = table.services.get(service_name) if table else None
         return service is not None and service.moves_streams
 
     def remove(self, stream):
--- a/dandelionwinch/tests/test_stream_moves.py
+++ b/dandelionwinch/tests/test_stream_moves.py
@@ -155,6 +155,17 @@
     assert run(scenario) == ['run']
 
 
+def test_an_engine_may_drain_before_there_is_a_configuration():
+    """An instance that starts reads entries before the configuration."""
+
+    async def scenario(harness):
+        harness.gateway.fleet.table = None
+        harness.drain('u0')
+        return harness.log.names()
+
+    assert run(scenario) == []
+
+
 def test_few_streams_move_off_an_engine_at_a_time():
     """The last copy of each waited for the first copies of all others."""
 
