--- a/dandelionwinch/gateway/_engine_departures.py
+++ b/dandelionwinch/gateway/_engine_departures.py
@@ -65,17 +65,20 @@
         for task in self._tasks:
             task.cancel()
 
-    def watch(self, state, source, conn):
+    def watch(self, state, source, conn, moved):
         """Returns the MovingStream of a stream, or a FixedStream.
 
         Args:
             state: RequestState of its request.
             source: Upstream that runs it.
             conn: Connection from which it is read.
+            moved: MovingStream that it was before, or None.
         """
         if not self._moves_streams(state.service):
             return _FIXED
-        stream = _stream_migration.MovingStream(self, state, source, conn)
+        stream = _stream_migration.MovingStream(
+            self, state, source, conn, moved
+        )
         incarnation = source.entry.incarnation
         self._streams.setdefault(incarnation, {})[stream] = None
         return stream
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -229,7 +229,9 @@
             RunStopped: If the engine stopped the run, to be moved.
         """
         upstream = leg.placement.decode
-        stream = self._gateway.departures.watch(self._state, upstream, conn)
+        stream = self._gateway.departures.watch(
+            self._state, upstream, conn, leg.moved
+        )
         may_leave = stream.guard(self._next.may_leave)
         try:
             async with self._connections.open_exchange(
--- a/dandelionwinch/gateway/_stream_migration.py
+++ b/dandelionwinch/gateway/_stream_migration.py
@@ -55,6 +55,7 @@
         state: RequestState of the request.
         source: Upstream that runs it.
         conn: Connection from which the stream is read.
+        moved: MovingStream that it was before, None for a run that begins.
 
     Attributes:
         source: Upstream that runs it.
@@ -63,6 +64,7 @@
     """
 
     __slots__ = (
+        '_asked',
         '_began_at',
         '_conn',
         '_decided',
@@ -79,7 +81,7 @@
         'target',
     )
 
-    def __init__(self, owner, state, source, conn):
+    def __init__(self, owner, state, source, conn, moved):
         self._owner = owner
         self._loop = owner.loop
         self._state = state
@@ -88,6 +90,10 @@
         tokens = state.req.answer_tokens
         self._progress = migration.Progress(tokens, before)
         self._machine = None
+        # Ids of the engines that were asked before it returned.
+        self._asked = ()
+        if moved is not None and moved.source is source:
+            self._asked = moved.asked
         self._task = None
         self._timer = None
         # MoveCall for the last copy, whose connection is open already.
@@ -109,6 +115,11 @@
         """Returns the name of its service."""
         return self._state.service
 
+    @property
+    def asked(self):
+        """Returns the ids of the engines that a copy was asked for."""
+        return self._machine.asked if self._machine else self._asked
+
     @property
     def excluded(self):
         """Returns the ids of the engines that failed its request."""
@@ -159,7 +170,7 @@
         now = self._loop.time()
         if migration.must_move(self._progress, leaves_at, now):
             self._began_at = now
-            self._machine = migration.Migration(leaves_at)
+            self._machine = migration.Migration(leaves_at, self._asked)
             self._decided = self._loop.create_future()
             self._task = self._owner.spawn(self._run())
 
--- a/dandelionwinch/migration/_migration.py
+++ b/dandelionwinch/migration/_migration.py
@@ -32,8 +32,11 @@
 
     Args:
         leaves_at: Time at which the source leaves.
+        asked: Ids of the engines that a copy of the run was asked for before
+            it returned to this source.
 
     Attributes:
+        asked: Ids of the engines that a copy was asked for.
         leaves_at: Time at which the source leaves.
         result: The Result, None while it is not decided.
     """
@@ -43,18 +46,17 @@
         '_in_call',
         '_state',
         '_target',
-        '_targets',
+        'asked',
         'leaves_at',
         'result',
     )
 
-    def __init__(self, leaves_at):
+    def __init__(self, leaves_at, asked=()):
+        self.asked = tuple(asked)
         self.leaves_at = leaves_at
         self.result = None
         self._state = _State.IDLE
         self._target = None
-        # Ids of the engines that a copy was asked for.
-        self._targets = []
         # Handle of the copy that is known and not used.
         self._handle = ''
         # Whether the answer to a call is awaited.
@@ -103,16 +105,16 @@
     def _choose(self, now):
         if now >= self.leaves_at:
             return self._stay(_messages.Result.NO_TIME)
-        if len(self._targets) >= MAX_TARGETS:
+        if len(self.asked) >= MAX_TARGETS:
             return self._stay(_messages.Result.NO_TARGET)
         self._state = _State.CHOOSING
-        return [_messages.Choose(frozenset(self._targets))]
+        return [_messages.Choose(frozenset(self.asked))]
 
     def _begin_copy(self, message, now):
         if message.target is None:
             return self._stay(_messages.Result.NO_TARGET)
         self._target = message.target
-        self._targets.append(message.target)
+        self.asked += (message.target,)
         self._state = _State.COPYING
         return self._call(now)
 
--- a/dandelionwinch/standins/moves.py
+++ b/dandelionwinch/standins/moves.py
@@ -10,6 +10,7 @@
     """A run of a request at one engine.
 
     Attributes:
+        number: Number of the run, which no other one has.
         request_id: Id of the request.
         began_at: Address of the engine that began it, which tells its events
             from those of another run.
@@ -18,6 +19,7 @@
         ended: Whether it is complete, or was given up.
     """
 
+    number: int
     request_id: str
     began_at: str
     created: int = 0
@@ -54,11 +56,13 @@
     def __init__(self):
         self.copies = {}
         self._runs = {}
+        self._runs_begun = 0
 
     def begin(self, address, request_id, copy=None, created=0):
         """Begins a run at an engine, or goes on with a copied one."""
         began_at = copy.run.began_at if copy else address
-        run = Run(request_id, began_at, created)
+        self._runs_begun += 1
+        run = Run(self._runs_begun, request_id, began_at, created)
         self._runs[address, request_id] = run
         return run
 
@@ -81,7 +85,7 @@
         if refuses and not run.stopped:
             return 503, {}
         target = '' if refuses else call['target']
-        handle = f'{address}-{call["id"]}-{target}'
+        handle = f'{run.number}-{target}'
         self.copies.setdefault(handle, Copy(run, address, target))
         fields = {'kvHandle': handle, 'created': run.created}
         return (503 if refuses else 200), fields
--- a/dandelionwinch/tests/test_stream_moves.py
+++ b/dandelionwinch/tests/test_stream_moves.py
@@ -376,6 +376,26 @@
     assert run(scenario) == ['free']
 
 
+@pytest.mark.parametrize('engines', [2, 3])
+def test_a_stream_that_returns_moves_to_another_engine_only(engines):
+    """Soak 3024: it was moved again to the one that had had no room."""
+
+    async def scenario(harness):
+        await harness.begin()
+        harness.upstreams[0].faults = ['', moving.REFUSE]
+        harness.drain('u0')
+        await harness.log.wait_until(lambda: harness.calls(0)[1:].count('run'))
+        harness.upstreams[0].make_up_to(BEFORE + 2)
+        if engines == 2:
+            await harness.result()
+            harness.upstreams[0].make_up_to(TOTAL)
+        await harness.is_whole()
+        others = range(1, engines)
+        return sum(harness.calls(number).count('run') for number in others)
+
+    assert run(scenario, engines) == engines - 2
+
+
 def test_a_call_that_meets_another_one_is_repeated():
     async def scenario(harness):
         await harness.begin()
