--- a/dandelionwinch/gateway/_engine_departures.py
+++ b/dandelionwinch/gateway/_engine_departures.py
@@ -157,12 +157,13 @@
     def takes(self, engine):
         """Tells whether an engine accepts requests and is not leaving."""
         now = self.loop.time()
+        leaves_at = self.leaves_at(engine)
         return (
             self._fleet.serves(engine)
             and engine.rate_limit.admits(now)
             and engine.excluded_until <= now
             and engine.role_change_until <= now
-            and self.leaves_at(engine) is None
+            and (leaves_at is None or leaves_at <= now)
         )
 
     def choose(self, stream, exclude):
--- a/dandelionwinch/migration/_departure.py
+++ b/dandelionwinch/migration/_departure.py
@@ -37,7 +37,9 @@
         }
         self._stated &= self._leaves_at.keys()
         if stated_s is None:
-            self._leaves_at.setdefault(incarnation, now + usual_s)
+            # What another instance told before may have been wrong.
+            if self._leaves_at.get(incarnation, now) <= now:
+                self._leaves_at[incarnation] = now + usual_s
             return
         at = now + stated_s
         if incarnation in self._stated:
--- a/dandelionwinch/tests/test_boot.py
+++ b/dandelionwinch/tests/test_boot.py
@@ -70,6 +70,15 @@
     assert cfg.findings == ("duty 'brew' is not known",)
 
 
+@pytest.mark.parametrize(
+    ('line', 'drain_s'), [('drainMs = 2500', 2.5), ('', 4.0)]
+)
+def test_a_drain_takes_its_time_of_the_settings(line, drain_s):
+    """Streams would be moved too late, or not at all."""
+    cfg = _boot.read(SETTINGS.replace('drainMs = 2500', line))
+    assert (cfg.drain_s, cfg.findings) == (drain_s, ())
+
+
 def test_without_an_address_there_are_no_duties():
     cfg = _boot.read(SETTINGS)
     assert not cfg.duty_settings.enabled
--- a/dandelionwinch/tests/test_migration.py
+++ b/dandelionwinch/tests/test_migration.py
@@ -88,6 +88,14 @@
     assert departures.leaves_at('i') is None
 
 
+def test_an_engine_that_did_not_leave_as_told_may_leave_later():
+    """A false notice kept the streams on an engine that then drained."""
+    departures = migration.Departures()
+    departures.record('i', None, 4.0, 0.0)
+    departures.record('i', None, 4.0, 20.0)
+    assert departures.leaves_at('i') == 24.0
+
+
 def stopping():
     """Returns a Migration whose last copy was asked for."""
     machine = migration.Migration(2.0)
