--- a/dandelionwinch/soak/_caller.py
+++ b/dandelionwinch/soak/_caller.py
@@ -6,12 +6,18 @@
 
 from dandelionwinch.platform import samples
 from dandelionwinch.soak import _poison
+from dandelionwinch.soak import _stream_moves
 from dandelionwinch.soak import _upstream
 
-TIMEOUT_S = 4.0
+# Time that a request states, and how much longer a caller waits.
+REQUEST_TIMEOUT_S = 3.0
+EXTRA_TIMEOUT_S = 1.0
+TIMEOUT_S = REQUEST_TIMEOUT_S + EXTRA_TIMEOUT_S
 ADDRESS_TTL_S = 2.0
 REQUEST_PAUSE_S = 0.02
 CUT_STATUSES = (0, 502)
+KINDS = ('once', 'safe', 'resume')
+LONG_KINDS = (_stream_moves.ROUTE,)
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -46,6 +52,7 @@
 
     Attributes:
         statuses: Number of final responses by status, 0 for none.
+        long_streams: The same of long streams.
         taken_up: The same, for requests that take up a broken stream.
         not_run: Ids of requests whose status says that they did not run.
         violations: Descriptions of incorrect responses.
@@ -60,6 +67,7 @@
     """
 
     statuses: dict = attrs.Factory(dict)
+    long_streams: dict = attrs.Factory(dict)
     taken_up: dict = attrs.Factory(dict)
     not_run: list = attrs.Factory(list)
     violations: list = attrs.Factory(list)
@@ -72,6 +80,9 @@
     def record(self, request_id, status):
         """Records a final response."""
         self.statuses[status] = self.statuses.get(status, 0) + 1
+        if _stream_moves.is_long(request_id):
+            counts = self.long_streams
+            counts[status] = counts.get(status, 0) + 1
         if status in NOT_RUN_STATUSES:
             self.not_run.append(request_id)
 
@@ -87,6 +98,7 @@
         rng: Random generator of this caller.
         poison: The Poison of the soak.
         teams: The Teams of the soak, or None.
+        kinds: Kinds of the requests that it sends.
     """
 
     def __init__(
@@ -98,7 +110,9 @@
         rng,
         poison,
         teams=None,
+        kinds=KINDS,
     ):
+        self._kinds = kinds
         self._name = name
         self._directories = directories
         self._frontends = frontends
@@ -117,13 +131,15 @@
         """Sends requests until the task is cancelled."""
         while True:
             self._sequence += 1
-            kind = self._rng.choice(('once', 'safe', 'resume'))
+            kind = self._rng.choice(self._kinds)
             request_id = f'{kind}-{self._name}-{self._sequence}'
             parts = self._parts(kind, request_id)
             self._path = self._choose_path(kind, request_id)
             sent_at = asyncio.get_running_loop().time()
             try:
-                async with asyncio.timeout(TIMEOUT_S):
+                async with asyncio.timeout(
+                    _request_timeout_s(kind) + EXTRA_TIMEOUT_S
+                ):
                     status = await self._send_request(kind, request_id, parts)
             except TimeoutError:
                 status = 0
@@ -141,7 +157,7 @@
                 now = asyncio.get_running_loop().time()
                 self._observations.cut[request_id] = now
             self._end_use(request_id, status)
-            if parts or request_id in self._poison.part_of:
+            if kind == 'resume' or request_id in self._poison.part_of:
                 self._poison.outcomes.append(
                     _poison.Outcome(request_id, sent_at, status)
                 )
@@ -149,6 +165,8 @@
 
     def _parts(self, kind, request_id):
         """Returns the parts of a request's prompt, none for calls."""
+        if kind == _stream_moves.ROUTE:
+            return [request_id]
         if kind != 'resume':
             return []
         part = self._poison.choose(asyncio.get_running_loop().time())
@@ -156,8 +174,8 @@
 
     def _choose_path(self, kind, request_id):
         """Returns the path of a request; the poison call has its own."""
-        if kind == 'resume':
-            return '/resume/1'
+        if kind in ('resume', _stream_moves.ROUTE):
+            return f'/{kind}/1'
         now = asyncio.get_running_loop().time()
         return f'/{kind}/{self._poison.choose_call(kind, request_id, now)}'
 
@@ -204,7 +222,14 @@
         if self._teams is not None:
             now = asyncio.get_running_loop().time()
             more += self._teams.headers(request_id, now, began_as)
-        writer.write(samples.request(self._path, request_id, more=more))
+        writer.write(
+            samples.request(
+                self._path,
+                request_id,
+                timeout_ms=round(_request_timeout_s(kind) * 1e3),
+                more=more,
+            )
+        )
         status, headers, body = await _read_response(reader)
         if headers.get('connection') == 'close':
             self._disconnect()
@@ -221,7 +246,11 @@
         expected = f'answer to {request_id}'.encode()
         if kind == 'resume':
             begun = stream.events if stream else []
-            expected = _rest_of_stream(request_id, begun, body)
+            count = _upstream.EVENTS_PER_STREAM
+            expected = _rest_of_stream(request_id, begun, body, count)
+        if kind == _stream_moves.ROUTE:
+            count = _stream_moves.EVENTS_PER_STREAM
+            expected = _rest_of_stream(request_id, [], body, count)
         if body != expected:
             self._observations.violations.append(
                 f'{request_id}: body {body[:80]!r}'
@@ -261,6 +290,13 @@
                 return
 
 
+def _request_timeout_s(kind):
+    """Returns the time that a caller states in its request."""
+    if kind == _stream_moves.ROUTE:
+        return _stream_moves.TIMEOUT_S
+    return REQUEST_TIMEOUT_S
+
+
 def _whole_events(body):
     return [part + b'\n\n' for part in body.split(b'\n\n')[:-1]]
 
@@ -269,13 +305,13 @@
     return events[0].rsplit(b' ', 1)[-1].strip().decode() if events else ''
 
 
-def _rest_of_stream(request_id, begun, body):
+def _rest_of_stream(request_id, begun, body, count):
     """Returns the events after those that have begun a stream.
 
     All of them are of the version of the first one.
     """
     version = _version(begun or _whole_events(body))
-    numbers = range(len(begun) + 1, _upstream.EVENTS_PER_STREAM + 1)
+    numbers = range(len(begun) + 1, count + 1)
     return b''.join(
         _upstream.event(number, request_id, version) for number in numbers
     )
--- a/dandelionwinch/soak/_capacity.py
+++ b/dandelionwinch/soak/_capacity.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from dandelionwinch.soak import _stream_moves
 from dandelionwinch.standins import capacity
 
 CAPACITY_RUNS = 0.5
@@ -58,9 +59,10 @@
 
 def service_fields():
     """Returns the fields of the scaled service in the configuration."""
-    return capacity.scaling_fields(
+    scaling = capacity.scaling_fields(
         LEAST, MOST, BOOT_S, RECLAIMABLE_PRICE, PRICES
     )
+    return {**scaling, 'engine': _stream_moves.ENGINE}
 
 
 class Capacity:
--- a/dandelionwinch/soak/_checks.py
+++ b/dandelionwinch/soak/_checks.py
@@ -6,6 +6,7 @@
 import attrs
 
 from dandelionwinch.soak import _log_checks
+from dandelionwinch.soak import _stream_moves
 from dandelionwinch.tools import explain
 
 # Time after a cut-off within which an instance has the store's state again.
@@ -25,6 +26,8 @@
 # Time after a signal to an instance, or the start of a disturbance of a link,
 # until which its effect may last.
 INTERRUPTION_S = 7.0
+# Beginnings of the ids of requests that must not run twice.
+ONCE_PREFIXES = ('once-', f'{_stream_moves.ROUTE}-')
 
 
 @attrs.define
@@ -257,12 +260,12 @@
         broken += [
             f'{request_id}: ran {count} times'
             for request_id, count in runs.items()
-            if request_id.startswith('once-') and count > 1
+            if request_id.startswith(ONCE_PREFIXES) and count > 1
         ]
         broken += [
             f'{request_id}: reported as not run, but ran'
             for request_id in self.observations.not_run
-            if request_id in runs and request_id.startswith('once-')
+            if request_id in runs and request_id.startswith(ONCE_PREFIXES)
         ]
         broken += [
             f'{request_id}: sent to an upstream long after its withdrawal'
--- a/dandelionwinch/soak/_configuration.py
+++ b/dandelionwinch/soak/_configuration.py
@@ -2,6 +2,7 @@
 
 from dandelionwinch.platform import samples
 from dandelionwinch import routes
+from dandelionwinch.soak import _stream_moves
 
 
 class Configuration:
@@ -44,6 +45,12 @@
                 streaming=True,
                 attempts=2,
             ),
+            samples.route_of(
+                _stream_moves.ROUTE,
+                routes.RetryPolicy.ONCE,
+                streaming=True,
+                timeout_s=_stream_moves.TIMEOUT_S,
+            ),
         ]
         teams = self._teams.rows() if self._teams else None
         value = samples.config(
--- a/dandelionwinch/soak/_run.py
+++ b/dandelionwinch/soak/_run.py
@@ -24,6 +24,7 @@
 from dandelionwinch.soak import _process
 from dandelionwinch.soak import _restores
 from dandelionwinch.soak import _signals
+from dandelionwinch.soak import _stream_moves
 from dandelionwinch.soak import _tasks
 from dandelionwinch.soak import _teams
 from dandelionwinch.soak import _upstream
@@ -37,6 +38,8 @@
 # Time out of contact after which an instance refuses keys, if it must.
 REVOKE_S = 4.0
 START_UPSTREAMS = 4
+# Callers of long streams, in runs in which upstreams are taken away.
+LONG_CALLERS = 6
 # Retries allowed beside the retry ratio, over all instances.
 RETRY_SLACK = 200
 FAULTS = (
@@ -65,6 +68,7 @@
         statuses: Number of final responses by status, 0 for none.
         taken_up: Number of responses by status to requests that took a
             broken stream up again.
+        long_streams: Number of long streams by status.
         faults: Number of injected faults by kind.
         timeline: Time in seconds, kind and target of each fault.
         broken: Violated guarantees; empty if all held.
@@ -75,6 +79,7 @@
     requests: int
     statuses: dict
     taken_up: dict
+    long_streams: dict
     faults: dict
     timeline: list
     broken: list
@@ -193,16 +198,12 @@
         self._tasks.spawn(self._restores.copy())
         for number in range(self._caller_count):
             rng = random.Random(self._rng.random())
-            caller = _caller.Caller(
-                number,
-                directories,
-                self._links.frontends,
-                self._observations,
-                rng,
-                self._poison,
-                self._teams,
-            )
-            self._tasks.spawn(caller.run())
+            self._start_caller(number, directories, rng, _caller.KINDS)
+        if self._capacity is not None:
+            for number in range(LONG_CALLERS):
+                name = f'{_stream_moves.ROUTE}{number}'
+                rng = random.Random(f'{name} {self._seed}')
+                self._start_caller(name, directories, rng, _caller.LONG_KINDS)
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
         self._checks.unix_offset_s = time.time() - loop.time()
@@ -219,6 +220,19 @@
         if self._duties is not None:
             await self._duties.await_reports(ended_at)
 
+    def _start_caller(self, name, directories, rng, kinds):
+        caller = _caller.Caller(
+            name,
+            directories,
+            self._links.frontends,
+            self._observations,
+            rng,
+            self._poison,
+            self._teams,
+            kinds,
+        )
+        self._tasks.spawn(caller.run())
+
     def _begin_poison(self):
         for part in self._poison.parts:
             self._count_fault('poison', f'{part.name} {part.spans}')
@@ -391,6 +405,7 @@
             sum(self._observations.statuses.values()),
             dict(sorted(self._observations.statuses.items())),
             dict(sorted(self._observations.taken_up.items())),
+            dict(sorted(self._observations.long_streams.items())),
             self._faults,
             self._timeline,
             self._checks.broken() + self._tasks.failures,
--- a/dandelionwinch/soak/_upstream.py
+++ b/dandelionwinch/soak/_upstream.py
@@ -5,6 +5,7 @@
 import attrs
 
 from dandelionwinch.platform import samples
+from dandelionwinch.soak import _stream_moves
 
 EVENTS_PER_STREAM = 6
 EXECUTION_S = 0.01
@@ -74,6 +75,7 @@
             to run, by request id: a stream with its first event.
         faulty: Ids of the requests under which an upstream had a fault.
         crashed: Ids of the upstreams that have crashed.
+        moves: StreamMoves.
     """
 
     arrived: set = attrs.Factory(set)
@@ -86,6 +88,7 @@
     begun: dict = attrs.Factory(dict)
     faulty: set = attrs.Factory(set)
     crashed: set = attrs.Factory(set)
+    moves: _stream_moves.StreamMoves = attrs.Factory(_stream_moves.StreamMoves)
 
     def record_run(self, request_id):
         """Records an execution."""
@@ -201,15 +204,19 @@
         request_line, *lines = head.strip().split('\r\n')
         headers = dict(line.split(': ', 1) for line in lines)
         headers = {name.lower(): value for name, value in headers.items()}
-        await reader.readexactly(int(headers.get('content-length', 0)))
+        body = await reader.readexactly(int(headers.get('content-length', 0)))
         request_id = headers.get(samples.REQUEST_ID)
         if request_id is None:
-            # A call for cache events, which it has not.
-            writer.write(samples.refusal('404 Not Found'))
-            return True
+            answer = await self._executions.moves.answer(
+                self, request_line, body, self._rng
+            )
+            writer.write(answer or b'')
+            return answer is not None
         if headers[samples.UPSTREAM_ID] != self.id:
             writer.write(samples.refusal('421 Misdirected Request'))
             return True
+        if samples.KV_SOURCE in headers:
+            return await self._go_on(writer, headers)
         self._record_arrival(request_id)
         self._executions.identities.append(
             (
@@ -312,6 +319,8 @@
             self._crash(part)
             return False
         request_id = headers[samples.REQUEST_ID]
+        if _stream_moves.is_long(request_id):
+            return await self._send_long(writer, headers)
         team = headers.get(samples.TEAM, '')
         first = int(headers.get(samples.LAST_EVENT_ID, 0)) + 1
         close_framed = fault == 'close_framed'
@@ -331,3 +340,36 @@
         if not close_framed:
             writer.write(b'0\r\n\r\n')
         return not close_framed
+
+    async def _go_on(self, writer, headers):
+        """Goes on with a run whose copy an instance names."""
+        own = headers[samples.KV_SOURCE].startswith(f'{self.proxy.address}/')
+        if not own:
+            # One that leaves may get back what it has stopped itself.
+            self._record_arrival(headers[samples.REQUEST_ID])
+        return await self._send_long(writer, headers)
+
+    async def _send_long(self, writer, headers):
+        """Sends the events of a long stream until its run is stopped."""
+        request_id = headers[samples.REQUEST_ID]
+        run = self._executions.moves.begin(self, headers)
+        if run is None:
+            writer.write(samples.refusal())
+            return True
+        framing = 'Transfer-Encoding: chunked'
+        more = self._more(request_id)
+        writer.write(samples.response_head(request_id, framing, more=more))
+        team = headers.get(samples.TEAM, '')
+        try:
+            while run.created < _stream_moves.EVENTS_PER_STREAM:
+                if run.stopped or self.crashed:
+                    return False
+                run.created += 1
+                self._executions.record_begin(request_id, team)
+                data = event(run.created, request_id, self.version)
+                writer.write(_chunk(data))
+                await asyncio.sleep(_stream_moves.EVENT_INTERVAL_S)
+        finally:
+            run.ended = True
+        writer.write(b'0\r\n\r\n')
+        return True
--- a/dandelionwinch/tests/test_soak_capacity.py
+++ b/dandelionwinch/tests/test_soak_capacity.py
@@ -1,13 +1,16 @@
 """The soak's stand-in of capacity and its checks."""
 
 import asyncio
+import json
 import random
+from unittest import mock
 
 import pytest
 
 from dandelionwinch.platform import samples
 from dandelionwinch.soak import _capacity
 from dandelionwinch.soak import _run
+from dandelionwinch.soak import _stream_moves
 from dandelionwinch.standins import capacity
 from dandelionwinch.standins import duty_api
 from dandelionwinch.standins import http_server
@@ -258,3 +261,33 @@
     assert fields == {'zone': 'a', 'spot': True, 'leaves_ms': 2000.0}
     plain = samples.entry(**capacity.entry_fields(ORDINARY))
     assert plain == samples.entry()
+
+
+def test_a_long_stream_goes_on_once_with_its_copy(monkeypatch):
+    """Else the soak would take a second run for the same one."""
+    monkeypatch.setattr(_stream_moves, 'COPY_S', 0.0)
+    first, second = (
+        mock.Mock(proxy=mock.Mock(address=address)) for address in ('a', 'b')
+    )
+    rng = mock.Mock(random=lambda: 0.5)
+    tested = _stream_moves.StreamMoves()
+    run = tested.begin(first, {samples.REQUEST_ID: 'long-1'})
+    run.created = 3
+
+    def move(last):
+        body = json.dumps({'id': 'long-1', 'target': 'b', 'last': last})
+        line = f'POST {samples.MOVE_PATH} HTTP/1.1'
+        answer = tested.answer(first, line, body.encode(), rng)
+        _head, _, fields = asyncio.run(answer).partition(b'\r\n\r\n')
+        return json.loads(fields)['kvHandle']
+
+    headers = {
+        samples.REQUEST_ID: 'long-1',
+        samples.LAST_EVENT_ID: '3',
+        samples.KV_SOURCE: f'a/{move(False)}',
+    }
+    assert tested.begin(second, headers) is None
+    assert move(True) == headers[samples.KV_SOURCE].removeprefix('a/')
+    assert run.stopped
+    assert tested.begin(second, headers).created == 3
+    assert tested.begin(second, headers) is None
