--- a/dandelionwinch/tests/test_stream_moves.py
+++ b/dandelionwinch/tests/test_stream_moves.py
@@ -166,6 +166,17 @@
     assert run(scenario) == []
 
 
+def test_a_stream_moves_while_the_instance_stops():
+    async def scenario(harness):
+        await harness.begin()
+        harness.gateway.begin_stop(harness.gateway.loop.time() + 8.0)
+        harness.drain('u0')
+        await harness.is_whole()
+        return harness.calls(1)
+
+    assert run(scenario) == ['run']
+
+
 def test_few_streams_move_off_an_engine_at_a_time():
     """The last copy of each waited for the first copies of all others."""
 
