--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -7,18 +7,19 @@
 import attrs
 
 from dandelionwinch import attempts
-from dandelionwinch import dispatch
-from dandelionwinch.gateway import _connection
+from dandelionwinch.gateway import _event_reader
 from dandelionwinch.gateway import _next_attempt
 from dandelionwinch.gateway import _request_handler
+from dandelionwinch.gateway import _separate_prefill
 from dandelionwinch.gateway import _sse
+from dandelionwinch.gateway import _stream_continuation
+from dandelionwinch.gateway import _stream_migration
+from dandelionwinch.gateway import _team_shortage
 from dandelionwinch.gateway import _upstream_exchange
+from dandelionwinch import migration
 from dandelionwinch import quarantine
 from dandelionwinch import upstreams
 
-# Read timeout of a prefill as a multiple of the route's latency objective,
-# except for background prompts.
-PREFILL_TIMEOUT_FACTOR = 3.0
 # Part of the route's timeout; a caller with a shorter one is retrying.
 RETRIED_TIMEOUT_RATIO = 0.85
 
@@ -26,7 +27,7 @@
 class GenerationHandler(_request_handler.RequestHandler):
     """Serves one generation on model engines."""
 
-    __slots__ = ('_begun', '_shortage_counted', '_standing', '_version')
+    __slots__ = ('_begun', '_team', '_version')
 
     def __init__(self, *args):
         super().__init__(*args)
@@ -34,8 +35,7 @@
         self._begun = False
         # Software version of the engine that began the stream.
         self._version = None
-        self._standing = self._find_standing()
-        self._shortage_counted = False
+        self._team = _team_shortage.TeamShortage(self._state)
 
     def _prompt_parts(self):
         """Returns the keys of the parts that the prompt shares."""
@@ -72,42 +72,12 @@
             late=late,
             objective_s=self._route.objective_s,
             patience_s=self._route.patience_s,
-            standing=self._standing,
+            standing=self._team.standing,
         )
         if not (late or self._state.sent_count):
-            self._count_shortage(placement)
+            self._team.count(placement)
         return placement
 
-    def _find_standing(self):
-        """Returns the Standing of the request's team.
-
-        The priority of a team takes precedence over that of the route.
-        """
-        priority, usual = self._req.team_priority, self._route.priority
-        urgency = 0
-        if priority is not None:
-            urgency = (priority > usual) - (priority < usual)
-        return self._gateway.fair_sharing.standing(
-            self._service, self._req.team, urgency
-        )
-
-    def _count_shortage(self, placement):
-        """Counts once if the request must wait or is refused."""
-        if self._shortage_counted:
-            return
-        self._shortage_counted = True
-        sharing, req = self._gateway.fair_sharing, self._req
-        if placement is None:
-            sharing.record_refused(self._service, req.team, req.id)
-            return
-        background = dispatch.PriorityClass.BACKGROUND
-        sharing.record_served(
-            self._service,
-            req.team,
-            req.id,
-            delayed=placement.priority_class is background,
-        )
-
     def _serves(self, choice):
         """Tells whether the engines of a Placement accept requests."""
         serves = self._fleet.serves
@@ -135,7 +105,13 @@
         try:
             kv_source = ''
             if placement.prefill is not None:
-                kv_source = await self._prefill(placement)
+                prefill = _separate_prefill.SeparatePrefill(
+                    self._state,
+                    self._connections,
+                    self._next,
+                    self._note_failure,
+                )
+                kv_source = await prefill.run(placement)
                 started_at, now = now, self._loop.time()
                 self.prefill_s = now - started_at
                 self._gateway.placer.record_prefill(
@@ -169,51 +145,6 @@
             and timeout_s < RETRIED_TIMEOUT_RATIO * route.timeout_s
         )
 
-    async def _prefill(self, placement):
-        """Prefills the prompt; returns address and handle of its KV cache.
-
-        Raises:
-            AttemptFailed: If it failed; the request was not executed.
-        """
-        upstream = placement.prefill
-        params = self._params(
-            upstream, prefill_only=True, priority=placement.priority
-        )
-        pool, conn = await self._connections.acquire(upstream)
-        self._next.use_token(upstream, pool, conn)
-        try:
-            async with self._open_exchange(
-                upstream, pool, conn, executes=False
-            ) as exchange:
-                handle = await self._request_prefill(
-                    exchange, params, placement.priority_class
-                )
-        except _upstream_exchange.AttemptFailed as exc:
-            self._state.sent_count += 1
-            await self._note_failure(exc, upstream)
-            raise _upstream_exchange.AttemptFailed(
-                attempts.AttemptOutcome.NOT_EXECUTED, f'prefill: {exc}'
-            ) from exc
-        return f'{upstream.entry.address}/{handle}'
-
-    async def _request_prefill(self, exchange, params, priority_class):
-        exchange.send(params)
-        read_timeout_s = self._left_s()
-        if priority_class is not dispatch.PriorityClass.BACKGROUND:
-            read_timeout_s = PREFILL_TIMEOUT_FACTOR * self._route.objective_s
-        head = await exchange.read_head(read_timeout_s)
-        body = await exchange.read_body(read_timeout_s)
-        reply = self._gateway.wire_codec.parse_reply(head)
-        handle = self._gateway.wire_codec.kv_handle(body)
-        if head.status != 200 or not handle:
-            outcome = attempts.AttemptOutcome.UNKNOWN
-            if reply.not_executed:
-                outcome = attempts.AttemptOutcome.NOT_EXECUTED
-            raise _upstream_exchange.AttemptFailed(
-                outcome, f'status {head.status}, no handle'
-            )
-        return handle
-
     def _with_usable_decoder(self, placement):
         """Replaces a decode engine that stopped serving or is not reached."""
         if self._suspicion.is_held():
@@ -280,24 +211,50 @@
             priority = placement.prefilled_priority
             self._gateway.placer.record_transfer(placement, self._loop.time())
         params = self._params(upstream, kv_source=kv_source, priority=priority)
+        if self._state.last_event_id is not None:
+            self._log_resumption(upstream.entry)
+        leg = _stream_continuation.Leg(placement, params, started_at)
         try:
-            async with self._open_exchange(upstream, pool, conn) as exchange:
-                await self._relay_stream(
-                    exchange, params, placement, started_at
-                )
-        except _upstream_exchange.AttemptFailed as exc:
-            await self._note_failure(exc, upstream)
+            await self._exchange_stream(leg, pool, conn)
+        except _stream_migration.RunStopped as stopped:
+            continuation = _stream_continuation.StreamContinuation(
+                self._state, self._report, self._exchange_stream
+            )
+            await continuation.run(stopped, placement)
+
+    async def _exchange_stream(self, leg, pool, conn):
+        """Sends the request on a connection and relays its response.
+
+        Raises:
+            RunStopped: If the engine stopped the run, to be moved.
+        """
+        upstream = leg.placement.decode
+        stream = self._gateway.departures.watch(
+            self._state, upstream, conn, leg.moved
+        )
+        may_leave = stream.guard(self._next.may_leave)
+        try:
+            async with self._connections.open_exchange(
+                upstream, pool, conn, may_leave, True
+            ) as exchange:
+                await self._relay_stream(exchange, leg, stream)
+            stream.close(migration.Result.ENDED)
+        except _stream_migration.RunStopped:
+            raise
+        except BaseException as exc:
+            stream.close(migration.Result.LEFT)
+            if isinstance(exc, _upstream_exchange.AttemptFailed):
+                await self._note_failure(exc, upstream)
             raise
 
-    async def _relay_stream(self, exchange, params, placement, started_at):
+    async def _relay_stream(self, exchange, leg, stream):
         """Sends the request and relays the events of its response.
 
         Only complete events are relayed, as a resumed stream continues
         after the last of them.
         """
-        if self._state.last_event_id is not None:
-            self._log_resumption(placement.decode.entry)
-        exchange.send(params)
+        placement = leg.placement
+        exchange.send(leg.params)
         read_timeout_s = self._read_timeout_s()
         head = await exchange.read_head(read_timeout_s)
         reply = self._gateway.wire_codec.parse_reply(head)
@@ -306,54 +263,47 @@
                 exchange, head, placement.decode, read_timeout_s
             )
             return
-        most = _sse.max_events(self._req.answer_tokens, self._route.timeout_s)
-        splitter = _sse.EventSplitter(most)
+        reader = _event_reader.EventReader(
+            self._loop,
+            exchange,
+            _sse.max_events(self._req.answer_tokens, self._route.timeout_s),
+            read_timeout_s,
+            head.framed,
+            stream.settle,
+        )
         last_at = None
-        # Bytes that complete no event are no progress of a stream.
-        progress_at = self._loop.time()
-        while True:
-            waited_s = self._loop.time() - progress_at
-            item = await exchange.read_item(read_timeout_s - waited_s)
-            if isinstance(item, _connection.End):
-                break
-            for event in self._split(splitter, item.data):
+        while (events := await reader.read()) is not None:
+            for event in events:
                 now = self._loop.time()
-                if last_at is None:
-                    self._bind_version(placement.decode.entry)
-                    self._record_first_event(placement, started_at)
-                    self._count_stream(placement.decode)
-                else:
+                if last_at is not None:
                     self.longest_gap_s = max(self.longest_gap_s, now - last_at)
                     self._gateway.placer.record_token_gap(
                         placement, now - last_at, self._route.token_gap_s, now
                     )
+                else:
+                    self._begin_leg(leg, now)
                 last_at = now
                 await self._relay_event(head, event)
-                # A caller that reads slowly is no stall of the upstream.
-                progress_at = self._loop.time()
-        if splitter.incomplete:
-            raise _upstream_exchange.AttemptFailed(
-                attempts.AttemptOutcome.UNKNOWN, 'a torn event'
-            )
+                stream.record_event()
+                reader.record_progress()
+        if last_at is None and leg.moved is not None and not head.framed:
+            raise _event_reader.closed_without_an_event()
         if not (head.framed or self._begun or self._state.streaming):
-            raise self._closed_without_an_event()
+            raise _event_reader.closed_without_an_event()
         await self._check_end(head, placement.decode)
         self._end_stream(head, placement)
 
-    @staticmethod
-    def _closed_without_an_event():
-        """Returns the failure of a stream that its engine never began.
-
-        Its connection ends as if the body were complete.
-        """
-        reason = 'closed without an event'
-        exc = _upstream_exchange.AttemptFailed(
-            attempts.AttemptOutcome.UNKNOWN, reason
-        )
-        exc.__cause__ = _connection.ConnectionLost(
-            _connection.LossCause.CLOSED, reason
-        )
-        return exc
+    def _begin_leg(self, leg, now):
+        """Records the first event of an engine."""
+        upstream = leg.placement.decode
+        if leg.moved is not None:
+            gap_s = now - leg.moved.last_event_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            leg.moved.continued(upstream)
+            return
+        self._bind_version(upstream.entry)
+        self._record_first_event(leg.placement, leg.started_at)
+        self._count_stream(upstream)
 
     def _bind_version(self, entry):
         """Binds the stream to the version of the engine that begins it."""
@@ -387,15 +337,6 @@
         self._state.outcome = 'whole'
         self._gateway.record_response(self, 200, '')
 
-    @staticmethod
-    def _split(splitter, data):
-        try:
-            return splitter.feed(data)
-        except ValueError as exc:
-            raise _upstream_exchange.AttemptFailed(
-                attempts.AttemptOutcome.UNKNOWN, str(exc)
-            ) from exc
-
     async def _relay_event(self, head, event):
         """Sends an event to the caller unless it was sent already."""
         if event.event_id is not None:
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -30,6 +30,7 @@
         'registry',
         'relay_messages',
         'seconds',
+        'stream_moves',
         'unauthorized_requests',
         'usage',
     )
@@ -98,6 +99,12 @@
             'Messages about changes of the store, by what became of them',
             ['result'],
         )
+        self.stream_moves = prometheus_client.Counter(
+            'dandelionwinch_gateway_stream_moves',
+            'Streams on engines that leave, by how their migration ended',
+            ['result'],
+            registry=registry,
+        )
         self._teams = set()
         self._add_capacity(counter, gauge)
 
