--- a/dandelionwinch/gateway/_byte_shares.py
+++ b/dandelionwinch/gateway/_byte_shares.py
@@ -80,9 +80,9 @@
 
     def divides(self, service):
         """Tells whether the bound of a service is divided."""
-        if self._learnt.bytes(service) is None:
-            return False
-        return self._instances.count() > 1
+        return self._learnt.bytes(service) is not None and bool(
+            self._link.peers
+        )
 
     def limit(self, guard):
         """Returns the bytes that this instance may hold at an upstream.
--- a/dandelionwinch/gateway/_learnt_bounds.py
+++ b/dandelionwinch/gateway/_learnt_bounds.py
@@ -155,9 +155,13 @@
             total: Bytes that it held of all instances, as far as known.
         """
         entry = upstream.entry
-        crash_id = f'{utils.stable_hash(*entry.incarnation):016x}'
+        now = self._loop.time()
+        log = self._logs.setdefault(entry.service, limits.CrashLog())
+        crash_id = log.id_at(
+            f'{utils.stable_hash(*entry.incarnation):016x}', now
+        )
         report = limits.CrashReport(
-            crash_id, entry.id, self._loop.time(), held, max(held, total)
+            crash_id, entry.id, now, held, max(held, total)
         )
         self._record(entry.service, report, self._name, held=True)
         if held < MIN_TOLD_BYTES or not self._link.peers:
--- a/dandelionwinch/limits/_crash_log.py
+++ b/dandelionwinch/limits/_crash_log.py
@@ -4,6 +4,8 @@
 order in which the reports came, and how often.
 """
 
+import itertools
+
 import attrs
 
 from dandelionwinch.limits import _body_bounds
@@ -12,6 +14,8 @@
 # so many doublings no crash has an effect.
 MAX_CRASHES = 20
 KEPT_S = 1200.0
+# Time within which instances see one crash, and reports of it arrive.
+SAME_CRASH_S = 10.0
 
 
 @attrs.frozen
@@ -72,6 +76,22 @@
     def __len__(self):
         return len(self._crashes)
 
+    def id_at(self, crash_id, now):
+        """Returns the id of a crash that is seen now.
+
+        An upstream that does not state its start has the same id for each of
+        its crashes, which are told apart by their number.
+
+        Args:
+            crash_id: Id of the first crash.
+            now: Time in seconds.
+        """
+        for number in itertools.count(1):
+            known = crash_id if number == 1 else f'{crash_id}.{number}'
+            crash = self._crashes.get(known)
+            if crash is None or now - crash.at <= SAME_CRASH_S:
+                return known
+
     def record(self, report, sender, now):
         """Records a report, which may come twice and late.
 
--- a/dandelionwinch/tests/test_byte_shares.py
+++ b/dandelionwinch/tests/test_byte_shares.py
@@ -227,6 +227,17 @@
     assert log.bound(16 * MIB, 2.0).learnt == 20 * MIB
 
 
+def test_each_crash_of_an_upstream_without_a_start_time_counts():
+    """Its incarnations can't be told apart, and nor can their crashes."""
+    log = limits.CrashLog()
+    for now in (0.0, 0.3, 20.0, 40.0):
+        crash_id = log.id_at('c', now)
+        log.record(
+            limits.CrashReport(crash_id, 'u', now, 0, MIB * 2), 'a', now
+        )
+    assert log.bound(16 * MIB, 40.0).learnt == 2 * MIB
+
+
 @pytest.mark.parametrize('seed', range(10))
 def test_granted_and_held_bytes_stay_below_the_bound(seed):
     """Load: 20 instances that ask for up to 4 MiB of 8 MiB."""
