--- a/dandelionwinch/tests/test_pressure.py
+++ b/dandelionwinch/tests/test_pressure.py
@@ -5,6 +5,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 import uvloop
 
@@ -12,6 +13,7 @@
 from dandelionwinch.gateway import _pool
 from dandelionwinch.gateway import _upstream_bytes
 from dandelionwinch.platform import samples
+from dandelionwinch.ratelimits import _granter
 from dandelionwinch.standins import holding
 from dandelionwinch.tests import gateway_harness
 from dandelionwinch.tests import recorder
@@ -222,6 +224,54 @@
     assert (event['why'], event['held']) == ('crashed', 2 * LARGEST)
 
 
+async def _connect(sites):
+    """Connects the gateways of sites by datagrams."""
+    peers = {}
+    for number, site in enumerate(sites):
+        link = site.gateway.peers
+        await link.start('127.0.0.1', 0)
+        peers[f'edge-{number}'] = link._transport.get_extra_info('sockname')
+    for site in sites:
+        site.gateway.peers.set_peers(peers)
+        site.gateway.start()
+
+
+def test_another_instance_learns_the_bound_and_sends_only_its_share(
+    monkeypatch,
+):
+    """It learnt from a crash of its own, and kept a bound of its own."""
+    # Nothing is granted, as after a change of the granting instance.
+    monkeypatch.setattr(_granter, 'WARM_UP_S', 1e9)
+
+    async def scenario(site):
+        cfg = attrs.evolve(ON, instance='edge-1')
+        async with gateway_harness.GatewayHarness([], cfg=cfg) as harness:
+            other = _Site(harness)
+            await other.start()
+            await _connect([site, other])
+            site.upstream.answering.clear()
+            readers = [await site.send('/once/1', f'r{n}') for n in range(2)]
+            await site.wait_begun('r0', 'r1')
+            await site.upstream.close()
+            for reader in readers:
+                await _answer(reader)
+            await other.log.wait_until(
+                lambda: other.events('upstream.bytes_bound')
+            )
+            refused = await _answer(await other.send('/once/1', 'large'))
+            small = await _answer(await other.send('/once/1', 'small', 2))
+            (event,) = other.events('upstream.bytes_bound')
+            await other.close()
+            return event, refused, small, other.upstream.begun
+
+    cfg = attrs.evolve(ON, instance='edge-0')
+    event, refused, small, begun = _run(scenario, others=0, cfg=cfg)
+    assert (event['bytes'], event['total']) == (8 * MIB, 2 * LARGEST)
+    assert event['source'] == 'edge-0'
+    assert (refused[0], 'retry-after' in refused[1]) == (503, True)
+    assert (small[0], begun) == (200, ['small'])
+
+
 def test_a_connection_with_an_unsent_rest_of_a_body_is_not_reused():
     """The rest would come before the next request."""
 
