--- a/dandelionwinch/platform/_store.py
+++ b/dandelionwinch/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store."""
 
 import base64
+import collections
 import json
 import urllib.parse
 
@@ -8,12 +9,15 @@
 
 from dandelionwinch import control
 from dandelionwinch import gateway
+from dandelionwinch.platform import _store_answers
 
 CALL_TIMEOUT_S = 1.5
 WATCH_MARGIN_S = 0.6
 CONNECTIONS = 4
 REVOKE_ATTEMPTS = 3
 EPOCH_HEADER = 'store-era'
+# Leases of which a late copy of the answer is known as such.
+KNOWN_LEASES = 64
 
 
 @attrs.frozen
@@ -24,17 +28,29 @@
     epoch: int | None
 
 
+class _Doubtful(control.StoreFailed):
+    """What was read may be a late copy of an earlier answer."""
+
+
 class Store:
     """Client of the store's protocol, with one method per call.
 
+    A connection is used again only after an answer with status 200. If one
+    may be a late copy, the connection is closed, and calls that may be
+    repeated are sent again on a new one, which can carry no copy.
+
     Attributes:
         calls: Number of calls.
         epochs: EpochTracker of all responses.
     """
 
-    __slots__ = ('_pool', 'calls', 'epochs')
+    __slots__ = ('_leases', '_loop', '_pool', '_seen', 'calls', 'epochs')
 
     def __init__(self, loop, address):
+        self._loop = loop
+        # Highest revision that an answer stated, and leases with their epochs.
+        self._seen = control.Revision(None, -1)
+        self._leases = collections.deque(maxlen=KNOWN_LEASES)
         self._pool = gateway.Pool(loop, address, CONNECTIONS)
         self.epochs = control.EpochTracker()
         self.calls = 0
@@ -54,7 +70,8 @@
             query = {'prefix': prefix}
             if after:
                 query['after'] = after
-            response = await self._call('GET', _path('kv-range', query))
+            check = _store_answers.is_page(prefix, after)
+            response = await self._call('GET', _path('kv-range', query), check)
             data = response.data
             items += [_parse_item(item) for item in data['items']]
             if revision is None:
@@ -86,8 +103,9 @@
             'after': after.number,
             'waitMs': int(wait_s * 1e3),
         }
+        check = _store_answers.is_change(after.number, wait_s)
         response = await self._call(
-            'GET', _path('kv-watch', query), wait_s + WATCH_MARGIN_S
+            'GET', _path('kv-watch', query), check, wait_s + WATCH_MARGIN_S
         )
         if response.epoch != after.epoch:
             raise control.EpochChanged('during a watch')
@@ -99,13 +117,21 @@
     async def grant_lease(self, ttl_s):
         """Returns a new Lease."""
         body = {'ttlMs': int(ttl_s * 1e3)}
-        response = await self._call('POST', '/-/kv-lease', body=body)
-        return control.Lease(response.data['lease'], response.epoch)
+        epoch = self.epochs.current
+        granted = {lease.id for lease in self._leases if lease.epoch == epoch}
+        check = _store_answers.is_new_lease(granted)
+        response = await self._call(
+            'POST', '/-/kv-lease', check, body=body, repeatable=False
+        )
+        lease = control.Lease(response.data['lease'], response.epoch)
+        self._leases.append(lease)
+        return lease
 
     async def renew_lease(self, lease):
         """Renews a lease."""
         self._check_lease(lease, self.epochs.current)
-        response = await self._call('POST', f'/-/kv-keep/{lease.id}')
+        check = _store_answers.is_of_lease(lease.id)
+        response = await self._call('POST', f'/-/kv-keep/{lease.id}', check)
         self._check_lease(lease, response.epoch)
 
     async def revoke_lease(self, lease):
@@ -114,11 +140,13 @@
         Does nothing if it is of an older epoch, as its id may be that of
         another lease.
         """
+        check = _store_answers.is_of_lease(lease.id)
         for attempts_left in reversed(range(REVOKE_ATTEMPTS)):
             if lease.epoch != self.epochs.current:
                 return
             try:
-                await self._call('DELETE', f'/-/kv-lease-end/{lease.id}')
+                path = f'/-/kv-lease-end/{lease.id}'
+                await self._call('DELETE', path, check)
                 return
             except control.LeaseEnded:
                 return
@@ -155,30 +183,54 @@
         if revision is not None:
             preconditions.append({'key': key, 'revision': revision})
         body = {'precondition': preconditions, 'puts': [item], 'remove': []}
-        response = await self._call('POST', '/-/kv-txn', body=body)
+        check = _store_answers.is_write
+        response = await self._call(
+            'POST', '/-/kv-txn', check, body=body, repeatable=False
+        )
         if lease is not None:
             self._check_lease(lease, response.epoch)
         return control.Revision(response.epoch, response.data['revision'])
 
-    async def _call(self, method, path, timeout_s=CALL_TIMEOUT_S, body=None):
-        self.calls += 1
+    async def _call(
+        self,
+        method,
+        path,
+        check,
+        timeout_s=CALL_TIMEOUT_S,
+        body=None,
+        *,
+        repeatable=True,
+    ):
         data = b'' if body is None else json.dumps(body).encode()
         headers = [('Host', 'store')]
         if body is not None:
             headers.append(('Content-Type', 'application/json'))
         request = gateway.request_bytes(method, path, headers, data)
-        status, text = await self._exchange(request, timeout_s)
-        data = _parse_response(status, text, path)
-        # No other response was read since, so it is the epoch of this one.
-        return _Response(data, self.epochs.current)
+        try:
+            return await self._exchange(request, path, check, timeout_s)
+        except _Doubtful as exc:
+            if not repeatable:
+                raise control.StoreFailed(str(exc)) from exc
+        return await self._exchange(request, path, None, timeout_s)
 
-    async def _exchange(self, request, timeout_s):
+    async def _exchange(self, request, path, check, timeout_s):
+        """Sends a request; returns the _Response.
+
+        Args:
+            request: Bytes of the request.
+            path: Its path, for error messages.
+            check: Check of _store_answers, None for a new connection.
+            timeout_s: Timeout in seconds.
+        """
+        self.calls += 1
         try:
-            conn = await self._pool.acquire(timeout_s)
+            conn = await self._pool.acquire(timeout_s, new=check is None)
         except gateway.NotConnected as exc:
             raise control.StoreRefused(str(exc)) from exc
+        used = conn.written_bytes > 0
+        epoch_at_send, known = self.epochs.current, self._known()
+        sent_at = self._loop.time()
         try:
-            epoch_at_send = self.epochs.current
             conn.send(request)
             head, text = await gateway.read_response(conn, timeout_s)
         except gateway.ConnectionLost as exc:
@@ -187,13 +239,59 @@
         except BaseException:
             self._pool.discard(conn)
             raise
-        self._pool.release(conn)
         epoch_text = head.header(EPOCH_HEADER)
-        if not self.epochs.observe(epoch_text, epoch_at_send):
-            if self.epochs.awaits_confirmation:
-                raise control.StoreFailed(f'unconfirmed epoch {epoch_text}')
-            raise control.EpochChanged('a response is of an older epoch')
-        return head.status, text
+        is_current = self.epochs.observe(epoch_text, epoch_at_send)
+        if epoch_at_send != self.epochs.current:
+            known = -1
+        doubtful = (
+            used
+            and head.status == 200
+            and not _fits(text, check, known, self._loop.time() - sent_at)
+        )
+        if head.status == 200 and not doubtful:
+            self._pool.release(conn)
+        else:
+            self._pool.discard(conn)
+        if not is_current:
+            self._raise_not_current(epoch_text)
+        if doubtful:
+            raise _Doubtful(f'maybe a late copy of an answer to "{path}"')
+        data = _parse_response(head.status, text, path)
+        self._learn(data, known)
+        # No other response was read since, so it is the epoch of this one.
+        return _Response(data, self.epochs.current)
+
+    def _raise_not_current(self, epoch_text):
+        if self.epochs.awaits_confirmation:
+            raise control.StoreFailed(f'unconfirmed epoch {epoch_text}')
+        raise control.EpochChanged('a response is of an older epoch')
+
+    def _known(self):
+        """Returns the highest revision number of the epoch, -1 without one."""
+        same_epoch = self._seen.epoch == self.epochs.current
+        return self._seen.number if same_epoch else -1
+
+    def _learn(self, data, known):
+        """Learns the revision of an answer.
+
+        One that is lower than what was known as its request was sent is of a
+        store that was restored and states no epoch.
+        """
+        if not isinstance(data, dict):
+            return
+        number = data.get('storeRevision', data.get('revision'))
+        if isinstance(number, int):
+            if number >= known:
+                number = max(number, self._known())
+            self._seen = control.Revision(self.epochs.current, number)
+
+
+def _fits(text, check, known, waited_s):
+    """Tells whether what was read is known to be the answer."""
+    try:
+        return check(json.loads(text), known, waited_s)
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return False
 
 
 def _parse_response(status, text, path):
