--- a/dandelionwinch/bench/overload/_request.py
+++ b/dandelionwinch/bench/overload/_request.py
@@ -24,7 +24,7 @@
         self._is_retry = is_retry
         self._placer = simulation.placers[arrival.instance]
         self._upstreams = simulation.upstreams[arrival.instance]
-        self._round_trip_s = simulation.round_trip_s
+        self._round_trip_s = 0.0
         self._placement = None
         self._engine_req = None
         self._sent_at = started_at
@@ -63,6 +63,10 @@
 
     def _submit(self, upstream, stage, priority, now, kv_source=None):
         engine = self._simulation.engines[upstream.entry.id]
+        self._count_bytes(engine.data_centre, kv_source)
+        self._round_trip_s = self._simulation.network.round_trip_s(
+            self._arrival.instance, engine.data_centre
+        )
         on_first_event, on_end = self._record_first_event, self._complete
         if stage is _engine.Stage.PREFILL:
             on_first_event, on_end = self._start_decode, self._ignore
@@ -83,6 +87,13 @@
             now + self._round_trip_s / 2, engine.submit, self._engine_req
         )
 
+    def _count_bytes(self, data_centre, kv_source):
+        network = self._simulation.network
+        tokens = self._arrival.prompt.tokens
+        network.count_prompt(self._arrival.instance, data_centre, tokens)
+        if kv_source is not None:
+            network.count_kv_cache(kv_source.data_centre, data_centre, tokens)
+
     def _delayed(self, callback):
         """Returns a function that calls back half a round trip later."""
 
@@ -137,6 +148,7 @@
         self._release()
         kind = self._arrival.kind
         tally = self._simulation.tallies[kind.name]
+        self._simulation.count_served(self._arrival)
         latency_s = self._first_at - self._arrival.at
         if latency_s <= kind.objective_s and longest_s <= kind.pause_s:
             tally.in_time += 1
