--- a/dandelionwinch/tests/test_waves.py
+++ b/dandelionwinch/tests/test_waves.py
@@ -113,3 +113,19 @@
     assert row['region_bytes'] > 0
     assert row['reread_tokens'] > 0
     assert sorted(row['unserved_regions']) == ['east', 'north', 'west']
+
+
+def test_the_product_earns_more_than_the_baselines_net_of_costs(load):
+    """Baselines that spread prompts anywhere read blocks again."""
+    small = load.resized(29)
+    today = overload.simulate(small, 'winch', 1)
+    net = overload.net_credit(today, today)
+    for name in ('homes', 'least_load', 'two_choices'):
+        result = overload.simulate(small, name, 1)
+        assert net > overload.net_credit(result, today)
+
+
+def test_todays_decision_serves_almost_all_of_the_waves(load):
+    """A load that refuses much shows a shortage, not uneven demand."""
+    today = overload.simulate(load.resized(29), 'winch', 1)
+    assert max(today.unserved_regions.values()) < 0.03
