--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -16,6 +16,7 @@
 from dandelionwinch.dispatch._prompts import Prompt
 from dandelionwinch.dispatch._prompts import Standing
 from dandelionwinch.dispatch._rate_limiter import RateLimiter
+from dandelionwinch.dispatch._regional import RegionalPlacer
 from dandelionwinch.dispatch._roles import plan_role
 from dandelionwinch.dispatch._roles import RoleChange
 from dandelionwinch.dispatch._watch_plan import WatchPlan
@@ -32,6 +33,7 @@
     'PriorityClass',
     'Prompt',
     'RateLimiter',
+    'RegionalPlacer',
     'RoleChange',
     'Standing',
     'Sample',
