--- a/dandelionwinch/bench/overload/_simulation.py
+++ b/dandelionwinch/bench/overload/_simulation.py
@@ -195,7 +195,7 @@
                 engine = self.engines[name]
                 self.schedule(burst.start_s, self._crash_engine, engine)
                 self.schedule(burst.end_s, self._restart_engine, engine)
-        if self._policy in _policies.WITH_SPEEDS:
+        if self._policy == 'winch':
             _exchange.Exchange(self, self._load.duration_s).start()
         while self._events:
             at, _sequence, callback, args = heapq.heappop(self._events)
--- a/dandelionwinch/dispatch/__init__.py
+++ b/dandelionwinch/dispatch/__init__.py
@@ -16,7 +16,6 @@
 from dandelionwinch.dispatch._prompts import Prompt
 from dandelionwinch.dispatch._prompts import Standing
 from dandelionwinch.dispatch._rate_limiter import RateLimiter
-from dandelionwinch.dispatch._regional import RegionalPlacer
 from dandelionwinch.dispatch._roles import plan_role
 from dandelionwinch.dispatch._roles import RoleChange
 from dandelionwinch.dispatch._watch_plan import WatchPlan
@@ -33,7 +32,6 @@
     'PriorityClass',
     'Prompt',
     'RateLimiter',
-    'RegionalPlacer',
     'RoleChange',
     'Standing',
     'Sample',
--- a/dandelionwinch/dispatch/_distance.py
+++ b/dandelionwinch/dispatch/_distance.py
@@ -14,10 +14,6 @@
         self._data_centre = data_centre
         self._regions = regions
 
-    def in_region(self, data_centre):
-        """Tells whether a data centre is in the instance's region."""
-        return self.round_trip_s(data_centre) < CROSS_REGION_S
-
     def round_trip_s(self, data_centre):
         """Returns the round trip to a data centre in seconds."""
         if data_centre == self._data_centre:
