--- a/dandelionwinch/gateway/_move_calls.py
+++ b/dandelionwinch/gateway/_move_calls.py
@@ -83,7 +83,9 @@
             # What was not delivered then must not stop the run later.
             self._conn.limit_delivery(timeout_s)
             self._conn.send(_codec.request_bytes(*request))
-            head, body = await _whole_response.read_response(self._conn, timeout_s)
+            head, body = await _whole_response.read_response(
+                self._conn, timeout_s
+            )
         except (_connection.ConnectionLost, OSError):
             return migration.Unanswered()
         finally:
