--- a/dandelionwinch/leadership/_candidates.py
+++ b/dandelionwinch/leadership/_candidates.py
@@ -1,10 +1,12 @@
 """The order in which instances try to follow the last holder."""
 
+import functools
 import hashlib
 
 # Time between the tries of two consecutive candidates.
 RANK_INTERVAL_S = 0.25
 _DIGEST_BYTES = 8
+WEIGHT_CACHE_SIZE = 4096
 
 
 def candidate_order(names, holder, token):
@@ -25,6 +27,7 @@
     )
 
 
+@functools.lru_cache(maxsize=WEIGHT_CACHE_SIZE)
 def _weight(name, token):
     text = f'{token}/{name}'.encode()
     return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
--- a/dandelionwinch/tests/test_upstreams.py
+++ b/dandelionwinch/tests/test_upstreams.py
@@ -45,6 +45,20 @@
     assert [u.entry.id for u in registry.in_service('s')] == ['u3']
 
 
+def test_registered_versions_follow_each_change():
+    """A stream goes on where all engines have had its version for long."""
+    registry = upstreams.Registry()
+    registry.apply(entry(software_version='v1'))
+    registry.apply(entry('u2', service='t', software_version='v1'))
+    assert registry.software_versions() == {'s': {'v1'}, 't': {'v1'}}
+    registry.apply(entry('u3', software_version='v2'))
+    assert registry.software_versions()['s'] == {'v1', 'v2'}
+    registry.remove('u1', 1.0)
+    assert registry.software_versions() == {'s': {'v2'}, 't': {'v1'}}
+    registry.replace([entry('u3', software_version='v3')], 2.0)
+    assert registry.software_versions() == {'s': {'v3'}}
+
+
 def test_what_is_registered_is_told_by_incarnation():
     """Connections to any other incarnation are closed."""
     registry = upstreams.Registry()
--- a/dandelionwinch/upstreams/_registry.py
+++ b/dandelionwinch/upstreams/_registry.py
@@ -209,7 +209,7 @@
 class Registry:
     """All upstreams, by id and by service."""
 
-    __slots__ = ('_by_id', '_by_service', '_replaced')
+    __slots__ = ('_by_id', '_by_service', '_replaced', '_versions')
 
     def __init__(self):
         self._by_id = {}
@@ -217,6 +217,8 @@
         self._by_service = {}
         # Upstreams that another incarnation replaced, by incarnation.
         self._replaced = {}
+        # The registered versions by service, None after a change.
+        self._versions = None
 
     def apply(self, entry):
         """Adds or updates an upstream by its entry in the store.
@@ -233,6 +235,7 @@
         upstream = self._incarnation_of(entry, current)
         upstream.entry = entry
         upstream.gone_at = None
+        self._versions = None
         self._by_id[entry.id] = upstream
         self._by_service.setdefault(entry.service, {})[entry.id] = upstream
         return upstream is not current
@@ -250,6 +253,7 @@
         upstream = self._by_id.get(upstream_id)
         if upstream is not None and upstream.gone_at is None:
             upstream.gone_at = now
+            self._versions = None
         return upstream
 
     def replace(self, entries, now):
@@ -358,6 +362,11 @@
 
     def software_versions(self):
         """Returns the registered versions of each service, as sets."""
+        if self._versions is None:
+            self._versions = self._find_versions()
+        return self._versions
+
+    def _find_versions(self):
         found = {}
         for upstream in self._by_id.values():
             if upstream.gone_at is None:
