--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -8,6 +8,7 @@
 from dandelionwinch.control import _change_relay
 from dandelionwinch.control import _changes
 from dandelionwinch.control import _config_fetch
+from dandelionwinch.control import _contact
 from dandelionwinch.control import _due_calls
 from dandelionwinch.control import _epoch
 from dandelionwinch.control import _store
@@ -54,6 +55,7 @@
         '_config_fetch',
         '_confirmed_at',
         '_consistent',
+        '_contact',
         '_gateway',
         '_listed',
         '_listing',
@@ -64,7 +66,6 @@
         '_rng',
         '_store',
         '_store_codec',
-        '_synced',
         '_task',
         '_timing',
         '_watch_call',
@@ -115,7 +116,7 @@
         # Whether the view is that of its revision, though it may be so old
         # that the store no longer has what changed since.
         self._consistent = False
-        self._synced = False
+        self._contact = _contact.StoreContact(loop, log, gateway.metrics)
         self._confirmed_at = float('-inf')
         self._announced = _announced_config.AnnouncedConfig()
         self._config_fetch = _config_fetch.ConfigFetch(
@@ -242,8 +243,10 @@
                 self._log.event('store.history_gone', reason=str(exc))
                 self._listed = False
             except _store.StoreFailed as exc:
-                self._store_failed(exc)
-                await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
+                pause_s = backoff_s * (0.5 + self._rng.random())
+                self._contact.failed(exc, pause_s)
+                self._applier.guard.store_failed(self.ages.failed())
+                await asyncio.sleep(pause_s)
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
             except Exception:
                 # One malformed response must not end the watch.
@@ -258,14 +261,18 @@
             # The watch may take longer than until the fetch is due.
             soon = self._loop.time() + _due_calls.SPREAD_S
             if self._announced.due_at <= soon:
-                await self._config_fetch.run()
+                await self._fetch_config()
             await self._watch()
         elif not self.current:
             raise _store.EpochChanged('another call was answered in it')
         elif self._announced.due_at > self._loop.time():
             await self._relay.listen(due_s, self._announced.due_at)
         if self._announced.due_at <= self._loop.time():
-            await self._config_fetch.run()
+            await self._fetch_config()
+
+    async def _fetch_config(self):
+        self._contact.begins('config')
+        await self._config_fetch.run()
 
     def _keeps_watch(self):
         """Tells whether the order lease needs the instance's own view."""
@@ -273,16 +280,8 @@
             return self.holder == self._cfg.instance
         return self._cfg.instance in self.candidates()[:WATCHING_CANDIDATES]
 
-    def _store_failed(self, exc):
-        if self._synced:
-            self._log.event('store.lost', reason=str(exc))
-        self._synced = False
-        self._applier.guard.store_failed(self.ages.failed())
-
     def _store_reached(self, view_at):
-        if not self._synced:
-            self._log.event('store.reached', revision=self._revision.number)
-        self._synced = True
+        self._contact.answered(self._revision.number)
         self.ages.answered(view_at)
 
     def _listing_delay_s(self):
@@ -302,6 +301,7 @@
 
     async def _list(self):
         sent_at = self._clock()
+        self._contact.begins('list')
         listing = await self._store.list(ALL_KEYS)
         now = self._loop.time()
         previous, self._revision = self._revision, listing.revision
@@ -327,6 +327,7 @@
             wait_s = min(wait_s, due_s)
         after = self._revision
         sent_at = self._clock()
+        self._contact.begins('watch')
         listing = await self._call_watch(wait_s)
         # Without a change the store answers after the whole wait.
         whole = not listing.items and self._clock() >= sent_at + wait_s
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -8,6 +8,7 @@
 MAX_TEAMS = 100
 OTHER_TEAMS = 'others'
 LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2, 5, 15)
+AWAY_BUCKETS_S = (0.5, 1, 2, 3, 4, 6, 10, 20, 60)
 
 
 class Metrics:
@@ -30,6 +31,8 @@
         'registry',
         'relay_messages',
         'seconds',
+        'store_away',
+        'store_failed_calls',
         'stream_moves',
         'unauthorized_requests',
         'usage',
@@ -105,6 +108,17 @@
             ['result'],
             registry=registry,
         )
+        self.store_failed_calls = counter(
+            'dandelionwinch_store_failed_calls',
+            'Calls that follow the store and had no answer, by what for',
+            ['call'],
+        )
+        self.store_away = prometheus_client.Histogram(
+            'dandelionwinch_store_away_seconds',
+            'Time without an answer of the store to the instance',
+            buckets=AWAY_BUCKETS_S,
+            registry=registry,
+        )
         self._teams = set()
         self._add_capacity(counter, gauge)
 
--- a/dandelionwinch/tests/test_control.py
+++ b/dandelionwinch/tests/test_control.py
@@ -614,3 +614,25 @@
         assert node.serving() == ['i-1']
 
     run_node(scenario)
+
+
+def test_each_failed_call_that_follows_the_store_is_logged():
+    """The logs of an outage must tell calls that hang from pauses."""
+
+    async def scenario(node, items):
+        await asyncio.sleep(1)
+        node.store.unavailable = True
+        await asyncio.sleep(10)
+        node.store.unavailable = False
+        await asyncio.sleep(5)
+        events = node.log.events
+        failed = [f for name, f in events if name == 'store.call_failed']
+        assert [f['failures'] for f in failed] == [*range(1, 1 + len(failed))]
+        assert {f['call'] for f in failed} == {'watch'}
+        assert all(f['taken_s'] >= 0 and f['pause_s'] > 0 for f in failed)
+        assert node.log.names().count('store.lost') == 1
+        last = [f for name, f in events if name == 'store.reached'][-1]
+        assert last['failures'] == len(failed)
+        assert last['away_s'] >= 9
+
+    run_node(scenario)
