--- /dev/null
+++ b/dandelionwinch/tests/test_store_return.py
@@ -0,0 +1,80 @@
+"""Instances are up to date in time after an outage of the store."""
+
+import asyncio
+
+import pytest
+
+from dandelionwinch import control
+from dandelionwinch.tests import outages
+from dandelionwinch.tests import relay_harness
+
+# By number of instances, what the platform states: time after which an
+# instance counts as in touch, time for a change to be in force, and reads a
+# second.
+SITES = {
+    9: (4.0, 2.5, 2000.0),
+    58: (4.0, 4.0, 6000.0),
+    390: (5.0, 4.0, 16000.0),
+}
+# Longer than any call that follows the store and the pause behind it.
+PERIOD_S = 6.4
+SHORTEST_S = 0.1
+DUTIES = {True: relay_harness.DUTIES, False: control.DutySettings()}
+
+
+def play(instances, kind, lasts_s, duties=False):
+    """Plays an outage; returns who was late, and the most reads a second."""
+    contact_s, apply_s, reads_per_s = SITES[instances]
+
+    async def scenario(world):
+        outage = outages.Outage(world, kind)
+        outage.change()
+        # The watches of the instances are no longer in step.
+        await asyncio.sleep(8.0)
+        await outage.run(lasts_s, contact_s)
+        await asyncio.sleep(apply_s)
+        late = outage.late(contact_s, apply_s)
+        return late, outage.most_reads_in_a_second()
+
+    return relay_harness.run(
+        scenario,
+        instances,
+        3 if instances < 20 else 6,
+        store=outages.OutageStore,
+        duty_settings=DUTIES[duties],
+        reads_per_s=reads_per_s,
+    )
+
+
+@pytest.mark.parametrize('kind', outages.Kind)
+def test_a_change_is_in_force_in_time_whenever_an_outage_ends(kind):
+    """Incident CONFIG: a hung watch and a pause added up to over contactMs."""
+    late = {}
+    for step in range(round(10 * PERIOD_S)):
+        lasts_s = SHORTEST_S + step / 10
+        found, _reads = play(9, kind, lasts_s)
+        if found:
+            late[lasts_s] = max(late_s for _name, _version, late_s in found)
+    assert late == {}
+
+
+@pytest.mark.parametrize('duties', [False, True])
+@pytest.mark.parametrize('kind', outages.Kind)
+def test_instances_that_tell_each_other_return_in_time(kind, duties):
+    """Incident CONFIG, also where others tell what changed."""
+    assert play(58, kind, 4.9, duties)[0] == []
+
+
+@pytest.mark.parametrize(
+    ('kind', 'duties'),
+    [
+        (outages.Kind.SILENT, False),
+        (outages.Kind.RESTORED, False),
+        (outages.Kind.SILENT, True),
+    ],
+)
+def test_hundreds_of_instances_return_in_time_and_in_no_rush(kind, duties):
+    """Incident CONFIG: a bound that calls too often would cost the store."""
+    late, reads = play(390, kind, 9.5, duties)
+    assert late == []
+    assert reads <= SITES[390][2]
