--- a/dandelionwinch/control/__init__.py
+++ b/dandelionwinch/control/__init__.py
@@ -1,5 +1,6 @@
 """Runs one instance: store sync, registration, orders and shutdown."""
 
+from dandelionwinch.control._call_timing import MIN_CONTACT_S
 from dandelionwinch.control._config import BYTES_PER_MEGABYTE
 from dandelionwinch.control._config import Duty
 from dandelionwinch.control._config import DutySettings
@@ -22,6 +23,7 @@
 from dandelionwinch.control._instance import Instance
 from dandelionwinch.control._registered import RegisteredInstances
 from dandelionwinch.control._registration import Registration
+from dandelionwinch.control._store import CALL_TIMEOUT_S
 from dandelionwinch.control._store import Conflict
 from dandelionwinch.control._store import EntryInvalid
 from dandelionwinch.control._store import EpochChanged
@@ -33,12 +35,16 @@
 from dandelionwinch.control._store import StoreCodec
 from dandelionwinch.control._store import StoreFailed
 from dandelionwinch.control._store import StoreRefused
+from dandelionwinch.control._store import WATCH_MARGIN_S
 from dandelionwinch.control._sync import StoreSync
 
 __all__ = [
     'BYTES_PER_MEGABYTE',
+    'CALL_TIMEOUT_S',
     'MEMORY_BYTES',
+    'MIN_CONTACT_S',
     'READS_PER_S',
+    'WATCH_MARGIN_S',
     'WRITES_PER_S',
     'Accepted',
     'Authority',
--- a/dandelionwinch/control/_config.py
+++ b/dandelionwinch/control/_config.py
@@ -89,6 +89,8 @@
             bounded, and upstreams that stop to read get nothing.
         drain_s: Time that an upstream which drains has, unless its entry
             states another one.
+        contact_s: Time after an outage of the store within which the instance
+            is up to date.
         findings: Fields that were replaced by defaults, with the reason.
     """
 
@@ -118,6 +120,7 @@
     duty_settings: DutySettings = DutySettings()
     limits_held_bytes: bool = False
     drain_s: float = 4.0
+    contact_s: float = 4.0
     findings: tuple[str, ...] = ()
 
     @property
--- a/dandelionwinch/control/_contact.py
+++ b/dandelionwinch/control/_contact.py
@@ -11,16 +11,17 @@
 
     Attributes:
         began_at: Loop time at which the last call began.
+        failures: Number of calls that failed since the last answer.
     """
 
     __slots__ = (
         '_answered_at',
         '_call',
-        '_failures',
         '_log',
         '_loop',
         '_metrics',
         'began_at',
+        'failures',
     )
 
     def __init__(self, loop, log, metrics):
@@ -28,9 +29,8 @@
         self._log = log
         self._metrics = metrics
         self._call = ''
-        # Time of the last answer, and the calls that failed since.
         self._answered_at = None
-        self._failures = 0
+        self.failures = 0
         self.began_at = float('-inf')
 
     def begins(self, call):
@@ -49,10 +49,10 @@
             revision: Number of the revision that is known by it.
         """
         now = self._loop.time()
-        if self._answered_at is None or self._failures:
+        if self._answered_at is None or self.failures:
             self._returned(revision, now)
         self._answered_at = now
-        self._failures = 0
+        self.failures = 0
 
     def _returned(self, revision, now):
         away_s = None
@@ -63,7 +63,7 @@
             'store.reached',
             revision=revision,
             away_s=away_s,
-            failures=self._failures,
+            failures=self.failures,
         )
 
     def failed(self, exc, pause_s):
@@ -73,15 +73,15 @@
             exc: StoreFailed.
             pause_s: Seconds until the next call.
         """
-        if self._answered_at is not None and not self._failures:
+        if self._answered_at is not None and not self.failures:
             self._log.event('store.lost', reason=str(exc))
-        self._failures += 1
+        self.failures += 1
         self._metrics.store_failed_calls.labels(self._call).inc()
         self._log.event(
             'store.call_failed',
             call=self._call,
             taken_s=round(self._loop.time() - self.began_at, 3),
             pause_s=round(pause_s, 3),
-            failures=self._failures,
+            failures=self.failures,
             reason=str(exc),
         )
--- a/dandelionwinch/control/_store.py
+++ b/dandelionwinch/control/_store.py
@@ -12,6 +12,10 @@
 from dandelionwinch.control import _epoch
 from dandelionwinch import errors
 
+# Longest time until a call fails, and what a watch may take beyond its wait.
+CALL_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 0.6
+
 
 class StoreFailed(errors.DandelionwinchError):
     """The store did not respond; the call may have taken effect."""
@@ -79,6 +83,9 @@
 class Store(typing.Protocol):
     """Calls to a store; each of them can raise StoreFailed.
 
+    One without an answer does so after CALL_TIMEOUT_S, a watch after its wait
+    and WATCH_MARGIN_S. These include the time to get a connection.
+
     Attributes:
         epochs: EpochTracker of all responses.
     """
--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -16,8 +16,8 @@
 from dandelionwinch.control import _view_ages
 
 ALL_KEYS = ''
-BACKOFF_S = 0.3
-MAX_BACKOFF_S = 1.5
+# Pause after an answer that could not be taken.
+FAULT_PAUSE_S = 1.5
 # While the order lease has no holder, this many candidates for it watch the
 # store themselves, as the next holder needs a fresh view.
 WATCHING_CANDIDATES = 3
@@ -108,6 +108,7 @@
         self._timing = _call_timing.CallTiming(
             cfg, self._applier.registered, gateway.fleet, self._relay, rng
         )
+        gateway.metrics.store_return_bound.set_function(self._timing.bound_s)
         self._revision = None
         self._task = None
         self._watch_call = None
@@ -229,30 +230,34 @@
         return self._gateway.fleet.table is not None
 
     async def _run(self):
-        backoff_s = BACKOFF_S
         while True:
             try:
                 if not self._listed:
                     await asyncio.sleep(self._listing_delay_s())
                     await self._list_all()
                 await self._follow()
-                backoff_s = BACKOFF_S
             except _store.EpochChanged:
                 self._listed = self._consistent = False
             except _store.HistoryGone as exc:
                 self._log.event('store.history_gone', reason=str(exc))
                 self._listed = False
             except _store.StoreFailed as exc:
-                pause_s = backoff_s * (0.5 + self._rng.random())
-                self._contact.failed(exc, pause_s)
-                self._applier.guard.store_failed(self.ages.failed())
-                await asyncio.sleep(pause_s)
-                backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
+                await self._retry(exc)
             except Exception:
                 # One malformed response must not end the watch.
                 self._log.event('store.fault', trace=traceback.format_exc())
                 self._listed = self._consistent = False
-                await asyncio.sleep(MAX_BACKOFF_S)
+                await asyncio.sleep(FAULT_PAUSE_S)
+
+    async def _retry(self, exc):
+        """Waits until the next call is due after one that failed."""
+        contact = self._contact
+        pause_s = self._timing.retry_pause_s(
+            contact.failures, self._loop.time() - contact.began_at
+        )
+        contact.failed(exc, pause_s)
+        self._applier.guard.store_failed(self.ages.failed())
+        await asyncio.sleep(pause_s)
 
     async def _follow(self):
         """Calls the store if that is due, else waits for it to be due."""
@@ -285,10 +290,10 @@
         self.ages.answered(view_at)
 
     def _listing_delay_s(self):
-        """Returns the pause before a listing, random after a restore."""
-        if self._revision is None or self.current:
+        """Returns the pause before a listing, random but for the first."""
+        if self._revision is None:
             return 0.0
-        return self._timing.restore_delay_s()
+        return self._timing.listing_delay_s()
 
     async def _list_all(self):
         """Lists the store; what others tell meanwhile is not applied."""
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -33,6 +33,7 @@
         'seconds',
         'store_away',
         'store_failed_calls',
+        'store_return_bound',
         'stream_moves',
         'unauthorized_requests',
         'usage',
@@ -119,6 +120,10 @@
             buckets=AWAY_BUCKETS_S,
             registry=registry,
         )
+        self.store_return_bound = gauge(
+            'dandelionwinch_store_return_bound_seconds',
+            'Time after an outage of the store to be up to date',
+        )
         self._teams = set()
         self._add_capacity(counter, gauge)
 
--- a/dandelionwinch/platform/_boot.py
+++ b/dandelionwinch/platform/_boot.py
@@ -77,6 +77,17 @@
     return reader.get(path, float, default)
 
 
+def _read_contact(reader):
+    """Returns the seconds after an outage in which all is up to date."""
+    contact_s = _read_optional(reader, 'bounds.contactMs', 4000.0) / 1e3
+    if contact_s < control.MIN_CONTACT_S:
+        reader.findings.append(
+            'field "bounds.contactMs" is too short for calls to the store, '
+            f'which take up to {control.MIN_CONTACT_S:.1f} s'
+        )
+    return contact_s
+
+
 def _read_memory(reader):
     """Returns the bytes of memory that the process may use."""
     unit = control.BYTES_PER_MEGABYTE
@@ -180,6 +191,7 @@
         _read_duties(reader),
         _limits_held_bytes(reader),
         _read_optional(reader, 'bounds.drainMs', 4000.0) / 1e3,
+        _read_contact(reader),
         tuple(reader.findings),
     )
     if not cfg.store or not cfg.instance:
--- a/dandelionwinch/platform/_store.py
+++ b/dandelionwinch/platform/_store.py
@@ -11,8 +11,6 @@
 from dandelionwinch import gateway
 from dandelionwinch.platform import _store_answers
 
-CALL_TIMEOUT_S = 1.5
-WATCH_MARGIN_S = 0.6
 CONNECTIONS = 4
 REVOKE_ATTEMPTS = 3
 EPOCH_HEADER = 'store-era'
@@ -105,7 +103,10 @@
         }
         check = _store_answers.is_change(after.number, wait_s)
         response = await self._call(
-            'GET', _path('kv-watch', query), check, wait_s + WATCH_MARGIN_S
+            'GET',
+            _path('kv-watch', query),
+            check,
+            wait_s + control.WATCH_MARGIN_S,
         )
         if response.epoch != after.epoch:
             raise control.EpochChanged('during a watch')
@@ -196,7 +197,7 @@
         method,
         path,
         check,
-        timeout_s=CALL_TIMEOUT_S,
+        timeout_s=control.CALL_TIMEOUT_S,
         body=None,
         *,
         repeatable=True,
--- a/dandelionwinch/tests/test_boot.py
+++ b/dandelionwinch/tests/test_boot.py
@@ -79,6 +79,24 @@
     assert (cfg.drain_s, cfg.findings) == (drain_s, ())
 
 
+@pytest.mark.parametrize(
+    ('line', 'contact_s', 'findings'),
+    [
+        ('', 4.0, 0),
+        ('contactMs = 5000', 5.0, 0),
+        ('contactMs = 2300', 2.3, 0),
+        ('contactMs = 2200', 2.2, 1),
+    ],
+)
+def test_a_time_to_return_that_cannot_be_kept_is_a_finding(
+    line, contact_s, findings
+):
+    """Nothing added the waits of calls up against it (incident CONFIG)."""
+    cfg = _boot.read(SETTINGS.replace('drainMs = 2500', line))
+    assert cfg.contact_s == contact_s
+    assert len(cfg.findings) == findings
+
+
 def test_without_an_address_there_are_no_duties():
     cfg = _boot.read(SETTINGS)
     assert not cfg.duty_settings.enabled
