--- a/dandelionwinch/gateway/_pool.py
+++ b/dandelionwinch/gateway/_pool.py
@@ -266,8 +266,12 @@
                 self._close(conn)
         self._idle = keep
 
-    def close(self):
-        """Closes idle connections."""
-        self._guard.close()
+    def close_idle(self):
+        """Closes idle connections; the next request gets a new one."""
         while self._idle:
             self._close(self._idle.pop())
+
+    def close(self):
+        """Closes idle connections and ends the observation of requests."""
+        self._guard.close()
+        self.close_idle()
--- a/dandelionwinch/platform/_store.py
+++ b/dandelionwinch/platform/_store.py
@@ -236,6 +236,9 @@
             head, text = await gateway.read_response(conn, timeout_s)
         except gateway.ConnectionLost as exc:
             self._pool.discard(conn)
+            # What silenced one connection may have silenced the others, each
+            # of which would let another call fail.
+            self._pool.close_idle()
             raise control.StoreFailed(f'the store: {exc}') from exc
         except BaseException:
             self._pool.discard(conn)
