--- a/dandelionwinch/platform/_store.py
+++ b/dandelionwinch/platform/_store.py
@@ -224,6 +224,7 @@
             timeout_s: Timeout in seconds.
         """
         self.calls += 1
+        deadline = self._loop.time() + timeout_s
         try:
             conn = await self._pool.acquire(timeout_s, new=check is None)
         except gateway.NotConnected as exc:
@@ -233,7 +234,8 @@
         sent_at = self._loop.time()
         try:
             conn.send(request)
-            head, text = await gateway.read_response(conn, timeout_s)
+            left_s = max(0.0, deadline - sent_at)
+            head, text = await gateway.read_response(conn, left_s)
         except gateway.ConnectionLost as exc:
             self._pool.discard(conn)
             # What silenced one connection may have silenced the others, each
--- a/dandelionwinch/tests/test_store_connections.py
+++ b/dandelionwinch/tests/test_store_connections.py
@@ -4,9 +4,12 @@
 import contextlib
 
 from dandelionwinch import control
+from dandelionwinch import gateway
+from dandelionwinch.gateway import _connection
 from dandelionwinch.platform import _store
 from dandelionwinch.tests import recorder
 from dandelionwinch.tests import test_late_duplicates
+from dandelionwinch.tests import virtual
 
 LISTED = test_late_duplicates.response(
     items=[], hasMore=False, storeRevision=7
@@ -71,3 +74,48 @@
     assert (before, opened) == ([True] * CALLS, CALLS)
     assert after == [False, True]
     assert connections == CALLS + 1
+
+
+class _SlowPool:
+    """Gives a connection after some seconds, on which no answer comes."""
+
+    class Conn:
+        """A connection that is not used yet."""
+
+        written_bytes = 0
+
+        def send(self, data):
+            """Sends a request."""
+
+    def __init__(self, wait_s):
+        self._wait_s = wait_s
+
+    async def acquire(self, _timeout_s, *, new):
+        """Returns a connection."""
+        await asyncio.sleep(self._wait_s)
+        return self.Conn()
+
+    def discard(self, conn):
+        """Closes a connection."""
+
+    def close_idle(self):
+        """Closes idle connections."""
+
+
+def test_the_time_of_a_call_includes_that_for_its_connection(monkeypatch):
+    """A call took twice its time where all connections were in use."""
+
+    async def silence(_conn, timeout_s):
+        await asyncio.sleep(timeout_s)
+        cause = _connection.LossCause.TIMEOUT
+        raise gateway.ConnectionLost(cause, 'no answer')
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        store = _store.Store(loop, '127.0.0.1:1')
+        store._pool = _SlowPool(1.0)
+        assert not await _call(store)
+        return loop.time()
+
+    monkeypatch.setattr(gateway, 'read_response', silence)
+    assert virtual.run(scenario()) == control.CALL_TIMEOUT_S
