--- a/dandelionwinch/leadership/_lease.py
+++ b/dandelionwinch/leadership/_lease.py
@@ -21,7 +21,7 @@
 RENEW_INTERVAL_S = 0.9
 # A renewal counts only if the holder heard from the store this recently, as
 # another holder is known from the store's responses only. Two responses are up
-# to control._sync.MAX_COALESCE_S + WATCH_TIMEOUT_S apart if nothing fails.
+# to MAX_COALESCE_S + WATCH_TIMEOUT_S of control._call_timing apart.
 MAX_VIEW_AGE_S = 4.5
 # Longest time from the check of a call to its arrival: the duty API's client
 # drops bytes that are not acknowledged within it.
--- a/dandelionwinch/tests/test_store_return.py
+++ b/dandelionwinch/tests/test_store_return.py
@@ -6,8 +6,10 @@
 import attrs
 import pytest
 
+from dandelionwinch import addresses
 from dandelionwinch import control
 from dandelionwinch.control import _call_timing
+from dandelionwinch.control import _registration as registering
 from dandelionwinch.tests import outages
 from dandelionwinch.tests import relay_harness
 
@@ -125,3 +127,37 @@
     late, reads = play(390, kind, 9.5, duties)
     assert late == []
     assert reads <= SITES[390][2]
+
+
+def _registration(world, name):
+    """Returns the store and the Registration of an instance."""
+    loop = asyncio.get_running_loop()
+    store = outages.OutageStore(loop, world.items)
+    node = world.nodes[name]
+    entry = addresses.InstanceEntry(
+        name, '127.0.0.1:1', node.data_centre, 'north', 1.0
+    )
+    registration = control.Registration(
+        loop, store, node.log, entry, registering.LEASE_S
+    )
+    return store, registration
+
+
+@pytest.mark.parametrize('step', range(0, round(10 * PERIOD_S), 2))
+def test_the_own_entry_is_back_in_time_whenever_an_outage_ends(step):
+    """Incident CONFIG, looked for in the renewal of the lease."""
+
+    async def scenario(world):
+        store, registration = _registration(world, 'n-0')
+        registration.start()
+        await asyncio.sleep(8.0 + step / 100)
+        store.fall_silent()
+        await asyncio.sleep(SHORTEST_S + step / 10)
+        world.items.expire(asyncio.get_running_loop().time())
+        store.silent = False
+        await asyncio.sleep(SITES[9][0])
+        world.items.expire(asyncio.get_running_loop().time())
+        registration.close()
+        return world.items.get(world.nodes['n-0'].entry_key)
+
+    assert relay_harness.run(scenario, 1, 1) is not None
