--- a/dandelionwinch/gateway/_stream_versions.py
+++ b/dandelionwinch/gateway/_stream_versions.py
@@ -76,9 +76,12 @@
             life_s: Longest life of a stream of its route.
         """
         now = self._loop.time()
-        if self._history.settled(service, life_s + VIEW_AGE_S, now):
-            return
-        self._records.put(request_id, version, now)
+        if not self._history.settled(service, life_s + VIEW_AGE_S, now):
+            self._keep(request_id, version)
+
+    def _keep(self, request_id, version):
+        """Keeps a record here and at its holders, for RECORD_TTL_S anew."""
+        self._take_record(request_id, version)
         holders = self._holders(request_id, RECORD_HOLDERS)
         self._link.announce(request_id, version, holders)
 
@@ -114,4 +117,7 @@
             answers=len(told),
             version=version,
         )
+        if version is not None and request_id:
+            # What its next attempt is to find.
+            self.record(request_id, service, version, life_s)
         return version
--- /dev/null
+++ b/dandelionwinch/tests/test_version_knowledge.py
@@ -0,0 +1,107 @@
+"""What an instance believes of the software version of a broken stream."""
+
+import asyncio
+
+from dandelionwinch.gateway import _stream_versions
+from dandelionwinch.tests import recorder
+from dandelionwinch.tests import virtual
+
+LONG_S = 20.0
+WATCH_S = 1.0
+
+
+class Link:
+    """A PeerLink to other instances in the same process.
+
+    Attributes:
+        peers: Name of each other instance by its name, as its address.
+    """
+
+    def __init__(self, name, links):
+        self._name = name
+        self._links = links
+        self._kinds = {}
+        links[name] = self
+
+    @property
+    def peers(self):
+        """The other instances."""
+        return {name: name for name in self._links if name != self._name}
+
+    def register(self, kind, function):
+        """Has messages of a kind taken by a function."""
+        self._kinds[kind] = function
+
+    def send(self, message, addr):
+        """Sends a message to one instance."""
+        if addr in self._links:
+            kind, *items = message
+            self._links[addr]._kinds[kind](items, self._name)
+
+    def send_all(self, message, addresses):
+        """Sends a message to several instances."""
+        for addr in addresses:
+            self.send(message, addr)
+
+
+class Site:
+    """Instances that see the same versions of the service `s`.
+
+    Attributes:
+        versions: Versions that are registered.
+        instances: StreamVersions by name.
+    """
+
+    def __init__(self, names, versions):
+        self._loop = asyncio.get_running_loop()
+        self._links = {}
+        self.versions = set(versions)
+        self.instances = {}
+        for name in names:
+            self.start(name)
+        self._task = self._loop.create_task(self._watch())
+
+    def start(self, name):
+        """Starts an instance, which knows nothing of before."""
+        link = Link(name, self._links)
+        self.instances[name] = _stream_versions.StreamVersions(
+            self._loop, recorder.Recorder(), link
+        )
+        self.instances[name].observe({'s': self.versions})
+
+    async def _watch(self):
+        while True:
+            await asyncio.sleep(WATCH_S)
+            for instance in self.instances.values():
+                instance.observe({'s': self.versions})
+
+    def close(self):
+        """Ends all instances."""
+        self._task.cancel()
+
+
+def run(scenario, versions, names='abcd'):
+    """Runs a coroutine function of a Site in virtual time."""
+
+    async def whole():
+        site = Site(names, versions)
+        try:
+            return await scenario(site)
+        finally:
+            site.close()
+
+    return virtual.run(whole())
+
+
+def test_a_stream_that_is_taken_up_several_times_keeps_its_version():
+    """Its record ended while it went on, counted from its first attempt."""
+
+    async def scenario(site):
+        site.instances['a'].record('r1', 's', 'v1', LONG_S)
+        found = []
+        for name in 'bcbc':
+            await asyncio.sleep(LONG_S - 1.0)
+            found.append(await site.instances[name].find('r1', 's', LONG_S))
+        return found
+
+    assert run(scenario, {'v1', 'v2'}) == ['v1'] * 4
