--- a/dandelionwinch/gateway/_stream_versions.py
+++ b/dandelionwinch/gateway/_stream_versions.py
@@ -11,6 +11,9 @@
 # of the watch and its pauses. It is added to the longest life of a stream, as
 # instances learn of a new version at different times.
 VIEW_AGE_S = 5.0
+# Shortest life of a stream that is assumed: its route may have had a longer
+# timeout before, and a caller may take it up several times.
+MIN_LIFE_S = streams.RECORD_TTL_S
 
 
 class StreamVersions:
@@ -76,7 +79,7 @@
             life_s: Longest life of a stream of its route.
         """
         now = self._loop.time()
-        if not self._history.settled(service, life_s + VIEW_AGE_S, now):
+        if not self._history.settled(service, _settle_s(life_s), now):
             self._keep(request_id, version)
 
     def _keep(self, request_id, version):
@@ -106,7 +109,7 @@
             record,
             sole,
             [item.sole for item in told],
-            life_s + VIEW_AGE_S,
+            _settle_s(life_s),
             now - self._observed_at <= VIEW_AGE_S,
         )
         self._log.event(
@@ -121,3 +124,8 @@
             # What its next attempt is to find.
             self.record(request_id, service, version, life_s)
         return version
+
+
+def _settle_s(life_s):
+    """Returns for how long a version must be the only one to be sure."""
+    return max(MIN_LIFE_S, life_s) + VIEW_AGE_S
--- a/dandelionwinch/tests/test_version_knowledge.py
+++ b/dandelionwinch/tests/test_version_knowledge.py
@@ -7,6 +7,7 @@
 from dandelionwinch.tests import virtual
 
 LONG_S = 20.0
+SHORT_S = 2.0
 WATCH_S = 1.0
 
 
@@ -93,6 +94,16 @@
     return virtual.run(whole())
 
 
+def test_a_route_whose_timeout_was_longer_joins_no_versions():
+    """The stream began when its route had a longer timeout."""
+
+    async def scenario(site):
+        await asyncio.sleep(SHORT_S + _stream_versions.VIEW_AGE_S + 1.0)
+        return await site.instances['a'].find('r1', 's', SHORT_S)
+
+    assert run(scenario, {'v2'}) is None
+
+
 def test_a_stream_that_is_taken_up_several_times_keeps_its_version():
     """Its record ended while it went on, counted from its first attempt."""
 
@@ -105,3 +116,14 @@
         return found
 
     assert run(scenario, {'v1', 'v2'}) == ['v1'] * 4
+
+
+def test_after_a_long_time_with_one_version_streams_go_on():
+    """No more is refused than must be: the streams that began since go on."""
+
+    async def scenario(site):
+        await asyncio.sleep(_stream_versions.MIN_LIFE_S)
+        await asyncio.sleep(_stream_versions.VIEW_AGE_S + WATCH_S)
+        return await site.instances['a'].find('r1', 's', LONG_S)
+
+    assert run(scenario, {'v2'}) == 'v2'
