--- a/dandelionwinch/gateway/_stream_link.py
+++ b/dandelionwinch/gateway/_stream_link.py
@@ -1,8 +1,9 @@
 """Messages by which instances tell each other where streams began.
 
-    ["began", request id, version]
+    ["began", request id, version, or "" if the stream was refused]
     ["ask", question number, request id, service]
-    ["told", question number, version or null, sole version or null, seconds]
+    ["told", question number, version or null, sole version or null, seconds,
+        seconds since the stream was refused first, left out if it was not]
 
 A record that is lost makes a stream that is taken up elsewhere end, never
 join another version.
@@ -27,10 +28,12 @@
     Attributes:
         version: Version at which it began, None if it has no record.
         sole: The Sole version of the service there, or None.
+        refused_s: Seconds since the stream was refused first, or 0.
     """
 
     version: str | None
     sole: streams.Sole | None
+    refused_s: float = 0.0
 
 
 @attrs.define
@@ -131,8 +134,8 @@
                 raise ValueError('not a question for a stream')
 
     def _take_answer(self, items, _addr):
-        number, version, sole, for_s = items
-        told = _read_told(version, sole, for_s)
+        number, version, sole, for_s, *refused_s = items
+        told = _read_told(version, sole, for_s, *refused_s)
         question = self._questions.get(number)
         if question is None or question.done.done():
             return
@@ -143,17 +146,23 @@
 
 
 def _told_message(number, told):
-    sole = told.sole
-    if sole is None:
-        return ['told', number, told.version, None, 0.0]
-    return ['told', number, told.version, sole.version, round(sole.for_s, 3)]
+    sole, for_s = None, 0.0
+    if told.sole is not None:
+        sole, for_s = told.sole.version, round(told.sole.for_s, 3)
+    message = ['told', number, told.version, sole, for_s]
+    if told.refused_s:
+        message.append(round(told.refused_s, 3))
+    return message
 
 
-def _read_told(version, sole, for_s):
+def _read_told(version, sole, for_s, refused_s=0.0):
     if version is not None and not isinstance(version, str):
         raise ValueError(f'version {version!r}')
+    if not isinstance(refused_s, int | float):
+        raise ValueError(f'refused for {refused_s!r} s')
     if sole is None:
-        return Told(version, None)
+        return Told(version, None, float(refused_s))
     if not isinstance(sole, str) or not isinstance(for_s, int | float):
         raise ValueError(f'sole version {sole!r} for {for_s!r} s')
-    return Told(version, streams.Sole(sole, float(for_s)))
+    seen = streams.Sole(sole, float(for_s))
+    return Told(version, seen, float(refused_s))
--- a/dandelionwinch/gateway/_stream_versions.py
+++ b/dandelionwinch/gateway/_stream_versions.py
@@ -36,6 +36,7 @@
         '_observed_at',
         '_peer_link',
         '_records',
+        '_refusals',
     )
 
     def __init__(self, loop, log, link):
@@ -43,6 +44,7 @@
         self._log = log
         self._peer_link = link
         self._records = streams.VersionRecords()
+        self._refusals = streams.Refusals()
         self._history = streams.VersionHistory()
         self._observed_at = float('-inf')
         self._link = _stream_link.StreamLink(
@@ -55,13 +57,18 @@
         self._history.observe(versions, self._observed_at)
 
     def _take_record(self, request_id, version):
-        self._records.put(request_id, version, self._loop.time())
+        now = self._loop.time()
+        if version == streams.UNKNOWN:
+            self._refusals.add(request_id, now)
+        else:
+            self._records.put(request_id, version, now)
 
     def _answer(self, request_id, service):
         now = self._loop.time()
         return _stream_link.Told(
             self._records.get(request_id, now),
             self._history.sole(service, now),
+            self._refusals.age_s(request_id, now),
         )
 
     def _holders(self, request_id, count):
@@ -82,6 +89,14 @@
         if not self._history.settled(service, _settle_s(life_s), now):
             self._keep(request_id, version)
 
+    def refused(self, request_id):
+        """Records that a stream was refused, as its version is not known.
+
+        Args:
+            request_id: Id of the request that began it.
+        """
+        self._keep(request_id, streams.UNKNOWN)
+
     def _keep(self, request_id, version):
         """Keeps a record here and at its holders, for RECORD_TTL_S anew."""
         self._take_record(request_id, version)
@@ -105,11 +120,16 @@
             record = found[0] if found else None
         now = self._loop.time()
         sole = self._history.sole(service, now)
+        refused_s = max(
+            self._refusals.age_s(request_id, now),
+            *(item.refused_s for item in told),
+            0.0,
+        )
         version = streams.version_to_resume(
             record,
             sole,
             [item.sole for item in told],
-            _settle_s(life_s),
+            _settle_s(life_s) + refused_s,
             now - self._observed_at <= VIEW_AGE_S,
         )
         self._log.event(
@@ -120,11 +140,17 @@
             answers=len(told),
             version=version,
         )
-        if version is not None and request_id:
-            # What its next attempt is to find.
-            self.record(request_id, service, version, life_s)
+        if request_id:
+            self._keep_found(request_id, service, version, life_s)
         return version
 
+    def _keep_found(self, request_id, service, version, life_s):
+        """Keeps what a stream's next attempt is to find."""
+        if version is None:
+            self.refused(request_id)
+        else:
+            self.record(request_id, service, version, life_s)
+
 
 def _settle_s(life_s):
     """Returns for how long a version must be the only one to be sure."""
--- a/dandelionwinch/streams/_records.py
+++ b/dandelionwinch/streams/_records.py
@@ -8,6 +8,8 @@
 # Longer than a caller may take to take its stream up again.
 RECORD_TTL_S = 30.0
 MAX_RECORDS = 20000
+# Announced in place of a version: nobody knew it.
+UNKNOWN = ''
 
 
 class VersionRecords:
@@ -43,6 +45,44 @@
             del self._records[request_id]
 
 
+class Refusals:
+    """When streams were refused first, as nobody knew their version.
+
+    A stream is older than its refusal, so that one version must have been
+    the only one for so much longer. Each is kept for RECORD_TTL_S after its
+    last refusal.
+    """
+
+    __slots__ = ('_refused',)
+
+    def __init__(self):
+        # Times of the first and the last refusal, by id.
+        self._refused = collections.OrderedDict()
+
+    def add(self, request_id, now):
+        """Records a refusal of the stream that a request began."""
+        self._drop_old(now)
+        first_at, _last_at = self._refused.pop(request_id, (now, now))
+        if len(self._refused) >= MAX_RECORDS:
+            self._refused.popitem(last=False)
+        self._refused[request_id] = (first_at, now)
+
+    def age_s(self, request_id, now):
+        """Returns the seconds since the first refusal, 0 without one."""
+        self._drop_old(now)
+        first_at, _last_at = self._refused.get(request_id, (now, now))
+        return now - first_at
+
+    def _drop_old(self, now):
+        while self._refused:
+            request_id, (_first_at, last_at) = next(
+                iter(self._refused.items())
+            )
+            if now - last_at <= RECORD_TTL_S:
+                return
+            del self._refused[request_id]
+
+
 def holders(request_id, names, count):
     """Returns the instances that keep the record of a stream, best first.
 
@@ -74,7 +114,8 @@
         sole: Sole version of the service at this instance, or None.
         told: For each other instance that answered, the Sole version of the
             service there, or None.
-        settle_s: Longest life of a stream, and the age of the view.
+        settle_s: Longest life of a stream, the age of the view, and the time
+            since the stream was refused first.
         fresh: Whether this instance's view of the versions is recent. An
             older one counts only if others confirm it.
 
--- a/dandelionwinch/tests/test_resumption.py
+++ b/dandelionwinch/tests/test_resumption.py
@@ -288,6 +288,8 @@
         b'["ask", "1", "r1", "s"]',
         b'["told", 1, 7, null, 0]',
         b'["told", 1, null, "v1", "x"]',
+        b'["told", 1, null, "v1", 1, "x"]',
+        b'["told", 1, null, "v1", 1, 1, 1]',
         b'["unknown", 1]',
         b'[' * 20000,
     ],
--- a/dandelionwinch/tests/test_version_knowledge.py
+++ b/dandelionwinch/tests/test_version_knowledge.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from dandelionwinch.gateway import _stream_versions
 from dandelionwinch.tests import recorder
 from dandelionwinch.tests import virtual
@@ -94,6 +96,24 @@
     return virtual.run(whole())
 
 
+@pytest.mark.parametrize('again_s', [1.0, 10.0, 24.5, 29.5])
+def test_a_stream_that_was_refused_once_stays_refused(again_s):
+    """Second report: taken up again and again after a kill of all instances.
+
+    With time the new version seems to have been the only one for long.
+    """
+
+    async def scenario(site):
+        # The stream began at v1 before the kill, and v1 has just left.
+        found = [await site.instances['a'].find('r1', 's', LONG_S)]
+        for name in 'bc':
+            await asyncio.sleep(again_s)
+            found.append(await site.instances[name].find('r1', 's', LONG_S))
+        return found
+
+    assert run(scenario, {'v2'}) == [None] * 3
+
+
 def test_a_route_whose_timeout_was_longer_joins_no_versions():
     """The stream began when its route had a longer timeout."""
 
@@ -118,6 +138,39 @@
     assert run(scenario, {'v1', 'v2'}) == ['v1'] * 4
 
 
+def test_a_record_goes_before_a_refusal():
+    """An instance that heard none of the holders in time refused it."""
+
+    async def scenario(site):
+        site.instances['a'].record('r1', 's', 'v1', LONG_S)
+        site.start('e')
+        unheard = _stream_versions.StreamVersions(
+            asyncio.get_running_loop(), recorder.Recorder(), Link('e', {})
+        )
+        refused = await unheard.find('r1', 's', LONG_S)
+        for instance in site.instances.values():
+            instance.refused('r1')
+        return refused, await site.instances['e'].find('r1', 's', LONG_S)
+
+    assert run(scenario, {'v1', 'v2'}) == (None, 'v1')
+
+
+def test_one_that_saw_a_single_version_for_long_ends_a_refusal():
+    """A refusal by an instance that just started must not be final."""
+
+    async def scenario(site):
+        await asyncio.sleep(3 * _stream_versions.MIN_LIFE_S)
+        for name in 'efg':
+            site.start(name)
+        young = [site.instances[name] for name in 'efg']
+        for instance in young:
+            instance.refused('r1')
+        await asyncio.sleep(LONG_S)
+        return [await i.find('r1', 's', LONG_S) for i in young]
+
+    assert run(scenario, {'v1'}) == ['v1'] * 3
+
+
 def test_after_a_long_time_with_one_version_streams_go_on():
     """No more is refused than must be: the streams that began since go on."""
 
