--- a/dandelionwinch/gateway/_authenticator.py
+++ b/dandelionwinch/gateway/_authenticator.py
@@ -15,8 +15,10 @@
     """Finds the team of a request by its key.
 
     Other instances report the keys that changed in versions that this one
-    does not have yet. Such a report takes precedence over the version that is
-    in force here.
+    does not have yet. A key that was removed is refused from then on. One that
+    was added, or has another team, takes effect with the version itself: a
+    request that only a newer version accepts would be followed by others that
+    the older one routes.
 
     Args:
         loop: The event loop.
@@ -52,12 +54,15 @@
 
         Raises:
             Unauthorized: If the route needs a key and this is none.
-            OutOfContact: If the route needs a key and no key is accepted.
+            OutOfContact: If the route needs a key and no key is accepted, or
+                this one is of a version that is not in force here yet.
         """
-        team = None if key is None else self._find(table, key)
+        team, awaited = None, False
+        if key is not None:
+            team, awaited = self._find(table, key)
         if route.public:
             return team
-        if key is not None and self._out_of_contact():
+        if awaited or (key is not None and self._out_of_contact()):
             raise OutOfContact(
                 'keys cannot be checked at present',
                 retry_after_s=RETRY_AFTER_S,
@@ -67,11 +72,15 @@
         return team
 
     def _find(self, table, key):
+        """Returns the Team of a key, and whether one is still to come."""
         key_digest = teams.digest(key)
+        team = table.teams.find_digest(key_digest)
         reported = self.reports.find(key_digest)
-        if reported is not None and reported.version > table.version:
-            return reported.team
-        return table.teams.find_digest(key_digest)
+        if reported is None or reported.version <= table.version:
+            return team, False
+        if reported.team is None:
+            return None, False
+        return team, team is None
 
     def _out_of_contact(self):
         if not self._cfg.strict_revoke:
