--- a/dandelionwinch/tests/test_call_crashes.py
+++ b/dandelionwinch/tests/test_call_crashes.py
@@ -81,6 +81,31 @@
     assert state.refuse(_keys('/bad', caller='10.0.0.9'), 14.0)
 
 
+def test_a_call_that_is_held_for_one_caller_is_held_for_all_soon():
+    """BUDGET on aon-honours: each caller of it had three crashes of its own."""
+    state = quarantine.Quarantine()
+    for number in range(3):
+        found = _crash(state, number, 10.0 + number, _keys('/bad'))
+    assert found == [_keys('/bad')[1]]
+    other = _keys('/bad', caller='10.0.0.2')
+    found = _crash(state, 3, 13.0, other, _keys('/sound'))
+    assert found == [other[0]]
+    assert state.refuse(_keys('/bad', caller='10.0.0.3'), 14.0)
+    assert not state.refuse(_keys('/sound'), 14.0)
+
+
+def test_a_call_that_another_caller_has_answered_is_held_for_one_only():
+    """What its caller adds to it may be what crashes upstreams."""
+    state = quarantine.Quarantine()
+    other = _keys('/bad', caller='10.0.0.2')
+    for number in range(3):
+        _crash(state, number, 10.0 + number, _keys('/bad'))
+    state.record_answer(other, 13.0)
+    assert _crash(state, 3, 14.0, other) == []
+    assert not state.refuse(other, 15.0)
+    assert state.refuse(_keys('/bad'), 15.0)
+
+
 def test_a_poll_in_flight_under_three_crashes_is_not_held():
     """It is sound, and was answered before; its neighbour is held."""
     state = quarantine.Quarantine()
