--- a/dandelionwinch/quarantine/_crashes.py
+++ b/dandelionwinch/quarantine/_crashes.py
@@ -49,15 +49,20 @@
 
         Two calls in flight under the same crashes can't be told apart. Both
         are held, unless one was answered before: to hold a call that was not
-        harms nobody but its callers.
+        harms nobody but its callers. A call that is held for one caller may
+        be what crashes upstreams whoever sends it.
         """
-        if not self.explained_by:
+        explained_by = [
+            other
+            for other in self.explained_by
+            if not _subjects.is_of_another_caller(subject, other)
+        ]
+        if not explained_by:
             return True
         if self.suspects[subject].answered:
             return False
         return all(
-            _subjects.are_other_calls(subject, other)
-            for other in self.explained_by
+            _subjects.are_other_calls(subject, other) for other in explained_by
         )
 
 
--- a/dandelionwinch/quarantine/_quarantine.py
+++ b/dandelionwinch/quarantine/_quarantine.py
@@ -12,6 +12,7 @@
 import attrs
 
 from dandelionwinch.quarantine import _crashes
+from dandelionwinch.quarantine import _subjects
 
 # Crashes after which a subject is held. Those on which answers began shortly
 # before are mostly shared by those that crash upstreams and are found first.
@@ -183,8 +184,10 @@
         answered count only if no other subject is likely to explain them.
         """
         needed = self._needed(subject, evidence, now)
-        if needed < CRASHES_TO_HOLD_ANSWERED or len(evidence) < needed:
-            return len(evidence) >= needed
+        if len(evidence) < needed or _is_of_one_caller(subject, evidence):
+            return False
+        if needed < CRASHES_TO_HOLD_ANSWERED:
+            return True
         if len(evidence) >= CRASHES_REGARDLESS:
             return True
         likely = self._likely_subjects(now)
@@ -327,3 +330,9 @@
     def _trim(table, limit):
         while len(table) > limit:
             table.popitem(last=False)
+
+
+def _is_of_one_caller(call, crashes):
+    """Tells whether one caller's request of a call explains all crashes."""
+    callers = [_subjects.callers_of(call, c.suspects) for c in crashes]
+    return bool(callers) and bool(set.intersection(*callers))
--- a/dandelionwinch/quarantine/_subjects.py
+++ b/dandelionwinch/quarantine/_subjects.py
@@ -46,6 +46,27 @@
     return key.partition('/')[0] in _CALL_KINDS
 
 
+def is_of_another_caller(key, other):
+    """Tells whether a key is a call of one caller, and not that of `key`.
+
+    Args:
+        key: Key of a call, of any caller or of one.
+        other: Another key.
+    """
+    kind, _, call = other.partition('/')
+    if kind != 'caller' or not is_call(key) or are_other_calls(key, other):
+        return False
+    return call != key.partition('/')[2]
+
+
+def callers_of(key, subjects):
+    """Returns those of the subjects that are a call, of one caller each."""
+    kind, _, call = key.partition('/')
+    if kind != 'call':
+        return set()
+    return {s for s in subjects if s.startswith(f'caller/{call}/')}
+
+
 def are_other_calls(key, other):
     """Tells whether two keys are those of two different calls."""
     if not (is_call(key) and is_call(other)):
