--- a/dandelionwinch/control/_sync.py
+++ b/dandelionwinch/control/_sync.py
@@ -14,8 +14,8 @@
 from dandelionwinch.control import _store
 from dandelionwinch.control import _told_changes
 from dandelionwinch.control import _view_ages
+from dandelionwinch.control import _watch_call
 
-ALL_KEYS = ''
 # Pause after an answer that could not be taken.
 FAULT_PAUSE_S = 1.5
 # While the order lease has no holder, this many candidates for it watch the
@@ -111,7 +111,7 @@
         gateway.metrics.store_return_bound.set_function(self._timing.bound_s)
         self._revision = None
         self._task = None
-        self._watch_call = None
+        self._watch_call = _watch_call.WatchCall(loop, store)
         self._listed = False
         self._listing = False
         # Whether the view is that of its revision, though it may be so old
@@ -151,8 +151,7 @@
     def epoch_changed(self):
         """Ends a call that still waits in an older epoch of the store."""
         self._relay.wake()
-        if self._watch_call is not None:
-            self._watch_call.cancel()
+        self._watch_call.end()
 
     @property
     def view(self):
@@ -307,7 +306,7 @@
     async def _list(self):
         sent_at = self._clock()
         self._contact.begins('list')
-        listing = await self._store.list(ALL_KEYS)
+        listing = await self._store.list(_watch_call.ALL_KEYS)
         now = self._loop.time()
         previous, self._revision = self._revision, listing.revision
         self._store_reached(sent_at)
@@ -333,7 +332,7 @@
         after = self._revision
         sent_at = self._clock()
         self._contact.begins('watch')
-        listing = await self._call_watch(wait_s)
+        listing = await self._watch_call.run(after, wait_s)
         # Without a change the store answers after the whole wait.
         whole = not listing.items and self._clock() >= sent_at + wait_s
         now = self._loop.time()
@@ -354,19 +353,6 @@
         if listing.items:
             await asyncio.sleep(self._timing.coalesce_s())
 
-    async def _call_watch(self, wait_s):
-        self._watch_call = self._loop.create_task(
-            self._store.watch(ALL_KEYS, self._revision, wait_s)
-        )
-        try:
-            return await self._watch_call
-        except asyncio.CancelledError:
-            if asyncio.current_task().cancelling():
-                raise
-            raise _store.EpochChanged('during a watch') from None
-        finally:
-            self._watch_call = None
-
     def told(self, message, known_at):
         """Applies changes that another instance told.
 
