--- a/dandelionwinch/control/_contact.py
+++ b/dandelionwinch/control/_contact.py
@@ -15,8 +15,9 @@
     """
 
     __slots__ = (
-        '_answered_at',
+        '_answered',
         '_call',
+        '_failing_at',
         '_log',
         '_loop',
         '_metrics',
@@ -29,7 +30,9 @@
         self._log = log
         self._metrics = metrics
         self._call = ''
-        self._answered_at = None
+        self._answered = False
+        # Begin of the first call that failed since the last answer.
+        self._failing_at = None
         self.failures = 0
         self.began_at = float('-inf')
 
@@ -48,16 +51,16 @@
         Args:
             revision: Number of the revision that is known by it.
         """
-        now = self._loop.time()
-        if self._answered_at is None or self.failures:
-            self._returned(revision, now)
-        self._answered_at = now
+        if not self._answered or self.failures:
+            self._returned(revision)
+        self._answered = True
+        self._failing_at = None
         self.failures = 0
 
-    def _returned(self, revision, now):
+    def _returned(self, revision):
         away_s = None
-        if self._answered_at is not None:
-            away_s = round(now - self._answered_at, 3)
+        if self._failing_at is not None:
+            away_s = round(self._loop.time() - self._failing_at, 3)
             self._metrics.store_away.observe(away_s)
         self._log.event(
             'store.reached',
@@ -73,8 +76,10 @@
             exc: StoreFailed.
             pause_s: Seconds until the next call.
         """
-        if self._answered_at is not None and not self.failures:
+        if self._answered and not self.failures:
             self._log.event('store.lost', reason=str(exc))
+        if not self.failures:
+            self._failing_at = self.began_at
         self.failures += 1
         self._metrics.store_failed_calls.labels(self._call).inc()
         self._log.event(
--- a/dandelionwinch/gateway/_metrics.py
+++ b/dandelionwinch/gateway/_metrics.py
@@ -116,7 +116,7 @@
         )
         self.store_away = prometheus_client.Histogram(
             'dandelionwinch_store_away_seconds',
-            'Time without an answer of the store to the instance',
+            'Time from a call that failed to an answer of the store',
             buckets=AWAY_BUCKETS_S,
             registry=registry,
         )
--- a/dandelionwinch/gateway/_stream_versions.py
+++ b/dandelionwinch/gateway/_stream_versions.py
@@ -120,11 +120,9 @@
             record = found[0] if found else None
         now = self._loop.time()
         sole = self._history.sole(service, now)
-        refused_s = max(
-            self._refusals.age_s(request_id, now),
-            *(item.refused_s for item in told),
-            0.0,
-        )
+        refused = [item.refused_s for item in told]
+        refused_s = max(refused, default=0.0)
+        refused_s = max(refused_s, self._refusals.age_s(request_id, now))
         version = streams.version_to_resume(
             record,
             sole,
