--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import pathlib
 import sys
 
@@ -43,20 +44,20 @@
     return site_module.config(7, routes, {SERVICE: True})
 
 
-def _runners(site):
-    model = {'models': [{'name': 'm', 'version': 1, 'adapters': []}]}
+def _runner(site, number):
+    fields = {
+        'phase': 'decode',
+        'models': [{'name': 'm', 'version': 1, 'adapters': []}],
+    }
     options = ('--unframed', '--events', str(EVENTS), '--pause', str(PAUSE_S))
-    return [
-        site_module.Runner(
-            site,
-            f'i-{number}',
-            SERVICE,
-            zone,
-            options,
-            {'phase': 'decode', **model},
-        )
-        for number, zone in enumerate(site_module.ZONES)
-    ]
+    zone = site_module.ZONES[number % 3]
+    return site_module.Runner(
+        site, f'i-{number}', SERVICE, zone, options, fields
+    )
+
+
+def _runners(site):
+    return [_runner(site, number) for number in range(3)]
 
 
 async def _stream(site, ip, route, number):
@@ -90,6 +91,14 @@
     return answer.status == 200 and answer.complete and answer.body != whole
 
 
+def _busiest(site):
+    """Returns the runner that runs most streams."""
+    counts = collections.Counter(
+        run['runner'] for run in site.runs if 'run' in run
+    )
+    return max(site.runners, key=lambda runner: counts[runner.id])
+
+
 async def case(folder, trouble):
     """Returns whether the rule ORDER held."""
     site = site_module.Site(folder)
@@ -108,7 +117,11 @@
         ]
         await asyncio.sleep(1.0)
         if trouble:
-            leaving = site.runners[0]
+            # The new one starts first.
+            new = _runner(site, len(site.runners))
+            leaving = _busiest(site)
+            site.runners.append(new)
+            await new.start()
             await leaving.drain()
             await asyncio.sleep(DRAIN_S + LINGER_S)
             await leaving.leave()
