--- a/dandelionwinch/gateway/_call_handler.py
+++ b/dandelionwinch/gateway/_call_handler.py
@@ -144,7 +144,6 @@
                 response = await exchange.read_response(
                     head, self._read_timeout_s()
                 )
-                await self._check_end(head, upstream)
         except _upstream_exchange.AttemptFailed as exc:
             self._end_counting(counting, exc.outcome)
             if not begun:
--- a/dandelionwinch/gateway/_connection.py
+++ b/dandelionwinch/gateway/_connection.py
@@ -79,9 +79,12 @@
         loop: Event loop.
         observe_head: Called with the head of each response as it arrives,
             whether it is read or not; must not fail.
+        check_end: Called when a body without a length has ended with the
+            connection; returns a future of the Ending. None for no check.
 
     Attributes:
         busy: Whether a request is in flight.
+        ending: What `check_end` returned for the current response, or None.
         read_ahead: ReadAhead of the queued items.
         reusable_until: Loop time at which the keep-alive timeout ends.
         written_bytes: Bytes of all requests that were sent.
@@ -89,6 +92,7 @@
 
     __slots__ = (
         '_body_until_close',
+        '_check_end',
         '_exc',
         '_interim',
         '_items',
@@ -101,14 +105,16 @@
         '_transport',
         '_waiter',
         'busy',
+        'ending',
         'read_ahead',
         'reusable_until',
         'written_bytes',
     )
 
-    def __init__(self, loop, observe_head=None):
+    def __init__(self, loop, observe_head=None, check_end=None):
         self._loop = loop
         self._observe_head = observe_head
+        self._check_end = check_end
         self._transport = None
         self._parser = _codec.ResponseParser(self, MAX_HEAD_BYTES)
         self._items = collections.deque()
@@ -120,6 +126,7 @@
         self._no_reuse = False
         self._body_until_close = False
         self.busy = False
+        self.ending = None
         self.read_ahead = _read_ahead.ReadAhead(MAX_READ_AHEAD_BYTES)
         self.reusable_until = 0.0
         self.written_bytes = 0
@@ -186,6 +193,8 @@
         if self.busy and complete:
             self._body_until_close = False
             self._keep_alive = False
+            if self._check_end is not None:
+                self.ending = self._check_end()
             self._queue_item(End())
         self._fail(LossCause.CLOSED, 'the peer closed the connection')
 
@@ -236,6 +245,7 @@
         self.busy = True
         self._keep_alive = False
         self._body_until_close = False
+        self.ending = None
         self._surplus.clear()
         self.read_ahead.stood_still = False
         self.written_bytes += len(data)
--- a/dandelionwinch/gateway/_crash_guard.py
+++ b/dandelionwinch/gateway/_crash_guard.py
@@ -147,11 +147,13 @@
             self._report(crash, subjects)
         return crashed
 
-    async def has_crashed(self, upstream):
-        """Tells whether an upstream that closed a connection crashed."""
-        if not upstream.in_service:
-            return False
-        return await asyncio.shield(self._crash_of(upstream).confirmed)
+    def process_gone(self, upstream):
+        """Records that the process of an upstream was found to be gone.
+
+        One that leaves as planned has not crashed.
+        """
+        if upstream.in_service:
+            self._crash_of(upstream)
 
     def _crash_of(self, upstream):
         incarnation = upstream.entry.incarnation
--- a/dandelionwinch/gateway/_final_response.py
+++ b/dandelionwinch/gateway/_final_response.py
@@ -1,9 +1,7 @@
 """The final response to a caller's request."""
 
 from dandelionwinch import attempts
-from dandelionwinch.gateway import _connection
 from dandelionwinch.gateway import _next_attempt
-from dandelionwinch.gateway import _upstream_exchange
 
 MIN_RETRY_AFTER_S = 0.2
 RETRY_AFTER_JITTER_S = 0.4
@@ -59,30 +57,6 @@
         self._caller_conn.respond(response.head.status, headers, response.body)
         return response.head.status
 
-    async def check_end(self, head, upstream):
-        """Checks a body that ended with its connection.
-
-        The system closes the connections of a process that was killed in the
-        same way as those of one that has sent all. A body that ends with the
-        death of its upstream may have broken off.
-
-        Raises:
-            AttemptFailed: If the upstream crashed.
-        """
-        without_body = (
-            self._state.req.method == 'HEAD'
-            or head.status in _connection.NO_BODY_STATUSES
-        )
-        if head.framed or without_body:
-            return
-        if await self._gateway.crash_guard.has_crashed(upstream):
-            reason = 'the upstream crashed at the end of its answer'
-            raise _upstream_exchange.AttemptFailed(
-                attempts.AttemptOutcome.UNKNOWN, reason
-            ) from _connection.ConnectionLost(
-                _connection.LossCause.CLOSED, reason
-            )
-
     def _retry_after_s(self, in_time):
         """Returns when the caller should retry, spread over the callers."""
         now = self._gateway.loop.time()
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -22,6 +22,7 @@
         table: The RouteTable, None before the first one is known.
         observe_head: Called with the incarnation of an upstream and the
             head of each of its responses, or None.
+        end_checks: The EndChecks, None for no check.
         latency_baseline: Typical latency of each service.
         byte_limits: The ByteLimits, None if they are not in force.
     """
@@ -32,6 +33,7 @@
         '_returns',
         'byte_limits',
         'capacity_ratio',
+        'end_checks',
         'latency_baseline',
         'observe_head',
         'registry',
@@ -47,6 +49,7 @@
         self.table = None
         self.observe_head = None
         self.byte_limits = None
+        self.end_checks = None
         self.latency_baseline = upstreams.LatencyBaseline()
 
     def pool(self, upstream):
@@ -60,8 +63,16 @@
             if self.byte_limits is not None:
                 guard = self.byte_limits.guard(entry)
             observe_head = functools.partial(self._observe_head, key, guard)
+            check_end = None
+            if self.end_checks is not None:
+                check_end = functools.partial(self.end_checks.begin, upstream)
             pool = _pool.Pool(
-                self._loop, entry.address, limit, observe_head, guard
+                self._loop,
+                entry.address,
+                limit,
+                observe_head,
+                guard,
+                check_end,
             )
             self._pools[key] = pool
         pool.limit = limit
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from dandelionwinch.gateway import _crash_guard
 from dandelionwinch.gateway import _demand_link
 from dandelionwinch.gateway import _demand_meter
+from dandelionwinch.gateway import _end_checks
 from dandelionwinch.gateway import _engine_departures
 from dandelionwinch.gateway import _fair_sharing
 from dandelionwinch.gateway import _fleet
@@ -168,6 +169,9 @@
         self.crash_guard = _crash_guard.CrashGuard(
             loop, self.fleet, self.peers, log, self.metrics, self.rng
         )
+        self.fleet.end_checks = _end_checks.EndChecks(
+            loop, self.crash_guard.process_gone
+        )
         self.authenticator = _authenticator.Authenticator(loop, cfg)
         self._key_sharing = _key_sharing.KeySharing(
             loop, self.peers, self.fleet, self.authenticator, log, self.rng
@@ -234,6 +238,7 @@
             self._sweep_timer.cancel()
         self._cache_watch.close()
         self.crash_guard.close()
+        self.fleet.end_checks.close()
         self.demand.close()
         self._limits.close()
         self._key_sharing.close()
--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -290,7 +290,6 @@
             raise _event_reader.closed_without_an_event()
         if not (head.framed or self._begun or self._state.streaming):
             raise _event_reader.closed_without_an_event()
-        await self._check_end(head, placement.decode)
         self._end_stream(head, placement)
 
     def _begin_leg(self, leg, now):
--- a/dandelionwinch/gateway/_pool.py
+++ b/dandelionwinch/gateway/_pool.py
@@ -72,6 +72,7 @@
         limit: Maximum number of open connections.
         observe_head: Called with the head of each response, or None.
         guard: Guard that admits the requests, None for one that admits all.
+        check_end: As for Connection.
 
     Attributes:
         limit: Maximum number of open connections.
@@ -80,6 +81,7 @@
 
     __slots__ = (
         '_address',
+        '_check_end',
         '_guard',
         '_idle',
         '_loop',
@@ -89,9 +91,18 @@
         'open',
     )
 
-    def __init__(self, loop, address, limit, observe_head=None, guard=None):
+    def __init__(
+        self,
+        loop,
+        address,
+        limit,
+        observe_head=None,
+        guard=None,
+        check_end=None,
+    ):
         self._loop = loop
         self._observe_head = observe_head
+        self._check_end = check_end
         self._address = address
         self._guard = guard or Guard()
         self._idle = collections.deque()
@@ -189,7 +200,9 @@
         return conn
 
     def _new_connection(self):
-        return _connection.Connection(self._loop, self._observe_head)
+        return _connection.Connection(
+            self._loop, self._observe_head, self._check_end
+        )
 
     async def _wait_for_release(self, deadline, reservation):
         left_s = deadline - self._loop.time()
--- a/dandelionwinch/gateway/_request_handler.py
+++ b/dandelionwinch/gateway/_request_handler.py
@@ -306,10 +306,6 @@
         status = self._final.respond_failed(reason, self._in_time())
         self._gateway.record_response(self, status, reason)
 
-    async def _check_end(self, head, upstream):
-        """Checks a body that ended with its connection."""
-        await self._final.check_end(head, upstream)
-
     def _accept_response(self, upstream, response, started_at):
         """Relays a complete response, unless it is an error to retry.
 
--- a/dandelionwinch/gateway/_upstream_exchange.py
+++ b/dandelionwinch/gateway/_upstream_exchange.py
@@ -1,10 +1,13 @@
 """One request to an upstream and its response, on one connection."""
 
+import asyncio
+
 import attrs
 
 from dandelionwinch import attempts
 from dandelionwinch.gateway import _codec
 from dandelionwinch.gateway import _connection
+from dandelionwinch.gateway import _end_checks
 
 MAX_RESPONSE_BODY_BYTES = 1 << 20
 # Bytes of a body that count as progress. An upstream that sends one byte now
@@ -160,8 +163,27 @@
         Raises:
             AttemptFailed: If the connection failed, the deadline passed, or
                 no item arrived within `timeout_s` and the upstream may be
-                left.
+                left. Also if the body ended with the connection, and it is
+                not known that the upstream outlived this.
         """
+        item = await self._next_item(timeout_s)
+        if isinstance(item, _connection.End):
+            await self._check_end()
+        return item
+
+    async def _check_end(self):
+        if self._conn.ending is None:
+            return
+        ending = await asyncio.shield(self._conn.ending)
+        if ending is not _end_checks.Ending.OUTLIVED:
+            reason = f'the upstream at the end of its answer: {ending.value}'
+            raise AttemptFailed(
+                attempts.AttemptOutcome.UNKNOWN, reason
+            ) from _connection.ConnectionLost(
+                _connection.LossCause.CLOSED, reason
+            )
+
+    async def _next_item(self, timeout_s):
         # A sender that never stops always has an item waiting.
         if self._left_s() < -OVERTIME_S:
             raise AttemptFailed(
--- a/dandelionwinch/tests/test_close_framed.py
+++ b/dandelionwinch/tests/test_close_framed.py
@@ -1,5 +1,6 @@
 """Tests of responses that end with their connection, without a length."""
 
+import attrs
 import pytest
 
 from dandelionwinch.platform import samples
@@ -134,6 +135,119 @@
     assert after[2] == REST
 
 
+def _leave_service(harness, how):
+    """Takes the upstreams that work out of service, as if they were to exit.
+
+    Their work goes on, and another upstream is there for what is repeated.
+    """
+    registry = harness.gateway.fleet.registry
+    now = harness.gateway.loop.time()
+    for number, server in enumerate(harness.upstreams):
+        if not server.requests:
+            continue
+        upstream = registry.get(f'u{number}')
+        match how:
+            case 'draining':
+                registry.apply(attrs.evolve(upstream.entry, ready=False))
+            case 'announced':
+                upstream.leaving = True
+            case 'told':
+                upstream.told_leaving_until = now + 10.0
+            case 'removed':
+                registry.remove(f'u{number}', now)
+            case 'restarted':
+                entry = attrs.evolve(upstream.entry, started_at_ms=2)
+                registry.apply(entry)
+            case 'held off':
+                upstream.held_off_until = now + 10.0
+            case 'ejected':
+                upstream.eject(now)
+
+
+LEAVING = [
+    'draining',
+    'announced',
+    'told',
+    'removed',
+    'restarted',
+    'held off',
+    'ejected',
+]
+
+
+def _end_after_leaving(path, begin, end, second, how, prompt=None):
+    """Sends a request whose upstream leaves service before its answer ends.
+
+    Returns status, headers and body of the response.
+    """
+    shared = [[*begin, scripted.HOLD, end], second]
+
+    async def scenario(harness):
+        for upstream in harness.upstreams:
+            upstream._scripts = shared
+        harness.send(path, prompt=prompt)
+        await harness.log.wait_until(lambda: harness.requests)
+        _leave_service(harness, how)
+        for upstream in harness.upstreams:
+            upstream.release.set()
+        return await harness.read_response()
+
+    return gateway_harness.run_scenario([[], []], scenario)
+
+
+@pytest.mark.parametrize('how', LEAVING)
+@pytest.mark.parametrize(
+    ('path', 'status'), [('/safe/1', 200), ('/once/1', 502)]
+)
+def test_a_call_that_ends_with_an_upstream_that_leaves_is_not_complete(
+    how, path, status
+):
+    """Review, case 1: one that has drained exits in the middle of a body."""
+    got, _headers, body = _end_after_leaving(
+        path, [HEAD + b'ha'], scripted.EXIT, [gateway_harness.response()], how
+    )
+    assert got == status
+    assert (body == b'hello') == (status == 200)
+
+
+@pytest.mark.parametrize('how', LEAVING)
+@pytest.mark.parametrize(
+    ('path', 'rest'), [('/resume/1', REST), ('/stream/1', b'<cut>')]
+)
+def test_a_stream_that_ends_with_an_engine_that_leaves_is_not_complete(
+    how, path, rest
+):
+    """Review, case 1: its streams ended as complete, pieces were missing."""
+    begin = [HEAD + FIRST]
+    status, _headers, body = _end_after_leaving(
+        path, begin, scripted.EXIT, SECOND, how, (50, 50)
+    )
+    assert (status, body) == (200, FIRST + rest)
+
+
+@pytest.mark.parametrize('how', LEAVING)
+def test_an_error_that_ends_with_an_upstream_that_leaves_is_not_relayed(how):
+    head = samples.response_head('{id}', status='500 Oops')
+    status, _headers, body = _end_after_leaving(
+        '/once/1', [head + b'wh'], scripted.EXIT, SECOND, how
+    )
+    assert status == 502
+    assert body != b'wh'
+
+
+@pytest.mark.parametrize('how', LEAVING)
+def test_an_upstream_that_leaves_ends_its_answers_as_complete(how):
+    """It goes on to serve for a while, so what it ends is whole."""
+    got = _end_after_leaving(
+        '/once/1', [HEAD + b'ha'], scripted.CLOSE, SECOND, how
+    )
+    assert (got[0], got[2]) == (200, b'ha')
+    got = _end_after_leaving(
+        '/stream/1', [HEAD + FIRST], scripted.CLOSE, SECOND, how, (50, 50)
+    )
+    assert (got[0], got[2]) == (200, FIRST)
+
+
 @pytest.mark.parametrize('head', HEADS, ids=['1.1', '1.0'])
 @pytest.mark.parametrize(
     'end', [[scripted.RESET], [b'id: 1\nda', scripted.CLOSE]]
