--- a/dandelionwinch/control/_instance.py
+++ b/dandelionwinch/control/_instance.py
@@ -82,6 +82,7 @@
             _order_sender.boot_clock,
         )
         self._gateway.authenticator.view_age_s = self._sync.ages.age_s
+        self._gateway.streams.view_age_s = self._sync.ages.known_age_s
         self._gateway.fair_sharing.holder = lambda: self._sync.holder
         self._entry = addresses.InstanceEntry(
             cfg.instance,
@@ -365,6 +366,7 @@
         self.log.event('instance.finishing', active=self._gateway.active)
         self._caller_server.finish()
         self._gateway.end_requests()
+        self._gateway.streams.hand_over()
         connections = self._caller_server.connections
         # Connections that wait to be accepted are in it after a first pause.
         await asyncio.sleep(SEND_POLL_S)
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -246,6 +246,7 @@
         self.fair_sharing.close()
         self.call_gate.close()
         self.departures.close()
+        self.streams.close()
         self._speeds.close()
         if self.fleet.byte_limits is not None:
             self.fleet.byte_limits.close()
--- a/dandelionwinch/gateway/_peer_link.py
+++ b/dandelionwinch/gateway/_peer_link.py
@@ -37,6 +37,11 @@
         self._known_until = {}
         self._invalid_logged = False
 
+    @property
+    def name(self):
+        """Returns the name of the local instance."""
+        return self._name
+
     async def start(self, ip, port):
         """Binds a UDP port; without it this instance hears no other."""
         try:
--- a/dandelionwinch/gateway/_stream_link.py
+++ b/dandelionwinch/gateway/_stream_link.py
@@ -1,9 +1,13 @@
 """Messages by which instances tell each other where streams began.
 
-    ["began", request id, version, or "" if the stream was refused]
-    ["ask", question number, request id, service]
+    ["began", request id, ""]: the stream was refused
+    ["records", [[request id, version, seconds for which it is kept], ...],
+        whether these are the last ones that were asked for]
+    ["need", name of the instance that asks for what it should hold]
+    ["ask", question number, request id, or "" for no stream, service]
     ["told", question number, version or null, sole version or null, seconds,
-        seconds since the stream was refused first, left out if it was not]
+        seconds since the stream was refused first, age of the view in seconds
+        or null without one]
 
 A record that is lost makes a stream that is taken up elsewhere end, never
 join another version.
@@ -11,6 +15,7 @@
 
 import asyncio
 import itertools
+import math
 
 import attrs
 
@@ -19,6 +24,11 @@
 ASK_TIMEOUT_S = 0.25
 # Time after which a question is sent once more.
 ASK_AGAIN_S = 0.1
+# A datagram of so many records fits into one packet.
+RECORDS_PER_DATAGRAM = 24
+MAX_LEFT_S = 3600.0
+# A view that is older tells as little as one of this age.
+MAX_AGE_S = 3600.0
 
 
 @attrs.frozen
@@ -29,11 +39,13 @@
         version: Version at which it began, None if it has no record.
         sole: The Sole version of the service there, or None.
         refused_s: Seconds since the stream was refused first, or 0.
+        sees: Whether the instance has a view of the versions.
     """
 
     version: str | None
     sole: streams.Sole | None
     refused_s: float = 0.0
+    sees: bool = True
 
 
 @attrs.define
@@ -57,8 +69,14 @@
     Args:
         loop: The event loop.
         link: PeerLink.
-        on_began: Function of a request id and a version.
+        on_refused: Function of the id of a request whose stream was refused.
         answer: Function of a request id and a service that returns Told.
+
+    Attributes:
+        on_records: Function of a list of Records, the address of the sender,
+            and `last`: whether these are the last ones that were asked for.
+        on_need: Function of the name and the address of an instance that
+            asks for the records that it should hold.
     """
 
     __slots__ = (
@@ -66,30 +84,63 @@
         '_link',
         '_loop',
         '_numbers',
-        '_on_began',
+        '_on_refused',
         '_questions',
+        'on_need',
+        'on_records',
     )
 
-    def __init__(self, loop, link, on_began, answer):
+    def __init__(self, loop, link, on_refused, answer):
         self._loop = loop
         self._link = link
-        self._on_began = on_began
+        self._on_refused = on_refused
         self._answer = answer
         self._numbers = itertools.count(1)
         self._questions = {}
+        self.on_records = None
+        self.on_need = None
         link.register('began', self._take_began)
+        link.register('records', self._take_records)
+        link.register('need', self._take_need)
         link.register('ask', self._take_question)
         link.register('told', self._take_answer)
 
-    def announce(self, request_id, version, addresses):
-        """Tells instances at which version a stream began.
+    def announce_refusal(self, request_id, addresses):
+        """Tells instances that a stream was refused.
 
         Args:
             request_id: Id of the request that began it.
-            version: The version.
             addresses: IP and port of each instance.
         """
-        self._link.send_all(['began', request_id, version], addresses)
+        self._link.send_all(['began', request_id, ''], addresses)
+
+    def tell(self, records, addresses, *, all_known=False):
+        """Tells instances at which versions streams began.
+
+        Args:
+            records: List of Records.
+            addresses: IP and port of each instance.
+            all_known: Whether these are all that were asked for.
+        """
+        rows = [
+            [record.request_id, record.version, round(record.left_s, 1)]
+            for record in records
+        ]
+        starts = range(0, max(1, len(rows)), RECORDS_PER_DATAGRAM)
+        for start in starts:
+            end = start + RECORDS_PER_DATAGRAM
+            last = all_known and end >= len(rows)
+            message = ['records', rows[start:end], last]
+            self._link.send_all(message, addresses)
+
+    def ask_records(self, name, addresses):
+        """Asks instances for the records that an instance should hold.
+
+        Args:
+            name: Name of the local instance.
+            addresses: IP and port of each instance.
+        """
+        self._link.send_all(['need', name], addresses)
 
     async def ask(self, request_id, service, addresses):
         """Asks instances for a stream.
@@ -120,11 +171,32 @@
 
     def _take_began(self, items, _addr):
         match items:
+            case [str(request_id), '']:
+                self._on_refused(request_id)
             case [str(request_id), str(version)]:
-                self._on_began(request_id, version)
+                # Of an instance of an older software version.
+                record = streams.Record(
+                    request_id, version, streams.RECORD_TTL_S
+                )
+                self.on_records((record,))
             case _:
                 raise ValueError('not the begin of a stream')
 
+    def _take_records(self, items, addr):
+        match items:
+            case [list(rows), bool(last)]:
+                records = [_read_record(*row) for row in rows]
+            case _:
+                raise ValueError('not a list of records')
+        self.on_records(records, tuple(addr[:2]), last=last)
+
+    def _take_need(self, items, addr):
+        match items:
+            case [str(name)]:
+                self.on_need(name, addr)
+            case _:
+                raise ValueError('not a question for records')
+
     def _take_question(self, items, addr):
         match items:
             case [int(number), str(request_id), str(service)]:
@@ -134,8 +206,8 @@
                 raise ValueError('not a question for a stream')
 
     def _take_answer(self, items, _addr):
-        number, version, sole, for_s, *refused_s = items
-        told = _read_told(version, sole, for_s, *refused_s)
+        number, *told = items
+        told = _read_told(*told)
         question = self._questions.get(number)
         if question is None or question.done.done():
             return
@@ -146,23 +218,33 @@
 
 
 def _told_message(number, told):
-    sole, for_s = None, 0.0
+    sole, for_s, age_s = None, 0.0, None
+    if told.sees:
+        age_s = 0.0
     if told.sole is not None:
         sole, for_s = told.sole.version, round(told.sole.for_s, 3)
-    message = ['told', number, told.version, sole, for_s]
-    if told.refused_s:
-        message.append(round(told.refused_s, 3))
-    return message
+        age_s = round(min(told.sole.age_s, MAX_AGE_S), 3)
+    refused_s = round(told.refused_s, 3)
+    return ['told', number, told.version, sole, for_s, refused_s, age_s]
 
 
-def _read_told(version, sole, for_s, refused_s=0.0):
+def _read_told(version, sole, for_s, refused_s=0.0, age_s=math.inf):
     if version is not None and not isinstance(version, str):
         raise ValueError(f'version {version!r}')
     if not isinstance(refused_s, int | float):
         raise ValueError(f'refused for {refused_s!r} s')
     if sole is None:
-        return Told(version, None, float(refused_s))
+        return Told(version, None, float(refused_s), age_s is not None)
     if not isinstance(sole, str) or not isinstance(for_s, int | float):
         raise ValueError(f'sole version {sole!r} for {for_s!r} s')
-    seen = streams.Sole(sole, float(for_s))
+    if not isinstance(age_s, int | float) or not age_s >= 0.0:
+        raise ValueError(f'a view of {age_s!r} s')
+    seen = streams.Sole(sole, float(for_s), float(age_s))
     return Told(version, seen, float(refused_s))
+
+
+def _read_record(request_id, version, left_s):
+    match request_id, version, left_s:
+        case str(), str(), int() | float() if 0.0 <= left_s <= MAX_LEFT_S:
+            return streams.Record(request_id, version, float(left_s))
+    raise ValueError('not a record')
--- a/dandelionwinch/gateway/_stream_versions.py
+++ b/dandelionwinch/gateway/_stream_versions.py
@@ -1,19 +1,18 @@
 """Knows the software versions at which streams began, here and elsewhere."""
 
+import asyncio
+
+from dandelionwinch.gateway import _record_copies
 from dandelionwinch.gateway import _stream_link
 from dandelionwinch import streams
 
-# Instances beside the own one that keep a record, and those that are asked
-# for it, as they may know of other instances than the one that recorded it.
-RECORD_HOLDERS = 2
-ASKED_INSTANCES = 3
-# Age up to which a view of the registered versions is recent: the interval
-# of the watch and its pauses. It is added to the longest life of a stream, as
-# instances learn of a new version at different times.
-VIEW_AGE_S = 5.0
 # Shortest life of a stream that is assumed: its route may have had a longer
 # timeout before, and a caller may take it up several times.
 MIN_LIFE_S = streams.RECORD_TTL_S
+# Pause after which an instance that has started asks others for what they saw
+# before, and how often. Their views are up to MAX_VIEW_AGE_S old.
+LEARN_PAUSE_S = 1.0
+LEARN_ATTEMPTS = 8
 
 
 class StreamVersions:
@@ -21,60 +20,98 @@
 
     Streams are recorded only beside several versions of their service, and
     for some time after, as a stream can go on only at one version otherwise.
+    What an instance saw and recorded ends with its process, so one that has
+    started asks others for it.
 
     Args:
         loop: The event loop.
         log: EventLog.
         link: PeerLink to other instances.
+
+    Attributes:
+        view_age_s: Function that returns the seconds for which another
+            version may have come unseen.
     """
 
     __slots__ = (
+        '_copies',
         '_history',
+        '_learning',
         '_link',
         '_log',
         '_loop',
-        '_observed_at',
-        '_peer_link',
-        '_records',
         '_refusals',
+        'view_age_s',
     )
 
     def __init__(self, loop, log, link):
         self._loop = loop
         self._log = log
-        self._peer_link = link
-        self._records = streams.VersionRecords()
         self._refusals = streams.Refusals()
         self._history = streams.VersionHistory()
-        self._observed_at = float('-inf')
         self._link = _stream_link.StreamLink(
-            loop, link, self._take_record, self._answer
+            loop, link, self._take_refusal, self._answer
         )
+        self._copies = _record_copies.RecordCopies(loop, link, self._link)
+        self._learning = None
+        self.view_age_s = lambda: 0.0
+
+    def close(self):
+        """Stops to ask others."""
+        self._copies.close()
+        if self._learning is not None:
+            self._learning.cancel()
 
     def observe(self, versions):
         """Takes in the registered versions; see VersionHistory."""
-        self._observed_at = self._loop.time()
-        self._history.observe(versions, self._observed_at)
+        self._history.observe(versions, self._loop.time())
+        self._copies.learn()
+        if self._learning is None:
+            self._learning = self._loop.create_task(self._learn())
+
+    def hand_over(self):
+        """Sends what only this instance may know to others, as it ends."""
+        self._copies.hand_over()
+
+    async def _learn(self):
+        """Takes over what others saw before this instance started."""
+        for attempt in range(LEARN_ATTEMPTS):
+            await asyncio.sleep(LEARN_PAUSE_S)
+            for service in self._history.services:
+                # The name only spreads the questions over the instances.
+                asked = self._copies.asked(f'{service} {attempt}')
+                await self._ask('', service, asked)
+
+    async def _ask(self, request_id, service, addresses):
+        """Asks others, and takes over what they saw; returns what they told.
 
-    def _take_record(self, request_id, version):
+        Args:
+            request_id: Id of the request that began a stream, or ''.
+            service: Name of its service.
+            addresses: IP and port of each instance.
+        """
+        told = await self._link.ask(request_id, service, addresses)
         now = self._loop.time()
-        if version == streams.UNKNOWN:
-            self._refusals.add(request_id, now)
-        else:
-            self._records.put(request_id, version, now)
+        for item in told:
+            if item.sole is not None:
+                self._history.adopt(service, item.sole, now)
+        return told
+
+    def _take_refusal(self, request_id):
+        self._refusals.add(request_id, self._loop.time())
 
     def _answer(self, request_id, service):
         now = self._loop.time()
         return _stream_link.Told(
-            self._records.get(request_id, now),
-            self._history.sole(service, now),
+            self._copies.get(request_id),
+            self._sole(service),
             self._refusals.age_s(request_id, now),
+            bool(self._history.services),
         )
 
-    def _holders(self, request_id, count):
-        peers = self._peer_link.peers
-        names = streams.holders(request_id, peers, count)
-        return [peers[name] for name in names]
+    def _sole(self, service):
+        age_s = self.view_age_s()
+        return self._history.sole(service, self._loop.time(), age_s)
 
     def record(self, request_id, service, version, life_s):
         """Records that a stream begins, before its first event is sent.
@@ -87,7 +124,8 @@
         """
         now = self._loop.time()
         if not self._history.settled(service, _settle_s(life_s), now):
-            self._keep(request_id, version)
+            life_s = max(streams.RECORD_TTL_S, life_s)
+            self._copies.keep(streams.Record(request_id, version, life_s))
 
     def refused(self, request_id):
         """Records that a stream was refused, as its version is not known.
@@ -95,13 +133,9 @@
         Args:
             request_id: Id of the request that began it.
         """
-        self._keep(request_id, streams.UNKNOWN)
-
-    def _keep(self, request_id, version):
-        """Keeps a record here and at its holders, for RECORD_TTL_S anew."""
-        self._take_record(request_id, version)
-        holders = self._holders(request_id, RECORD_HOLDERS)
-        self._link.announce(request_id, version, holders)
+        self._take_refusal(request_id)
+        holders = self._copies.holders(request_id)
+        self._link.announce_refusal(request_id, holders)
 
     async def find(self, request_id, service, life_s):
         """Returns the version at which a stream may go on, or None.
@@ -111,24 +145,23 @@
             service: Name of its service.
             life_s: Longest life of a stream of its route.
         """
-        record = self._records.get(request_id, self._loop.time())
+        record = self._copies.get(request_id)
         told = []
         if record is None and request_id:
-            holders = self._holders(request_id, ASKED_INSTANCES)
-            told = await self._link.ask(request_id, service, holders)
+            asked = self._copies.asked(request_id)
+            told = await self._ask(request_id, service, asked)
             found = [item.version for item in told if item.version is not None]
             record = found[0] if found else None
         now = self._loop.time()
-        sole = self._history.sole(service, now)
+        sole = self._sole(service)
         refused = [item.refused_s for item in told]
         refused_s = max(refused, default=0.0)
         refused_s = max(refused_s, self._refusals.age_s(request_id, now))
         version = streams.version_to_resume(
             record,
             sole,
-            [item.sole for item in told],
+            [item.sole for item in told if item.sees],
             _settle_s(life_s) + refused_s,
-            now - self._observed_at <= VIEW_AGE_S,
         )
         self._log.event(
             'stream.version',
@@ -151,5 +184,8 @@
 
 
 def _settle_s(life_s):
-    """Returns for how long a version must be the only one to be sure."""
-    return max(MIN_LIFE_S, life_s) + VIEW_AGE_S
+    """Returns for how long a version must be the only one to be sure.
+
+    Instances learn of a new version at different times.
+    """
+    return max(MIN_LIFE_S, life_s) + streams.MAX_VIEW_AGE_S
--- a/dandelionwinch/streams/__init__.py
+++ b/dandelionwinch/streams/__init__.py
@@ -2,7 +2,9 @@
 
 from dandelionwinch.streams._history import Sole
 from dandelionwinch.streams._history import VersionHistory
-from dandelionwinch.streams._records import holders
+from dandelionwinch.streams._holders import Holders
+from dandelionwinch.streams._records import MAX_VIEW_AGE_S
+from dandelionwinch.streams._records import Record
 from dandelionwinch.streams._records import RECORD_TTL_S
 from dandelionwinch.streams._records import Refusals
 from dandelionwinch.streams._records import UNKNOWN
@@ -10,12 +12,14 @@
 from dandelionwinch.streams._records import VersionRecords
 
 __all__ = [
+    'MAX_VIEW_AGE_S',
     'RECORD_TTL_S',
     'UNKNOWN',
+    'Holders',
+    'Record',
     'Refusals',
     'Sole',
     'VersionHistory',
     'VersionRecords',
-    'holders',
     'version_to_resume',
 ]
--- a/dandelionwinch/streams/_records.py
+++ b/dandelionwinch/streams/_records.py
@@ -1,19 +1,37 @@
-"""Software versions at which streams began, and who keeps them."""
+"""Software versions at which streams began, and refusals."""
 
 import collections
-import heapq
 
-from dandelionwinch import utils
+import attrs
 
-# Longer than a caller may take to take its stream up again.
+# Shortest time for which a record is kept, longer than a caller may take to
+# take its stream up again.
 RECORD_TTL_S = 30.0
 MAX_RECORDS = 20000
+# Age up to which a view of the registered versions is recent: the interval
+# of the watch and its pauses.
+MAX_VIEW_AGE_S = 5.0
 # Announced in place of a version: nobody knew it.
 UNKNOWN = ''
 
 
+@attrs.frozen
+class Record:
+    """The software version at which a stream began.
+
+    Attributes:
+        request_id: Id of the request that began it.
+        version: The version.
+        left_s: Seconds for which it is kept.
+    """
+
+    request_id: str
+    version: str
+    left_s: float
+
+
 class VersionRecords:
-    """The version at which each stream began, for RECORD_TTL_S.
+    """The version at which each stream began, for as long as it may live.
 
     The oldest records go first if there are over MAX_RECORDS.
     """
@@ -21,26 +39,41 @@
     __slots__ = ('_records',)
 
     def __init__(self):
+        # Version and end of each record, by id.
         self._records = collections.OrderedDict()
 
-    def put(self, request_id, version, now):
-        """Records a stream by the id of the request that began it."""
+    def put(self, request_id, version, now, life_s=RECORD_TTL_S):
+        """Records a stream by the id of the request that began it.
+
+        Args:
+            request_id: Id of the request.
+            version: Software version.
+            now: Time in seconds.
+            life_s: Seconds for which the record is kept.
+        """
         self._drop_old(now)
-        self._records.pop(request_id, None)
+        _version, until = self._records.pop(request_id, (None, now))
         if len(self._records) >= MAX_RECORDS:
             self._records.popitem(last=False)
-        self._records[request_id] = (version, now)
+        self._records[request_id] = (version, max(until, now + life_s))
 
     def get(self, request_id, now):
         """Returns the version at which a stream began, or None."""
-        self._drop_old(now)
-        version, _at = self._records.get(request_id, (None, now))
-        return version
+        version, until = self._records.get(request_id, (None, now))
+        return version if until >= now else None
+
+    def all(self, now):
+        """Returns all Records."""
+        return [
+            Record(request_id, version, until - now)
+            for request_id, (version, until) in self._records.items()
+            if until >= now
+        ]
 
     def _drop_old(self, now):
         while self._records:
-            request_id, (_version, at) = next(iter(self._records.items()))
-            if now - at <= RECORD_TTL_S:
+            request_id, (_version, until) = next(iter(self._records.items()))
+            if until >= now:
                 return
             del self._records[request_id]
 
@@ -83,25 +116,7 @@
             del self._refused[request_id]
 
 
-def holders(request_id, names, count):
-    """Returns the instances that keep the record of a stream, best first.
-
-    It is rendezvous hashing, so that instances that know of slightly
-    different sets of instances agree on most of them.
-
-    Args:
-        request_id: Id of the request that began the stream.
-        names: Names of the instances.
-        count: Maximum number of instances.
-    """
-
-    def score(name):
-        return utils.rendezvous_score(1.0, request_id, name)
-
-    return heapq.nlargest(count, sorted(names), key=score)
-
-
-def version_to_resume(record, sole, told, settle_s, fresh):
+def version_to_resume(record, sole, told, settle_s):
     """Returns the software version at which a stream may go on.
 
     A record is sure. Without one a stream began while its instance knew a
@@ -112,21 +127,20 @@
     Args:
         record: Version that was recorded for the stream, or None.
         sole: Sole version of the service at this instance, or None.
-        told: For each other instance that answered, the Sole version of the
-            service there, or None.
+        told: For each other instance that answered and has a view, the Sole
+            version of the service there, or None.
         settle_s: Longest life of a stream, the age of the view, and the time
             since the stream was refused first.
-        fresh: Whether this instance's view of the versions is recent. An
-            older one counts only if others confirm it.
 
     Returns:
         The version, or None if it is not known: the stream must not go on.
     """
     if record is not None:
         return record
-    if sole is None or not (fresh or told):
+    if sole is None or sole.age_s > MAX_VIEW_AGE_S:
         return None
     if any(other is None or other.version != sole.version for other in told):
         return None
-    longest_s = max(seen.for_s for seen in (sole, *told))
+    seen = [sole, *(other for other in told if other.reaches(sole))]
+    longest_s = max(one.for_s for one in seen)
     return sole.version if longest_s >= settle_s else None
