--- a/dandelionwinch/gateway/_generation_handler.py
+++ b/dandelionwinch/gateway/_generation_handler.py
@@ -18,6 +18,7 @@
 from dandelionwinch.gateway import _upstream_exchange
 from dandelionwinch import migration
 from dandelionwinch import quarantine
+from dandelionwinch import routes
 from dandelionwinch import upstreams
 
 # Part of the route's timeout; a caller with a shorter one is retrying.
@@ -309,12 +310,11 @@
         if self._version is not None:
             return
         self._version = entry.software_version
-        self._gateway.streams.record(
-            self._req.id,
-            self._service,
-            self._version,
-            self._route.timeout_s,
-        )
+        # Callers may take up no other stream.
+        if self._route.retry_policy is routes.RetryPolicy.RESUMABLE:
+            self._gateway.streams.record(
+                self._req.id, self._version, self._route.timeout_s
+            )
 
     def _log_resumption(self, entry):
         self._gateway.log.event(
--- a/dandelionwinch/gateway/_stream_versions.py
+++ b/dandelionwinch/gateway/_stream_versions.py
@@ -18,10 +18,9 @@
 class StreamVersions:
     """Records at which version streams began, and asks others for it.
 
-    Streams are recorded only beside several versions of their service, and
-    for some time after, as a stream can go on only at one version otherwise.
-    What an instance saw and recorded ends with its process, so one that has
-    started asks others for it.
+    Each stream is recorded as it begins: whether a second version comes
+    while it may be taken up, nobody knows by then. What an instance saw and
+    recorded ends with its process, so one that has started asks others.
 
     Args:
         loop: The event loop.
@@ -113,17 +112,15 @@
         age_s = self.view_age_s()
         return self._history.sole(service, self._loop.time(), age_s)
 
-    def record(self, request_id, service, version, life_s):
+    def record(self, request_id, version, life_s):
         """Records that a stream begins, before its first event is sent.
 
         Args:
             request_id: Id of the request.
-            service: Name of its service.
-            version: Software version of the engine.
+            version: Software version of the engine, '' if it states none.
             life_s: Longest life of a stream of its route.
         """
-        now = self._loop.time()
-        if not self._history.settled(service, _settle_s(life_s), now):
+        if version:
             life_s = max(streams.RECORD_TTL_S, life_s)
             self._copies.keep(streams.Record(request_id, version, life_s))
 
@@ -172,15 +169,15 @@
             version=version,
         )
         if request_id:
-            self._keep_found(request_id, service, version, life_s)
+            self._keep_found(request_id, version, life_s)
         return version
 
-    def _keep_found(self, request_id, service, version, life_s):
+    def _keep_found(self, request_id, version, life_s):
         """Keeps what a stream's next attempt is to find."""
         if version is None:
             self.refused(request_id)
         else:
-            self.record(request_id, service, version, life_s)
+            self.record(request_id, version, life_s)
 
 
 def _settle_s(life_s):
--- a/dandelionwinch/streams/_records.py
+++ b/dandelionwinch/streams/_records.py
@@ -119,10 +119,9 @@
 def version_to_resume(record, sole, told, settle_s):
     """Returns the software version at which a stream may go on.
 
-    A record is sure. Without one a stream began while its instance knew a
-    single version, as streams beside several versions are recorded. Which
-    one it was is known only if there has been no other for as long as
-    streams live, and nobody who was asked knows another one.
+    A record is sure. Where it was lost, the version is known only if there
+    has been no other for as long as streams live, and nobody who was asked
+    knows another one.
 
     Args:
         record: Version that was recorded for the stream, or None.
