--- a/dandelionwinch/gateway/_record_copies.py
+++ b/dandelionwinch/gateway/_record_copies.py
@@ -6,13 +6,16 @@
 """
 
 import asyncio
+import collections
 
 from dandelionwinch import streams
 
 # Pause after which an instance that has started asks those that have not
-# told all they know, and how often.
+# told all they know, and how often it asks each of them.
 LEARN_AGAIN_S = 0.5
 LEARN_ATTEMPTS = 4
+# After a kill of all instances each one asks all others.
+ASKED_AT_ONCE = 64
 
 
 class RecordCopies:
@@ -112,13 +115,19 @@
             self._task = self._loop.create_task(self._ask_all())
 
     async def _ask_all(self):
-        for _attempt in range(LEARN_ATTEMPTS):
-            addresses = [
+        times = collections.Counter()
+        while True:
+            due = [
                 addr
                 for addr in self._peer_link.peers.values()
-                if addr not in self._told
+                if addr not in self._told and times[addr] < LEARN_ATTEMPTS
             ]
-            self._link.ask_records(self._peer_link.name, addresses)
+            if not due:
+                return
+            due.sort(key=times.__getitem__)
+            due = due[:ASKED_AT_ONCE]
+            times.update(due)
+            self._link.ask_records(self._peer_link.name, due)
             await asyncio.sleep(LEARN_AGAIN_S)
 
     def _answer_need(self, name, addr):
--- a/dandelionwinch/tests/datagrams.py
+++ b/dandelionwinch/tests/datagrams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import json
 
 MIN_LATENCY_S = 0.001
 MAX_LATENCY_S = 0.02
@@ -19,6 +20,7 @@
         doubled: Share of the datagrams that arrive twice.
         late: Share of the datagrams that arrive up to MAX_LATE_S late.
         sent: Number of datagrams sent.
+        sent_by_kind: The same by kind.
         sent_bytes: Their size.
         bytes_by_sender: Size of the datagrams that each address sent.
         bytes_by_receiver: Size of those that were sent to each address.
@@ -30,6 +32,7 @@
         self._loss = loss
         self._links = {}
         self.sent = 0
+        self.sent_by_kind = collections.Counter()
         self.sent_bytes = 0
         self.bytes_by_sender = collections.Counter()
         self.bytes_by_receiver = collections.Counter()
@@ -45,6 +48,7 @@
     def carry(self, data, sender, addr):
         """Delivers a datagram after some time, or loses it."""
         self.sent += 1
+        self.sent_by_kind[json.loads(data)[0]] += 1
         self.sent_bytes += len(data)
         self.bytes_by_sender[sender] += len(data)
         self.bytes_by_receiver[addr] += len(data)
