--- a/dandelionwinch/control/_changes.py
+++ b/dandelionwinch/control/_changes.py
@@ -109,6 +109,7 @@
             restored: Whether it is the first one after a restore.
         """
         items, epoch = listing.items, listing.revision.epoch
+        self._gateway.streams.interrupted()
         keys = {item.key for item in items}
         if restored:
             self._store_restored(keys, now)
@@ -338,7 +339,7 @@
             self._remove_instance(key)
         peers = self.registered.peers(self._cfg.peer_port)
         self._gateway.peers.set_peers(peers)
-        versions = self._gateway.fleet.registry.software_versions()
+        versions = self._gateway.fleet.registry.take_versions()
         self._gateway.streams.observe(versions)
 
     def _remove_upstream(self, upstream_id, now, held):
--- a/dandelionwinch/gateway/_stream_versions.py
+++ b/dandelionwinch/gateway/_stream_versions.py
@@ -72,6 +72,15 @@
         if self._learning is None:
             self._learning = self._loop.create_task(self._learn())
 
+    def interrupted(self):
+        """Forgets what was seen, as versions may have come and gone unseen.
+
+        Others may have seen more; they are asked as after a start.
+        """
+        self._history.interrupt(self._loop.time())
+        if self._learning is not None and self._learning.done():
+            self._learning = None
+
     def hand_over(self):
         """Sends what only this instance may know to others, as it ends."""
         self._copies.hand_over()
--- a/dandelionwinch/streams/_history.py
+++ b/dandelionwinch/streams/_history.py
@@ -59,6 +59,15 @@
             if seen is None or seen.versions != found:
                 self._seen[service] = _Seen(found, now)
 
+    def interrupt(self, now):
+        """Records that what came before is not known any more.
+
+        Args:
+            now: Time in seconds.
+        """
+        for seen in self._seen.values():
+            seen.since = now
+
     @property
     def services(self):
         """Returns the names of the services that were seen."""
--- a/dandelionwinch/tests/test_out_of_step.py
+++ b/dandelionwinch/tests/test_out_of_step.py
@@ -145,6 +145,54 @@
     assert relay_harness.run(scenario, 3, 3) == {None}
 
 
+@pytest.mark.parametrize('compacts', [False, True])
+@pytest.mark.parametrize('lasts_s', [1.0, 4.0, 9.0, 20.0])
+def test_a_version_that_came_and_went_unseen_is_known_of(lasts_s, compacts):
+    """A stream began at it elsewhere, and its record was lost.
+
+    The instance was cut off from the store while it served; the store may
+    have forgotten by then that it did.
+    """
+
+    async def scenario(world):
+        trial = Trial(world)
+        await asyncio.sleep(CALM_S)
+        trial.cut(Cut.BOTH)
+        trial.put('new', 'v2')
+        await asyncio.sleep(lasts_s)
+        trial.remove('new')
+        if compacts:
+            world.items.compact()
+        trial.cut(None)
+        world.network.cut_off.add(trial.away.addr)
+        found = []
+        for step in range(24):
+            await asyncio.sleep(1.0)
+            found.append(await trial.find(trial.away, f'r{step}'))
+        return set(found)
+
+    assert relay_harness.run(scenario, 3, 3) == {None}
+
+
+def test_one_whose_view_was_interrupted_learns_from_the_others():
+    """The store forgot its history; the others have seen all."""
+
+    async def scenario(world):
+        trial = Trial(world)
+        await asyncio.sleep(CALM_S)
+        trial.cut(Cut.STORE)
+        world.write()
+        await asyncio.sleep(6.0)
+        world.write()
+        await asyncio.sleep(2.0)
+        world.items.compact()
+        trial.cut(None)
+        await asyncio.sleep(2 * CONTACT_S)
+        return await trial.find(trial.away, 'r1')
+
+    assert relay_harness.run(scenario, 6, 3) == 'v1'
+
+
 def test_many_that_ask_whether_the_view_is_current_share_the_calls():
     """A kill of a whole instance has all its streams taken up at once."""
 
--- a/dandelionwinch/upstreams/_registry.py
+++ b/dandelionwinch/upstreams/_registry.py
@@ -209,7 +209,7 @@
 class Registry:
     """All upstreams, by id and by service."""
 
-    __slots__ = ('_by_id', '_by_service', '_replaced', '_versions')
+    __slots__ = ('_applied', '_by_id', '_by_service', '_replaced')
 
     def __init__(self):
         self._by_id = {}
@@ -217,8 +217,8 @@
         self._by_service = {}
         # Upstreams that another incarnation replaced, by incarnation.
         self._replaced = {}
-        # The registered versions by service, None after a change.
-        self._versions = None
+        # Versions by service of the entries since `take_versions`.
+        self._applied = {}
 
     def apply(self, entry):
         """Adds or updates an upstream by its entry in the store.
@@ -235,7 +235,8 @@
         upstream = self._incarnation_of(entry, current)
         upstream.entry = entry
         upstream.gone_at = None
-        self._versions = None
+        applied = self._applied.setdefault(entry.service, set())
+        applied.add(entry.software_version)
         self._by_id[entry.id] = upstream
         self._by_service.setdefault(entry.service, {})[entry.id] = upstream
         return upstream is not current
@@ -253,7 +254,6 @@
         upstream = self._by_id.get(upstream_id)
         if upstream is not None and upstream.gone_at is None:
             upstream.gone_at = now
-            self._versions = None
         return upstream
 
     def replace(self, entries, now):
@@ -360,20 +360,21 @@
             if upstream.accepts_requests(now)
         ]
 
-    def software_versions(self):
-        """Returns the registered versions of each service, as sets."""
-        if self._versions is None:
-            self._versions = self._find_versions()
-        return self._versions
+    def take_versions(self):
+        """Returns the versions of each service since it was called last.
 
-    def _find_versions(self):
-        found = {}
+        An upstream may come and go in between; a stream may have begun
+        there.
+
+        Returns:
+            Mapping of service name to its set of versions.
+        """
+        found, self._applied = self._applied, {}
         for upstream in self._by_id.values():
             if upstream.gone_at is None:
                 entry = upstream.entry
-                found.setdefault(entry.service, set()).add(
-                    entry.software_version
-                )
+                versions = found.setdefault(entry.service, set())
+                versions.add(entry.software_version)
         return found
 
     def __iter__(self):
