--- a/dandelionwinch/control/_order_sender.py
+++ b/dandelionwinch/control/_order_sender.py
@@ -107,7 +107,9 @@
         try:
             self._check_serves(upstream)
             conn.send(request)
-            _head, body = await gateway.read_response(conn, ORDER_TIMEOUT_S)
+            _head, body = await gateway.read_response(
+                conn, ORDER_TIMEOUT_S, self._fleet.answer_bytes
+            )
         finally:
             pool.discard(conn)
         return self._wire_codec.accepted_order_count(body)
--- a/dandelionwinch/gateway/_attempt_connections.py
+++ b/dandelionwinch/gateway/_attempt_connections.py
@@ -78,15 +78,17 @@
             executes: Whether the upstream may execute the request.
         """
         upstream.active += 1
+        exchange = _upstream_exchange.UpstreamExchange(
+            self._loop,
+            conn,
+            self._state.gateway.wire_codec,
+            self._state.req,
+            self._state.deadline,
+            may_leave,
+            self._fleet.answer_bytes,
+        )
         try:
-            yield _upstream_exchange.UpstreamExchange(
-                self._loop,
-                conn,
-                self._state.gateway.wire_codec,
-                self._state.req,
-                self._state.deadline,
-                may_leave,
-            )
+            yield exchange
         except BaseException as exc:
             pool.discard(conn)
             if isinstance(exc, asyncio.CancelledError):
@@ -102,4 +104,5 @@
             raise
         finally:
             upstream.active -= 1
+            exchange.close()
         pool.release(conn)
--- a/dandelionwinch/gateway/_cache_watch.py
+++ b/dandelionwinch/gateway/_cache_watch.py
@@ -161,7 +161,7 @@
                 raise _pool.NotConnected('the engine accepts no requests')
             conn.send(request)
             head, body = await _whole_response.read_response(
-                conn, WAIT_S + RESPONSE_MARGIN_S
+                conn, WAIT_S + RESPONSE_MARGIN_S, self._fleet.answer_bytes
             )
             events = self._read_events(head, body)
         except BaseException:
--- a/dandelionwinch/gateway/_event_reader.py
+++ b/dandelionwinch/gateway/_event_reader.py
@@ -65,7 +65,7 @@
             return self._split(item.data)
         if not self._framed:
             await self._settle()
-        if self._splitter.incomplete:
+        if self._splitter.buffered:
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.UNKNOWN, 'a torn event'
             )
@@ -73,11 +73,13 @@
 
     def _split(self, data):
         try:
-            return self._splitter.feed(data)
+            events = self._splitter.feed(data)
         except ValueError as exc:
             raise _upstream_exchange.AttemptFailed(
                 attempts.AttemptOutcome.UNKNOWN, str(exc)
             ) from exc
+        self._exchange.hold(self._splitter.buffered)
+        return events
 
 
 def closed_without_an_event():
--- a/dandelionwinch/gateway/_fleet.py
+++ b/dandelionwinch/gateway/_fleet.py
@@ -1,7 +1,9 @@
 """The registry of upstreams, and a connection pool for each of them."""
 
 import functools
+import math
 
+from dandelionwinch.gateway import _answer_bytes
 from dandelionwinch.gateway import _pool
 from dandelionwinch import ratelimits
 from dandelionwinch import upstreams
@@ -16,6 +18,7 @@
     """The upstreams as one instance uses them.
 
     Attributes:
+        answer_bytes: AnswerBytes of the answers of all upstreams.
         registry: State of each upstream.
         capacity_ratio: Capacity of all instances over this instance's,
             which divides the connection limits.
@@ -31,6 +34,7 @@
         '_loop',
         '_pools',
         '_returns',
+        'answer_bytes',
         'byte_limits',
         'capacity_ratio',
         'end_checks',
@@ -44,6 +48,7 @@
         self._loop = loop
         self._pools = {}
         self._returns = ratelimits.ReturnSchedule()
+        self.answer_bytes = _answer_bytes.AnswerBytes(math.inf)
         self.registry = upstreams.Registry()
         self.capacity_ratio = 1.0
         self.table = None
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -7,6 +7,7 @@
 from dandelionwinch import attempts
 from dandelionwinch import dispatch
 from dandelionwinch import errors
+from dandelionwinch.gateway import _answer_bytes
 from dandelionwinch.gateway import _authenticator
 from dandelionwinch.gateway import _byte_limits
 from dandelionwinch.gateway import _cache_watch
@@ -113,6 +114,7 @@
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_s
         )
         self.fleet = _fleet.Fleet(loop)
+        self.fleet.answer_bytes = _answer_bytes.AnswerBytes(cfg.max_held_bytes)
         self.peers = _peer_link.PeerLink(loop, log, cfg.instance)
         self.streams = _stream_versions.StreamVersions(loop, log, self.peers)
         self.metrics = _metrics.Metrics()
--- a/dandelionwinch/gateway/_sse.py
+++ b/dandelionwinch/gateway/_sse.py
@@ -89,9 +89,9 @@
             raise ValueError('more bytes than the request may have')
 
     @property
-    def incomplete(self):
-        """Tells whether an incomplete event is buffered."""
-        return bool(self._buffer)
+    def buffered(self):
+        """Returns the bytes of an incomplete event that are buffered."""
+        return len(self._buffer)
 
 
 def _event_id(item):
--- a/dandelionwinch/gateway/_upstream_exchange.py
+++ b/dandelionwinch/gateway/_upstream_exchange.py
@@ -5,6 +5,7 @@
 import attrs
 
 from dandelionwinch import attempts
+from dandelionwinch.gateway import _answer_bytes
 from dandelionwinch.gateway import _codec
 from dandelionwinch.gateway import _connection
 from dandelionwinch.gateway import _end_checks
@@ -63,24 +64,49 @@
         may_leave: Coroutine function of the connection that tells whether
             an upstream that has been silent for the read timeout may be
             left. Until it may, or the deadline passes, it is awaited.
+        answer_bytes: AnswerBytes that what is held counts against.
     """
 
     __slots__ = (
         '_conn',
         '_deadline',
+        '_held',
         '_loop',
         '_may_leave',
         '_req',
         '_wire_codec',
     )
 
-    def __init__(self, loop, conn, wire_codec, req, deadline, may_leave):
+    def __init__(
+        self, loop, conn, wire_codec, req, deadline, may_leave, answer_bytes
+    ):
         self._loop = loop
         self._conn = conn
         self._wire_codec = wire_codec
         self._req = req
         self._deadline = deadline
         self._may_leave = may_leave
+        self._held = answer_bytes.open()
+
+    def close(self):
+        """Ends the exchange, of which nothing is held any more."""
+        self._held.close()
+
+    def hold(self, size):
+        """Counts what is held of the answer until it can be relayed.
+
+        Args:
+            size: Bytes.
+
+        Raises:
+            AttemptFailed: If it is too large beside all others.
+        """
+        try:
+            self._held.resize(size)
+        except _answer_bytes.TooManyBytes as exc:
+            raise AttemptFailed(
+                attempts.AttemptOutcome.UNKNOWN, str(exc)
+            ) from exc
 
     async def read_response(self, head, read_timeout_s):
         """Reads the body after a head and returns the UpstreamResponse.
@@ -109,6 +135,7 @@
             if isinstance(item, _connection.End):
                 return bytes(body)
             body += item.data
+            self.hold(len(body))
             if len(body) >= progress + MIN_PROGRESS_BYTES:
                 progress, progress_at = len(body), self._loop.time()
             if len(body) > MAX_RESPONSE_BODY_BYTES:
--- a/dandelionwinch/platform/_store.py
+++ b/dandelionwinch/platform/_store.py
@@ -17,6 +17,9 @@
 # Leases of which a late copy of the answer is known as such.
 KNOWN_LEASES = 64
 
+# A page of a listing has about 1 MB.
+MAX_BODY_BYTES = 1 << 24
+
 
 @attrs.frozen
 class _Response:
@@ -235,7 +238,9 @@
         try:
             conn.send(request)
             left_s = max(0.0, deadline - sent_at)
-            head, text = await gateway.read_response(conn, left_s)
+            head, text = await gateway.read_response(
+                conn, left_s, max_bytes=MAX_BODY_BYTES
+            )
         except gateway.ConnectionLost as exc:
             self._pool.discard(conn)
             # What silenced one connection may have silenced the others, each
--- a/dandelionwinch/tests/gateway_harness.py
+++ b/dandelionwinch/tests/gateway_harness.py
@@ -62,6 +62,7 @@
     revoke_s: float = 5.0
     duty_settings: control.DutySettings = control.DutySettings()
     limits_held_bytes: bool = False
+    max_held_bytes: int = 1 << 25
     drain_s: float = 4.0
 
 
