--- a/dandelionwinch/tests/test_stop.py
+++ b/dandelionwinch/tests/test_stop.py
@@ -388,3 +388,106 @@
             await running.process.instance.wait()
 
     asyncio.run(scenario())
+
+
+WORK_S = 0.3
+INTERVAL_S = 0.05
+GRACE_S = 3
+
+
+class _WorkingUpstream(scripted.ScriptedUpstream):
+    """Works for a while before it answers."""
+
+    async def _respond(self, req, reader, writer):
+        await asyncio.sleep(WORK_S)
+        return await super()._respond(req, reader, writer)
+
+
+async def _take(idle, port):
+    """Returns a connection that was idle, or a new one."""
+    if idle:
+        return idle.pop()
+    return await asyncio.open_connection('127.0.0.1', port)
+
+
+async def _ask(conn, request_id, request):
+    """Sends a request; returns its id and status, 0 without a whole answer."""
+    reader, writer = conn
+    writer.write(request)
+    status, _names = await _read_head(reader)
+    if status == 200:
+        async with asyncio.timeout(recorder.TIMEOUT_S):
+            try:
+                end = b'0\r\n\r\n' if b'/long/' in request else b'hello'
+                await reader.readuntil(end)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                status = 0
+    writer.close()
+    return request_id, status
+
+
+@pytest.mark.parametrize('kept', [True, False], ids=['kept', 'new'])
+@pytest.mark.parametrize('route', [LONG_ROUTE, ONCE_ROUTE])
+def test_all_that_is_sent_on_during_a_stop_is_answered(
+    kv, tmp_path, route, kept
+):
+    """Second report of other operators: cut at the end of the grace.
+
+    Requests come all the time from the begin of the stop to its end, on
+    connections that were idle and on new ones.
+    """
+
+    def request(request_id):
+        if route is ONCE_ROUTE:
+            return samples.request('/once/1', request_id, timeout_ms=16000)
+        return _draft(request_id)
+
+    script = [gateway_harness.response()]
+    if route is LONG_ROUTE:
+        script = [
+            gateway_harness.STREAM_HEAD,
+            gateway_harness.chunk(gateway_harness.event(1)),
+            gateway_harness.LAST_CHUNK,
+        ]
+
+    async def scenario():
+        upstream = _WorkingUpstream(samples.REQUEST_ID, [script])
+        await upstream.start()
+        running = instance_harness.RunningInstance(
+            kv, tmp_path / 'none', GRACE_S
+        )
+        async with running:
+            await running.serve(upstream.address, route)
+            for number in range(4):
+                conn = await running.connect('callers')
+                await _ask(conn, f'w{number}', request(f'w{number}'))
+            port = running.process.instance.ports()['callers']
+            idle = []
+            while kept and len(idle) < GRACE_S / INTERVAL_S:
+                idle.append(await running.connect('callers'))
+            stopping = asyncio.create_task(_stop(running))
+            asked = []
+            while not stopping.done():
+                request_id = f'r{len(asked)}'
+                try:
+                    conn = await _take(idle, port)
+                except OSError:
+                    break
+                ask = _ask(conn, request_id, request(request_id))
+                asked.append(asyncio.create_task(ask))
+                await asyncio.sleep(INTERVAL_S)
+            statuses = dict(await asyncio.gather(*asked))
+            await stopping
+        await upstream.close()
+        sent = {
+            req.headers.get(samples.REQUEST_ID) for req in upstream.requests
+        }
+        return statuses, sent
+
+    statuses, sent = asyncio.run(scenario())
+    assert {statuses[name] for name in sent if name in statuses} <= {200}
+    refused = {status for name, status in statuses.items() if name not in sent}
+    assert refused <= {0, 503}
+    if not kept:
+        assert 200 in statuses.values()
+        assert 503 in statuses.values()
