--- a/dandelionwinch/gateway/_codec.py
+++ b/dandelionwinch/gateway/_codec.py
@@ -27,6 +27,7 @@
 # as they are themselves, and CHUNK_FRAMING_BYTES for each piece of them.
 MAX_FRAMING_BYTES = 16384
 CHUNK_FRAMING_BYTES = 16
+TUNNEL_METHOD = 'CONNECT'
 REASON_PHRASES = {
     100: 'Continue',
     200: 'OK',
@@ -188,7 +189,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
-            raise BadMessage('a change of protocol is not supported') from exc
+            self._go_on_after_upgrade(data[exc.args[0] :])
         except httptools.HttpParserCallbackError as exc:
             if isinstance(exc.__context__, errors.DandelionwinchError):
                 raise exc.__context__ from exc
@@ -196,6 +197,14 @@
         except httptools.HttpParserError as exc:
             raise BadMessage(f'not a message of HTTP: {exc}') from exc
 
+    def _go_on_after_upgrade(self, _rest):
+        """Goes on where httptools has ended a message with its head.
+
+        Raises:
+            BadMessage: If what follows is of another protocol.
+        """
+        raise BadMessage('a change of protocol is not supported')
+
     def _count_received(self, size):
         if self._section_began:
             self._unread_bytes = 0
@@ -260,15 +269,75 @@
 
 
 class RequestParser(_Parser):
-    """Parses requests of callers."""
+    """Parses requests of callers.
 
-    __slots__ = ()
+    A request may offer another protocol, which a server may ignore; httptools
+    ends it with its head then, whatever body follows. The framing of its head
+    is parsed once more, without the offer, and its body after that.
+    """
+
+    __slots__ = ('_framing', '_replays')
+
+    def __init__(self, sink, max_head_bytes):
+        # Head that only frames the body of a request with an offer.
+        self._framing = None
+        # Whether such a head is being parsed, of which the sink knows.
+        self._replays = False
+        super().__init__(sink, max_head_bytes)
 
     def _new_parser(self):
         return httptools.HttpRequestParser(self)
 
+    def _go_on_after_upgrade(self, rest):
+        framing, self._framing = self._framing, None
+        self._parser = self._new_parser()
+        self._replays = True
+        self._parse(framing)
+        self._parse(rest)
+
+    def on_message_begin(self):
+        if not self._replays:
+            super().on_message_begin()
+
+    def on_url(self, url):
+        if not self._replays:
+            super().on_url(url)
+
+    def on_header(self, name, value):
+        if not self._replays:
+            super().on_header(name, value)
+
+    def on_message_complete(self):
+        if self._framing is None:
+            super().on_message_complete()
+
     def on_headers_complete(self):
+        if self._replays:
+            self._replays = False
+            return
         self._begin_section(in_body=True)
+        if self._parser.should_upgrade():
+            self._framing = self._framing_head()
+        self._pass_head()
+
+    def _framing_head(self):
+        """Returns the bytes of a head that only frames the current body.
+
+        Raises:
+            BadMessage: If the request asks for a tunnel.
+        """
+        method = self._parser.get_method().decode('latin-1')
+        if method == TUNNEL_METHOD:
+            raise BadMessage('a tunnel is not supported')
+        lines = [f'{method} / HTTP/{self._parser.get_http_version()}']
+        lines += [
+            f'{name}: {value}'
+            for name, value in self._headers
+            if name in ('content-length', 'transfer-encoding')
+        ]
+        return '\r\n'.join(lines).encode('latin-1') + b'\r\n\r\n'
+
+    def _pass_head(self):
         head = Head(
             self._parser.get_method().decode('latin-1'),
             self._target.decode('latin-1'),
