--- a/dandelionwinch/gateway/_end_checks.py
+++ b/dandelionwinch/gateway/_end_checks.py
@@ -2,7 +2,8 @@
 
 The system closes the connections of a process that ends in the same way as
 a process closes one on which it has sent all. Only the process tells the two
-apart: one that is gone refuses new connections.
+apart: one that is gone refuses new connections. Its address may be another
+process's soon after, so an end that may have come earlier can't be checked.
 """
 
 import asyncio
@@ -17,6 +18,11 @@
 # only, so another connection is opened meanwhile.
 NEXT_CONNECTION_S = 0.1
 MAX_CHECK_S = 0.4
+# An instance that stood still reads what came meanwhile; it notices this by a
+# timer that is late, and reads for a while.
+TICK_S = 1.0
+STALL_S = 0.5
+READ_S = 0.2
 
 
 class Ending(enum.Enum):
@@ -45,20 +51,48 @@
 
     Args:
         loop: The event loop.
+        registry: Registry of the upstreams.
         on_gone: Called with an Upstream whose process was found to be gone.
     """
 
-    __slots__ = ('_ends', '_loop', '_on_gone', '_tasks')
-
-    def __init__(self, loop, on_gone):
+    __slots__ = (
+        '_ends',
+        '_loop',
+        '_on_gone',
+        '_registry',
+        '_stalled_until',
+        '_tasks',
+        '_tick_at',
+        '_timer',
+    )
+
+    def __init__(self, loop, registry, on_gone):
         self._loop = loop
+        self._registry = registry
         self._on_gone = on_gone
+        self._tick_at = None
+        self._stalled_until = float('-inf')
+        self._timer = None
         # Ends that wait for their check, the oldest first, by incarnation.
         self._ends = {}
         self._tasks = set()
 
+    def start(self):
+        """Starts to notice when the instance stands still."""
+        now = self._loop.time()
+        if self._is_late(now):
+            self._stalled_until = now + READ_S
+        self._tick_at = now
+        self._timer = self._loop.call_later(TICK_S, self.start)
+
+    def _is_late(self, now):
+        due_at = now if self._tick_at is None else self._tick_at + TICK_S
+        return now > due_at + STALL_S
+
     def close(self):
         """Ends all checks; nothing waits for them any more."""
+        if self._timer is not None:
+            self._timer.cancel()
         for task in self._tasks:
             task.cancel()
 
@@ -74,8 +108,15 @@
         Returns:
             Future of the Ending.
         """
-        end = _End(self._loop.time(), self._loop.create_future())
+        now = self._loop.time()
+        end = _End(now, self._loop.create_future())
         incarnation = upstream.entry.incarnation
+        if self._is_late(now) or now < self._stalled_until:
+            end.ending.set_result(Ending.UNKNOWN)
+            return end.ending
+        if self._registry.is_followed(upstream):
+            end.ending.set_result(Ending.GONE)
+            return end.ending
         waiting = self._ends.get(incarnation)
         if waiting is not None:
             waiting.append(end)
--- a/dandelionwinch/gateway/_gateway.py
+++ b/dandelionwinch/gateway/_gateway.py
@@ -172,7 +172,7 @@
             loop, self.fleet, self.peers, log, self.metrics, self.rng
         )
         self.fleet.end_checks = _end_checks.EndChecks(
-            loop, self.crash_guard.process_gone
+            loop, self.fleet.registry, self.crash_guard.process_gone
         )
         self.authenticator = _authenticator.Authenticator(loop, cfg)
         self._key_sharing = _key_sharing.KeySharing(
@@ -224,6 +224,7 @@
         """Starts the periodic work."""
         self._sweep()
         self.crash_guard.start()
+        self.fleet.end_checks.start()
         self._limits.start()
         self._key_sharing.start()
         self.fair_sharing.start()
--- a/dandelionwinch/upstreams/_registry.py
+++ b/dandelionwinch/upstreams/_registry.py
@@ -305,6 +305,23 @@
             and not current.leaving
         )
 
+    def is_followed(self, upstream):
+        """Tells whether another process has taken the place of an upstream.
+
+        It has its id or, once its entry was removed, its address.
+        """
+        current = self._by_id.get(upstream.entry.id)
+        if current is upstream and upstream.gone_at is None:
+            return False
+        if current is not None and current is not upstream:
+            return True
+        return any(
+            other is not upstream
+            and other.gone_at is None
+            and other.entry.address == upstream.entry.address
+            for other in self._by_id.values()
+        )
+
     def serves(self, upstream, now):
         """Tells whether this incarnation is current and accepts requests."""
         current = self._by_id.get(upstream.entry.id)
